--- /dev/null
+++ b/crates/control-chain/src/agreeing.rs
@@ -0,0 +1,236 @@
+//! Agreement on the next view: one decree by Paxos among the voters of the view that holds, with
+//! every promise and acceptance synced before it is said.
+use crate::core::{After, Core, Record, SUSPECT};
+use crate::message::{Accept, Chain, Prepare, Promise, Vote};
+use crate::view::{Accepted, Member, View};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+const TURN: Duration = Duration::from_millis(250);
+const AGAIN: Duration = Duration::from_millis(900);
+
+/// A try to have a next view agreed.
+pub(crate) struct Proposal {
+    n: u64,
+    ballot: u64,
+    wish: View,
+    promises: BTreeMap<u8, Option<Accepted>>,
+    asked: Option<View>,
+    votes: BTreeSet<u8>,
+    begun: Duration,
+}
+
+impl Core {
+    pub(crate) fn votes(&self, member: &Member) -> bool {
+        self.meta.view.voters.items().contains(member)
+    }
+
+    pub(crate) fn alive(&self, member: &Member) -> bool {
+        if *member == self.me {
+            return !self.sick;
+        }
+        self.heard.get(&member.id).is_some_and(|h| {
+            h.incarnation == member.incarnation && h.beat.sick == 0 && self.now.saturating_sub(h.at) < SUSPECT
+        })
+    }
+
+    fn holds_all(&self, member: &Member) -> bool {
+        if *member == self.me {
+            return self.meta.full == 1;
+        }
+        self.heard.get(&member.id).is_some_and(|h| h.beat.view == self.meta.view.n && h.beat.full == 1)
+    }
+
+    /// The view that would suit what is heard now, if it is another than the one that holds.
+    fn wish(&self) -> Option<View> {
+        let view = &self.meta.view;
+        let cores = self.wanted_cores.clone().unwrap_or_else(|| view.cores.items().to_vec());
+        let listed = |m: &Member| cores.iter().any(|c| c.id == m.id);
+        let alive: Vec<Member> = cores
+            .iter()
+            .filter_map(|c| {
+                let incarnation =
+                    if c.id == self.me.id { self.me.incarnation } else { self.heard.get(&c.id)?.incarnation };
+                Some(Member { id: c.id, incarnation }).filter(|m| self.alive(m))
+            })
+            .collect();
+        let mut chain: Vec<Member> = view.chain.items().iter().filter(|m| alive.contains(m)).cloned().collect();
+        if !chain.first().is_some_and(|m| self.holds_all(m)) {
+            return None;
+        }
+        let spares = view.spares.items();
+        let ready = alive.iter().filter(|m| spares.contains(m));
+        let outside = alive.iter().filter(|m| !view.holds(m));
+        let joiners: Vec<Member> = ready.chain(outside.clone()).cloned().collect();
+        for joiner in joiners {
+            if chain.len() < 3 && !chain.contains(&joiner) {
+                chain.push(joiner);
+            }
+        }
+        let gone = |m: &Member| alive.iter().any(|a| a.id == m.id && a != m);
+        let mut next_spares: Vec<Member> =
+            spares.iter().filter(|m| listed(m) && !chain.contains(m) && !gone(m)).cloned().collect();
+        next_spares.extend(outside.filter(|m| !chain.contains(m)).cloned());
+        let mut voters = chain.clone();
+        for voter in view.voters.items() {
+            if voters.len() < 3 && !voters.contains(voter) && listed(voter) && !gone(voter) {
+                voters.push(voter.clone());
+            }
+        }
+        let wish = View {
+            n: view.n + 1,
+            chain: chain.into(),
+            voters: voters.into(),
+            spares: next_spares.into(),
+            cores: cores.into(),
+        };
+        let same = wish.chain == view.chain && wish.spares == view.spares && wish.cores == view.cores;
+        (!same).then_some(wish)
+    }
+
+    pub(crate) fn agree_tick(&mut self) {
+        if self.now >= self.granted_until
+            && let Some((from, prepare)) = self.held_prepare.take()
+        {
+            self.promise(from, prepare);
+        }
+        if self.is_tail() {
+            self.ask_term();
+        }
+        let mut wish = if self.votes(&self.me) { self.wish() } else { None };
+        if wish.is_none() && self.meta.promised != 0 && self.votes(&self.me) {
+            wish = Some(View { n: self.meta.view.n + 1, ..self.meta.view.clone() });
+        }
+        let Some(wish) = wish else {
+            self.trouble_since = None;
+            self.proposal = None;
+            return;
+        };
+        let since = *self.trouble_since.get_or_insert(self.now);
+        let ahead =
+            self.meta.view.voters.items().iter().take_while(|m| **m != self.me).filter(|m| self.alive(m)).count();
+        let turn = TURN * ahead as u32;
+        let again = AGAIN + TURN * self.me.id as u32;
+        let due = match &self.proposal {
+            Some(proposal) => self.now.saturating_sub(proposal.begun) > again,
+            None => self.now.saturating_sub(since) >= turn + Duration::from_millis(100),
+        };
+        if due {
+            self.propose(wish);
+        }
+    }
+
+    fn propose(&mut self, wish: View) {
+        self.ballot_round = self.ballot_round.max(self.meta.promised >> 8) + 1;
+        let (n, ballot) = (wish.n, self.ballot_round << 8 | self.me.id as u64);
+        self.note(format!("proposes {} under ballot {ballot}", wish.words()));
+        self.proposal = Some(Proposal {
+            n,
+            ballot,
+            wish,
+            promises: BTreeMap::new(),
+            asked: None,
+            votes: BTreeSet::new(),
+            begun: self.now,
+        });
+        self.to_voters(Chain::Prepare(Prepare { n, ballot }));
+    }
+
+    fn to_voters(&mut self, message: Chain) {
+        for voter in self.meta.view.voters.clone().into_items() {
+            self.send(voter.id, message.clone());
+        }
+    }
+
+    fn next_decree(&mut self, from: u8, n: u64) -> bool {
+        if n <= self.meta.view.n {
+            let view = self.meta.view.clone();
+            self.send(from, Chain::ViewIs(view));
+        }
+        n == self.meta.view.n + 1 && self.votes(&self.me) && !self.sick
+    }
+
+    pub(crate) fn on_prepare(&mut self, from: u8, incarnation: u64, prepare: Prepare) {
+        self.ballot_round = self.ballot_round.max(prepare.ballot >> 8);
+        if !self.next_decree(from, prepare.n) || !self.votes(&Member { id: from, incarnation }) {
+            return;
+        }
+        if prepare.ballot <= self.meta.promised {
+            return;
+        }
+        if self.now < self.granted_until {
+            if self.held_prepare.as_ref().is_none_or(|(_, held)| held.ballot < prepare.ballot) {
+                self.held_prepare = Some((from, prepare));
+            }
+            return;
+        }
+        self.promise(from, prepare);
+    }
+
+    fn promise(&mut self, from: u8, prepare: Prepare) {
+        if prepare.n != self.meta.view.n + 1 || prepare.ballot <= self.meta.promised {
+            return;
+        }
+        self.meta.promised = prepare.ballot;
+        let promise = Promise { n: prepare.n, ballot: prepare.ballot, accepted: self.meta.accepted.clone() };
+        let meta = self.meta.clone();
+        self.keep(vec![Record::Meta(meta)], After::Say(from, Chain::Promise(promise)));
+    }
+
+    pub(crate) fn on_promise(&mut self, from: u8, incarnation: u64, promise: Promise) {
+        let voter = self.votes(&Member { id: from, incarnation });
+        let majority = self.meta.view.majority();
+        let Some(proposal) = self.proposal.as_mut() else {
+            return;
+        };
+        if !voter || proposal.n != promise.n || proposal.ballot != promise.ballot || proposal.asked.is_some() {
+            return;
+        }
+        proposal.promises.insert(from, promise.accepted.into_items().pop());
+        if proposal.promises.len() < majority {
+            return;
+        }
+        let bound = proposal.promises.values().flatten().max_by_key(|a| a.ballot);
+        let view = bound.map_or_else(|| proposal.wish.clone(), |a| a.view.clone());
+        proposal.asked = Some(view.clone());
+        let accept = Accept { n: proposal.n, ballot: proposal.ballot, view };
+        self.to_voters(Chain::Accept(accept));
+    }
+
+    pub(crate) fn on_accept(&mut self, from: u8, accept: Accept) {
+        self.ballot_round = self.ballot_round.max(accept.ballot >> 8);
+        if !self.next_decree(from, accept.n) || accept.ballot < self.meta.promised {
+            return;
+        }
+        self.meta.promised = accept.ballot;
+        self.meta.accepted = vec![Accepted { ballot: accept.ballot, view: accept.view }].into();
+        let vote = Vote { n: accept.n, ballot: accept.ballot };
+        let meta = self.meta.clone();
+        self.keep(vec![Record::Meta(meta)], After::Say(from, Chain::Vote(vote)));
+    }
+
+    pub(crate) fn on_vote(&mut self, from: u8, incarnation: u64, vote: Vote) {
+        let voter = self.votes(&Member { id: from, incarnation });
+        let majority = self.meta.view.majority();
+        let Some(proposal) = self.proposal.as_mut() else {
+            return;
+        };
+        if !voter || proposal.n != vote.n || proposal.ballot != vote.ballot {
+            return;
+        }
+        proposal.votes.insert(from);
+        if proposal.votes.len() < majority {
+            return;
+        }
+        let Some(view) = proposal.asked.clone() else {
+            return;
+        };
+        let ids: BTreeSet<u8> = self.meta.view.cores.items().iter().chain(view.cores.items()).map(|c| c.id).collect();
+        self.install(view.clone());
+        for id in ids {
+            if id != self.me.id {
+                self.send(id, Chain::ViewIs(view.clone()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/control-chain/src/answering.rs
@@ -0,0 +1,209 @@
+//! What nodes and operators ask of a core: pulls, commands, queries. Only a tail under its term
+//! answers what holds; only the head takes commands; others say where to go.
+use crate::command::{Command, Envelope, Node, Outcome};
+use crate::core::{Core, Output};
+use crate::message::Chain;
+use fleet_common::ask::{Answer, Ask, CORES, Pull, Pulled, SOURCES, TERM, Vector, Versioned};
+use fleet_common::node::vector;
+use std::time::Duration;
+
+/// Beyond its term a node's silence counts as a lapse after this much more.
+pub const LAPSE_MARGIN: Duration = Duration::from_millis(400);
+const PARK_MAX: Duration = Duration::from_millis(1000);
+
+/// A pull that waits for news.
+pub(crate) struct Parked {
+    token: u64,
+    pull: Pull,
+    until: Duration,
+}
+
+/// What the tail knows of a node from its pulls.
+pub(crate) struct Seen {
+    pub at: Duration,
+    pub incarnation: u64,
+    pub confirmed: Vector,
+    pub holding: bool,
+    pub join_asked: Option<Duration>,
+}
+
+impl Core {
+    pub(crate) fn answer(&mut self, token: u64, answer: Answer) {
+        self.out.push(Output::Answer(token, answer));
+    }
+
+    pub(crate) fn answer_json(&mut self, token: u64, text: String) {
+        self.answer(token, Answer::Json(text.into_bytes().into()));
+    }
+
+    pub(crate) fn answer_outcome(&mut self, token: u64, outcome: &Outcome) {
+        self.answer_json(token, sonic_rs::to_string(outcome).unwrap_or_default());
+    }
+
+    fn elsewhere(&mut self, token: u64, place: Option<u8>) {
+        let at = place.filter(|id| *id != self.me.id).and_then(|id| self.meta.view.at(id));
+        let at = at.map(|c| c.node.clone()).unwrap_or_default();
+        self.answer(token, Answer::Elsewhere(at));
+    }
+
+    pub(crate) fn on_asked(&mut self, token: u64, ask: Ask) {
+        let chain = self.meta.view.chain.items();
+        let (head, tail) = (chain.first().map(|m| m.id), chain.last().map(|m| m.id));
+        match ask {
+            Ask::Query(text) if text.as_str() == "self" => {
+                let text = self.own_words();
+                self.answer_json(token, text);
+            }
+            Ask::Pull(pull) if self.holds_term() => self.on_pull(token, pull),
+            Ask::Query(text) if self.holds_term() && self.state.seq <= self.synced => {
+                let text = self.query(text.as_str());
+                self.answer_json(token, text);
+            }
+            Ask::Pull(_) | Ask::Query(_) => self.elsewhere(token, tail),
+            Ask::Command(_) if !self.is_head() || self.sick => self.elsewhere(token, head),
+            Ask::Command(bytes) => match Envelope::unpack(bytes.as_slice()) {
+                Some(envelope) => self.take_command(Some(token), &envelope),
+                None => self.answer(token, Answer::Refused("command cannot be read".into())),
+            },
+            _ => self.answer(token, Answer::Refused("not a core's to answer".into())),
+        }
+    }
+
+    /// Commands that were on their way when this core stopped being head: nobody can say yet.
+    pub(crate) fn give_up_waiting(&mut self) {
+        let waiting = std::mem::take(&mut self.waiting);
+        for (token, _) in waiting.into_values().flatten() {
+            self.answer(token, Answer::Refused("unknown".into()));
+        }
+    }
+
+    pub(crate) fn send_parked_elsewhere(&mut self) {
+        let tail = self.meta.view.chain.items().last().map(|m| m.id);
+        for parked in std::mem::take(&mut self.parked) {
+            self.elsewhere(parked.token, tail);
+        }
+    }
+
+    fn on_pull(&mut self, token: u64, pull: Pull) {
+        let name = pull.node.as_str().to_string();
+        let member = Node {
+            kind: pull.kind.to_string(),
+            incarnation: pull.incarnation,
+            at: pull.at.to_string(),
+            district: pull.district.to_string(),
+        };
+        let before = self.seen.remove(&name);
+        let mut seen = Seen {
+            at: self.now,
+            incarnation: pull.incarnation,
+            confirmed: vector(pull.confirmed.items()),
+            holding: pull.holding != 0,
+            join_asked: before.and_then(|s| s.join_asked),
+        };
+        if self.state.members.get(&name) != Some(&member) {
+            let due = seen.join_asked.is_none_or(|at| self.now.saturating_sub(at) > Duration::from_millis(300));
+            if due {
+                seen.join_asked = Some(self.now);
+                self.to_head(Command::Join { node: name.clone(), member });
+            }
+            self.seen.insert(name, seen);
+            return self.answer(token, Answer::Pulled(Pulled { member: 0, age_ms: 0, changed: vec![].into() }));
+        }
+        seen.join_asked = None;
+        self.seen.insert(name, seen);
+        let until = self.now + Duration::from_millis(pull.wait_ms.into()).min(PARK_MAX);
+        self.parked.push(Parked { token, pull, until });
+        self.wake_parked();
+    }
+
+    fn to_head(&mut self, command: Command) {
+        if let Some(head) = self.meta.view.chain.items().first().map(|m| m.id) {
+            self.send(head, Chain::Command(Envelope::bare(command).pack().into()));
+        }
+    }
+
+    /// Answers the parked pulls that lack something, or have waited long enough.
+    pub(crate) fn wake_parked(&mut self) {
+        if self.parked.is_empty() || self.state.seq > self.synced {
+            return;
+        }
+        if !self.holds_term() {
+            return self.send_parked_elsewhere();
+        }
+        let holds = self.vector();
+        let lacks = |pull: &Pull| (0..SOURCES.len()).any(|at| vector(pull.have.items())[at] < holds[at]);
+        let now = self.now;
+        let (due, parked): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.parked).into_iter().partition(|p| p.until <= now || lacks(&p.pull));
+        self.parked = parked;
+        for parked in due {
+            let have = vector(parked.pull.have.items());
+            let changed: Vec<Versioned> = (0..SOURCES.len())
+                .filter(|at| have[*at] < holds[*at])
+                .map(|at| Versioned { source: at as u8, version: holds[at], value: self.value(at).into_bytes().into() })
+                .collect();
+            self.answer(parked.token, Answer::Pulled(Pulled { member: 1, age_ms: 0, changed: changed.into() }));
+        }
+    }
+
+    pub(crate) fn value(&self, source: usize) -> String {
+        if source == CORES {
+            let nodes: Vec<&str> = self.meta.view.cores.items().iter().map(|c| c.node.as_str()).collect();
+            return sonic_rs::to_string(&nodes).unwrap_or_default();
+        }
+        self.state.value(source)
+    }
+
+    pub(crate) fn answer_tick(&mut self) {
+        self.wake_parked();
+        if !self.holds_term() || self.state.seq > self.synced {
+            return;
+        }
+        for at in 0..SOURCES.len() {
+            let version = self.vector()[at];
+            if self.since.get(&at).is_none_or(|(held, _)| *held != version) {
+                self.since.insert(at, (version, self.now));
+            }
+        }
+        if self.now.saturating_sub(self.lapse_asked) < Duration::from_millis(250) {
+            return;
+        }
+        self.lapse_asked = self.now;
+        let lapsed: Vec<Command> = self
+            .state
+            .members
+            .iter()
+            .filter(|(name, member)| self.silent_for(name, member.incarnation) > TERM + LAPSE_MARGIN * 2)
+            .map(|(name, member)| Command::Lapse { node: name.clone(), incarnation: member.incarnation })
+            .collect();
+        for command in lapsed {
+            self.to_head(command);
+        }
+    }
+
+    /// How long a member has not pulled; a new tail counts from when it became one.
+    pub(crate) fn silent_for(&self, name: &str, incarnation: u64) -> Duration {
+        let seen = self.seen.get(name).filter(|s| s.incarnation == incarnation).map(|s| s.at);
+        self.now.saturating_sub(seen.unwrap_or(self.tail_since).max(self.tail_since))
+    }
+
+    /// Whether every holder of a term uses at least this version of a source, or has lapsed. Any
+    /// term given before the version was there has run out after a term and a margin.
+    pub(crate) fn in_force(&self, source: usize, version: u64) -> bool {
+        let Some((held, at)) = self.since.get(&source) else {
+            return false;
+        };
+        if self.vector()[source] < version || *held < version {
+            return false;
+        }
+        let outlasted = self.now.saturating_sub((*at).max(self.tail_since)) > TERM + LAPSE_MARGIN;
+        let all = self.state.members.iter().all(|(name, member)| {
+            self.seen.get(name).is_some_and(|s| {
+                s.at >= self.tail_since
+                    && s.incarnation == member.incarnation
+                    && (s.confirmed[source] >= version || !s.holding)
+            })
+        });
+        outlasted || all
+    }
+}
--- /dev/null
+++ b/crates/control-chain/src/asked.rs
@@ -0,0 +1,101 @@
+//! Queries: what holds now, as JSON.
+use crate::core::Core;
+use crate::state::claim_name;
+use fleet_common::ask::SOURCES;
+use fleet_common::json::quote;
+
+impl Core {
+    /// What this core itself believes; any core answers this, tail or not.
+    pub(crate) fn own_words(&self) -> String {
+        let versions: Vec<String> =
+            SOURCES.iter().zip(self.vector()).map(|(name, version)| format!("{}:{version}", quote(name))).collect();
+        format!(
+            "{{\"id\":{},\"incarnation\":{},\"view\":{},\"place\":{},\"full\":{},\"sick\":{},\"seq\":{},\"synced\":{},\"committed\":{},\"term\":{},\"versions\":{{{}}}}}",
+            self.me.id,
+            quote(&self.me.incarnation.to_string()),
+            quote(&self.meta.view.words()),
+            quote(&match self.place() {
+                Some(0) => "head".to_string(),
+                Some(_) if self.is_tail() => "tail".into(),
+                Some(p) => format!("chain {p}"),
+                None if self.meta.view.holds(&self.me) => "spare".into(),
+                None => "outside".into(),
+            }),
+            self.meta.full == 1,
+            self.sick,
+            self.last,
+            self.synced,
+            self.committed,
+            self.holds_term(),
+            versions.join(","),
+        )
+    }
+
+    pub(crate) fn query(&self, text: &str) -> String {
+        let parts: Vec<&str> = text.split('/').collect();
+        match parts.as_slice() {
+            ["holds"] => self.holds_words(),
+            ["source", name] => match SOURCES.iter().position(|s| s == name) {
+                Some(at) => format!("{{\"version\":{},\"value\":{}}}", self.vector()[at], self.value(at)),
+                None => "{\"error\":\"no such source\"}".into(),
+            },
+            ["command", id] => match self.state.outcomes.get(*id) {
+                Some((_, outcome)) => {
+                    let at = SOURCES.iter().position(|s| *s == outcome.source);
+                    let force = outcome.accepted() && at.is_some_and(|at| self.in_force(at, outcome.version));
+                    let words = match (outcome.accepted(), force) {
+                        (true, true) => "in force",
+                        (true, false) => "accepted",
+                        _ => "refused",
+                    };
+                    format!(
+                        "{{\"id\":{},\"status\":\"{words}\",\"outcome\":{}}}",
+                        quote(id),
+                        sonic_rs::to_string(outcome).unwrap_or_default()
+                    )
+                }
+                None => format!("{{\"id\":{},\"status\":\"unknown\"}}", quote(id)),
+            },
+            ["claim", tenant, key] => match self.state.claims.get(&claim_name(tenant, key)) {
+                Some(claim) => sonic_rs::to_string(claim).unwrap_or_default(),
+                None => "{\"ran\":\"never_claimed\"}".into(),
+            },
+            _ => "{\"error\":\"no such query\"}".into(),
+        }
+    }
+
+    fn holds_words(&self) -> String {
+        let vector = self.vector();
+        let sources: Vec<String> = (0..SOURCES.len())
+            .map(|at| {
+                let force = self.in_force(at, vector[at]);
+                format!("{}:{{\"version\":{},\"inForce\":{force}}}", quote(SOURCES[at]), vector[at])
+            })
+            .collect();
+        let nodes: Vec<String> = self
+            .state
+            .members
+            .iter()
+            .map(|(name, member)| {
+                let confirmed = self.seen.get(name).map(|s| s.confirmed.to_vec()).unwrap_or_default();
+                format!(
+                    "{}:{{\"kind\":{},\"at\":{},\"district\":{},\"silentMs\":{},\"confirmed\":{confirmed:?}}}",
+                    quote(name),
+                    quote(&member.kind),
+                    quote(&member.at),
+                    quote(&member.district),
+                    self.silent_for(name, member.incarnation).as_millis()
+                )
+            })
+            .collect();
+        format!(
+            "{{\"view\":{},\"seq\":{},\"sources\":{{{}}},\"nodes\":{{{}}},\"duties\":{},\"claims\":{}}}",
+            quote(&self.meta.view.words()),
+            self.state.seq,
+            sources.join(","),
+            nodes.join(","),
+            sonic_rs::to_string(&self.state.duties).unwrap_or_default(),
+            self.state.claims.len()
+        )
+    }
+}
--- /dev/null
+++ b/crates/control-chain/src/blueprint.rs
@@ -0,0 +1,197 @@
+//! Blueprints: what operators intend, read by pointers and checked whole.
+use fleet_common::json::{Fault, Place};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// A tenant: whether it stands apart (its own wall) and its share when places are short.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tenant {
+    pub apart: bool,
+    pub share: u64,
+}
+
+/// A model: the weights it runs and what reading a block anew costs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Model {
+    pub weights: String,
+    pub prefill_us_per_block: u64,
+}
+
+/// A kind of work: how urgent (9 most) and its budget when the caller names none.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Kind {
+    pub urgency: u64,
+    pub budget_ms: u64,
+}
+
+/// A way: requests whose path begins so go to the model replicas or to the app service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Way {
+    pub path: String,
+    pub to: String,
+}
+
+/// What moving a block between replicas costs, inside a district and across.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Links {
+    pub near_us_per_block: u64,
+    pub far_us_per_block: u64,
+    pub setup_us: u64,
+}
+
+/// The index's numbers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Index {
+    pub block_bytes: u64,
+    pub alpha: u64,
+    pub beta: u64,
+    pub bits: u64,
+    pub hashes: u64,
+}
+
+/// Bounds on load.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Limits {
+    pub per_replica: u64,
+    pub per_edge: u64,
+    pub stall_ms: u64,
+}
+
+/// A whole blueprint.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Blueprint {
+    pub tenants: BTreeMap<String, Tenant>,
+    pub models: BTreeMap<String, Model>,
+    pub kinds: BTreeMap<String, Kind>,
+    pub ways: Vec<Way>,
+    pub links: Links,
+    pub index: Index,
+    pub limits: Limits,
+}
+
+type Table<T> = BTreeMap<String, T>;
+
+fn table<T>(place: &Place<'_>, row: impl Fn(&Place<'_>) -> Result<T, Fault>) -> Result<Table<T>, Fault> {
+    place.fields()?.iter().map(|(name, at)| Ok((name.clone(), row(at)?))).collect()
+}
+
+fn number(place: &Place<'_>, name: &str, other: u64, least: u64, most: u64) -> Result<u64, Fault> {
+    place.maybe(name)?.map_or(Ok(other), |at| at.number(least, most))
+}
+
+impl Blueprint {
+    /// Reads and checks a blueprint at a place of a text.
+    /// ```
+    /// use control_chain::blueprint::Blueprint;
+    /// let text = br#"{"tenants":{"t":{"wall":"odd"}},"models":{},"kinds":{},"ways":[]}"#;
+    /// let root = fleet_common::json::root(text).unwrap();
+    /// assert_eq!(Blueprint::read(&root).err().unwrap().pointer, "/tenants/t/wall");
+    /// ```
+    pub fn read(root: &Place<'_>) -> Result<Self, Fault> {
+        root.only(&["tenants", "models", "kinds", "ways", "links", "index", "limits"])?;
+        let tenants = table(&root.need("tenants")?, |at| {
+            at.only(&["wall", "share"])?;
+            let wall = at.need("wall")?;
+            let apart = match wall.text()?.as_str() {
+                "apart" => true,
+                "shared" => false,
+                _ => return Err(wall.fault("apart or shared is wanted")),
+            };
+            Ok(Tenant { apart, share: number(at, "share", 1, 1, 1000)? })
+        })?;
+        let models = table(&root.need("models")?, |at| {
+            at.only(&["weights", "prefillUsPerBlock"])?;
+            let weights = at.need("weights")?.text()?;
+            Ok(Model { weights, prefill_us_per_block: number(at, "prefillUsPerBlock", 4000, 1, 10_000_000)? })
+        })?;
+        let kinds = table(&root.need("kinds")?, |at| {
+            at.only(&["urgency", "budgetMs"])?;
+            let urgency = at.need("urgency")?.number(1, 9)?;
+            Ok(Kind { urgency, budget_ms: number(at, "budgetMs", 30_000, 50, 600_000)? })
+        })?;
+        let mut ways: Vec<Way> = Vec::new();
+        for at in root.need("ways")?.items()? {
+            at.only(&["path", "to"])?;
+            let (path, to) = (at.need("path")?, at.need("to")?);
+            if !path.text()?.starts_with('/') {
+                return Err(path.fault("a path that begins with / is wanted"));
+            }
+            if ways.iter().any(|way| Ok(&way.path) == path.text().as_ref()) {
+                return Err(path.fault("the same path twice"));
+            }
+            if !["model", "app"].contains(&to.text()?.as_str()) {
+                return Err(to.fault("model or app is wanted"));
+            }
+            ways.push(Way { path: path.text()?, to: to.text()? });
+        }
+        Ok(Blueprint {
+            tenants,
+            models,
+            kinds,
+            ways,
+            links: Self::read_links(root)?,
+            index: Self::read_index(root)?,
+            limits: Self::read_limits(root)?,
+        })
+    }
+
+    fn read_links(root: &Place<'_>) -> Result<Links, Fault> {
+        let mut links = Links { near_us_per_block: 200, far_us_per_block: 800, setup_us: 2000 };
+        if let Some(at) = root.maybe("links")? {
+            at.only(&["nearUsPerBlock", "farUsPerBlock", "setupUs"])?;
+            links.near_us_per_block = number(&at, "nearUsPerBlock", 200, 1, 10_000_000)?;
+            links.far_us_per_block = number(&at, "farUsPerBlock", 800, 1, 10_000_000)?;
+            links.setup_us = number(&at, "setupUs", 2000, 0, 10_000_000)?;
+        }
+        Ok(links)
+    }
+
+    fn read_index(root: &Place<'_>) -> Result<Index, Fault> {
+        let mut index = Index { block_bytes: 64, alpha: 5, beta: 100, bits: 65_536, hashes: 0 };
+        if let Some(at) = root.maybe("index")? {
+            at.only(&["blockBytes", "alpha", "beta", "bits", "hashes"])?;
+            index.block_bytes = number(&at, "blockBytes", 64, 8, 65_536)?;
+            index.alpha = number(&at, "alpha", 5, 1, 100_000)?;
+            index.beta = number(&at, "beta", 100, 1, 1_000_000)?;
+            index.bits = number(&at, "bits", 65_536, 64, 1 << 24)?;
+            index.hashes = number(&at, "hashes", 0, 0, 16)?;
+        }
+        Ok(index)
+    }
+
+    fn read_limits(root: &Place<'_>) -> Result<Limits, Fault> {
+        let mut limits = Limits { per_replica: 8, per_edge: 48, stall_ms: 10_000 };
+        if let Some(at) = root.maybe("limits")? {
+            at.only(&["perReplica", "perEdge", "stallMs"])?;
+            limits.per_replica = number(&at, "perReplica", 8, 1, 1000)?;
+            limits.per_edge = number(&at, "perEdge", 48, 1, 60)?;
+            limits.stall_ms = number(&at, "stallMs", 10_000, 100, 600_000)?;
+        }
+        Ok(limits)
+    }
+
+    /// The way of a path: the longest that begins it.
+    /// ```
+    /// use control_chain::blueprint::Blueprint;
+    /// let text = br#"{"tenants":{},"models":{},"kinds":{},"ways":[{"path":"/v1/","to":"model"}]}"#;
+    /// let blueprint = Blueprint::read(&fleet_common::json::root(text).unwrap()).unwrap();
+    /// assert_eq!(blueprint.way("/v1/completions").unwrap().to, "model");
+    /// assert!(blueprint.way("/other").is_none());
+    /// ```
+    pub fn way(&self, path: &str) -> Option<&Way> {
+        self.ways.iter().filter(|way| path.starts_with(&way.path)).max_by_key(|way| way.path.len())
+    }
+
+    /// The wall a tenant's cache stands behind: its own, or the pool of those that share.
+    /// ```
+    /// # use control_chain::blueprint::Blueprint;
+    /// let text = br#"{"tenants":{"t":{"wall":"apart"},"s":{"wall":"shared"}},"models":{},"kinds":{},"ways":[]}"#;
+    /// let blueprint = Blueprint::read(&fleet_common::json::root(text).unwrap()).unwrap();
+    /// assert_eq!(blueprint.wall("t").unwrap(), "apart:t");
+    /// assert_eq!(blueprint.wall("s").unwrap(), "shared");
+    /// ```
+    pub fn wall(&self, tenant: &str) -> Option<String> {
+        let row = self.tenants.get(tenant)?;
+        Some(if row.apart { format!("apart:{tenant}") } else { "shared".into() })
+    }
+}
--- /dev/null
+++ b/crates/control-chain/src/command.rs
@@ -0,0 +1,145 @@
+//! Commands: what should hold. Read strictly from JSON; every fault names its pointer.
+use crate::blueprint::Blueprint;
+use fleet_common::hash::key_print;
+use fleet_common::json::{self, Fault, Place};
+use serde::{Deserialize, Serialize};
+
+/// A replica as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Replica {
+    pub id: String,
+    pub at: String,
+    pub model: String,
+    pub district: String,
+    pub leaving: bool,
+}
+
+/// A node that holds a term.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Node {
+    pub kind: String,
+    pub incarnation: u64,
+    pub at: String,
+    pub district: String,
+}
+
+/// How a once-request ended, or that it has not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ran {
+    Claimed,
+    Done,
+    Unknown,
+    NotRun,
+}
+
+/// Everything that changes control state.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum Command {
+    Blueprint { blueprint: Blueprint },
+    KeyAdd { key: String, tenant: String },
+    KeyWithdraw { key: String },
+    Weights { model: String, weights: String },
+    Listing { replicas: Vec<Replica> },
+    Join { node: String, member: Node },
+    Lapse { node: String, incarnation: u64 },
+    DutyTake { replica: String, node: String },
+    DutyGive { replica: String, node: String, fence: u64 },
+    Claim { tenant: String, key: String, edge: String, request: String },
+    Settle { tenant: String, key: String, request: String, ran: Ran },
+}
+
+/// A command with its id (askable later; may be empty) and the version it expects to replace.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Envelope {
+    pub id: String,
+    pub expect: Option<u64>,
+    pub command: Command,
+}
+
+impl Envelope {
+    /// An internal command without an id.
+    /// ```
+    /// use control_chain::command::{Command, Envelope};
+    /// let lapse = Envelope::bare(Command::Lapse { node: "e1".into(), incarnation: 4 });
+    /// assert_eq!(lapse.expect, None);
+    /// ```
+    pub fn bare(command: Command) -> Self {
+        Envelope { id: String::new(), expect: None, command }
+    }
+
+    /// Packs for the log.
+    /// ```
+    /// use control_chain::command::{Command, Envelope};
+    /// let lapse = Envelope::bare(Command::Lapse { node: "e1".into(), incarnation: 4 });
+    /// assert_eq!(Envelope::unpack(&lapse.pack()), Some(lapse));
+    /// ```
+    pub fn pack(&self) -> Vec<u8> {
+        sonic_rs::to_vec(self).unwrap_or_default()
+    }
+
+    /// Reads what `pack` made.
+    /// ```
+    /// assert_eq!(control_chain::command::Envelope::unpack(b"{"), None);
+    /// ```
+    pub fn unpack(bytes: &[u8]) -> Option<Self> {
+        sonic_rs::from_slice(bytes).ok()
+    }
+
+    /// Reads an operator's command, strictly. Keys are given plain and kept as prints.
+    /// ```
+    /// use control_chain::command::Envelope;
+    /// let fault = Envelope::read(br#"{"id":"c1","expect":0,"kind":"key_add","key":"k","tenant":7}"#).err().unwrap();
+    /// assert_eq!(fault.pointer, "/tenant");
+    /// ```
+    pub fn read(text: &[u8]) -> Result<Self, Fault> {
+        let root = json::root(text)?;
+        let kind = root.need("kind")?;
+        let name = kind.text()?;
+        let own: &[&str] = match name.as_str() {
+            "blueprint" => &["blueprint"],
+            "key_add" => &["key", "tenant"],
+            "key_withdraw" => &["key"],
+            "weights" => &["model", "weights"],
+            _ => return Err(kind.fault("blueprint, key_add, key_withdraw or weights is wanted")),
+        };
+        root.only(&[&["id", "expect", "kind"], own].concat())?;
+        let id = root.need("id")?.text()?;
+        if id.len() > 128 {
+            return Err(root.need("id")?.fault("an id of at most 128 bytes is wanted"));
+        }
+        let expect = Some(root.need("expect")?.number(0, u64::MAX - 1)?);
+        Ok(Envelope { id, expect, command: Self::read_command(&root, &name)? })
+    }
+
+    fn read_command(root: &Place<'_>, name: &str) -> Result<Command, Fault> {
+        let text = |field: &str| root.need(field)?.text();
+        Ok(match name {
+            "blueprint" => Command::Blueprint { blueprint: Blueprint::read(&root.need("blueprint")?)? },
+            "key_add" => Command::KeyAdd { key: key_print(&text("key")?), tenant: text("tenant")? },
+            "key_withdraw" => Command::KeyWithdraw { key: key_print(&text("key")?) },
+            _ => Command::Weights { model: text("model")?, weights: text("weights")? },
+        })
+    }
+}
+
+/// What came of a command. `code` follows HTTP; 202 is accepted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Outcome {
+    pub code: u16,
+    pub source: String,
+    pub version: u64,
+    pub detail: String,
+}
+
+impl Outcome {
+    /// Whether the command took effect (or already had).
+    /// ```
+    /// use control_chain::command::Outcome;
+    /// assert!(!Outcome { code: 409, source: "".into(), version: 0, detail: "".into() }.accepted());
+    /// ```
+    pub fn accepted(&self) -> bool {
+        self.code < 300
+    }
+}
--- /dev/null
+++ b/crates/control-chain/src/core.rs
@@ -0,0 +1,262 @@
+//! A core machine as a state machine: (now, input) gives outputs. Threads or a simulator drive it.
+use crate::agreeing::Proposal;
+use crate::answering::{Parked, Seen};
+use crate::command::{Envelope, Outcome};
+use crate::message::{Beat, Chain, Sent};
+use crate::state::State;
+use crate::view::{CoreAt, Member, Meta, View};
+use fleet_common::Bytes;
+use fleet_common::ask::{Answer, Ask, Vector};
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+/// A sign of life is sent this often.
+pub const BEAT: Duration = Duration::from_millis(150);
+/// A core unheard for so long is taken for lost.
+pub const SUSPECT: Duration = Duration::from_millis(900);
+/// How long a vote keeps out of the next view for the tail's sake.
+pub const TAIL_TERM: Duration = Duration::from_millis(1000);
+/// A disk that has not synced for so long is sick.
+pub const STALL: Duration = Duration::from_millis(1200);
+/// Entries kept beyond the last capture before another is made.
+pub const CAPTURE_EVERY: usize = 2048;
+
+/// What goes to disk, in order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Record {
+    Meta(Meta),
+    Entry(u64, Bytes),
+    /// A capture that replaces entries up to its sequence number.
+    Capture(u64, Bytes),
+    /// Forget all entries and captures: this disk's past is not the chain's.
+    Wipe,
+}
+
+/// What a core reacts to.
+#[derive(Clone, Debug)]
+pub enum Input {
+    Tick,
+    Heard(Sent),
+    /// All records of tickets up to this one are synced, or the disk failed.
+    Synced(u64, bool),
+    /// Someone asks; the token names whom to answer.
+    Asked(u64, Ask),
+}
+
+/// What a core wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    Send(u8, Chain),
+    Keep(u64, Vec<Record>),
+    Answer(u64, Answer),
+    Note(String),
+}
+
+/// What to do once a ticket's records are synced.
+pub(crate) enum After {
+    Entries(u64),
+    Captured(u64, Bytes),
+    Say(u8, Chain),
+    Nothing,
+}
+
+pub(crate) struct Heard {
+    pub at: Duration,
+    pub incarnation: u64,
+    pub beat: Beat,
+}
+
+/// What was found on disk at the start.
+#[derive(Clone, Debug, Default)]
+pub struct Found {
+    pub meta: Option<Meta>,
+    pub capture: Option<(u64, Vec<u8>)>,
+    pub entries: Vec<(u64, Bytes)>,
+}
+
+/// One core machine.
+pub struct Core {
+    pub(crate) me: Member,
+    pub(crate) now: Duration,
+    pub(crate) meta: Meta,
+    pub(crate) state: State,
+    pub(crate) log: VecDeque<(u64, Bytes)>,
+    pub(crate) capture: (u64, Bytes),
+    pub(crate) last: u64,
+    pub(crate) synced: u64,
+    pub(crate) committed: u64,
+    pub(crate) sent_on: u64,
+    pub(crate) sick: bool,
+    pub(crate) heard: BTreeMap<u8, Heard>,
+    pub(crate) tickets: VecDeque<(u64, Duration, After)>,
+    pub(crate) next_ticket: u64,
+    pub(crate) waiting: BTreeMap<u64, Vec<(u64, Outcome)>>,
+    pub(crate) grants: BTreeMap<u8, Duration>,
+    pub(crate) granted_until: Duration,
+    pub(crate) held_prepare: Option<(u8, crate::message::Prepare)>,
+    pub(crate) proposal: Option<Proposal>,
+    pub(crate) ballot_round: u64,
+    pub(crate) trouble_since: Option<Duration>,
+    pub(crate) wanted_cores: Option<Vec<CoreAt>>,
+    pub(crate) parked: Vec<Parked>,
+    pub(crate) seen: BTreeMap<String, Seen>,
+    pub(crate) since: BTreeMap<usize, (u64, Duration)>,
+    pub(crate) tail_since: Duration,
+    pub(crate) lapse_asked: Duration,
+    pub(crate) last_beat: Option<Duration>,
+    pub(crate) capturing: bool,
+    pub(crate) out: Vec<Output>,
+}
+
+impl Core {
+    /// Starts from what the disk held. Without a meta record the core is outside every view and
+    /// waits to be let in. A capture that cannot be read is damage, not emptiness.
+    /// ```
+    /// use control_chain::{core::{Core, Found}, view::Member};
+    /// let core = Core::start(Default::default(), Member { id: 1, incarnation: 9 }, vec![], Found::default()).unwrap();
+    /// assert!(core.view().n == 0);
+    /// ```
+    pub fn start(now: Duration, me: Member, cores: Vec<CoreAt>, found: Found) -> Result<Self, String> {
+        let (capture, mut state) = match found.capture {
+            Some((seq, bytes)) => match State::unpack(&bytes) {
+                Some(state) if state.seq == seq => ((seq, bytes.into()), state),
+                _ => return Err(format!("the capture at {seq} cannot be read")),
+            },
+            None => ((0, State::default().pack().into()), State::default()),
+        };
+        let mut last = capture.0;
+        let mut log = VecDeque::new();
+        for (seq, entry) in found.entries.into_iter().filter(|(seq, _)| *seq > capture.0) {
+            if seq != last + 1 {
+                return Err(format!("entry {} is missing", last + 1));
+            }
+            let Some(envelope) = Envelope::unpack(entry.as_slice()) else {
+                return Err(format!("entry {seq} cannot be read"));
+            };
+            state.apply(&envelope);
+            log.push_back((seq, entry));
+            last = seq;
+        }
+        let outside = Meta {
+            incarnation: me.incarnation,
+            view: View::outside(cores),
+            promised: 0,
+            accepted: vec![].into(),
+            full: 0,
+        };
+        let meta = found.meta.unwrap_or(outside);
+        Ok(Core {
+            me,
+            now,
+            meta,
+            state,
+            log,
+            capture,
+            last,
+            synced: last,
+            committed: 0,
+            sent_on: last,
+            sick: false,
+            heard: BTreeMap::new(),
+            tickets: VecDeque::new(),
+            next_ticket: 1,
+            waiting: BTreeMap::new(),
+            grants: BTreeMap::new(),
+            // Whatever term this core granted before it stopped must have run out first.
+            granted_until: now + TAIL_TERM + Duration::from_millis(100),
+            held_prepare: None,
+            proposal: None,
+            ballot_round: 0,
+            trouble_since: None,
+            wanted_cores: None,
+            parked: Vec::new(),
+            seen: BTreeMap::new(),
+            since: BTreeMap::new(),
+            tail_since: now,
+            lapse_asked: now,
+            last_beat: None,
+            capturing: false,
+            out: Vec::new(),
+        })
+    }
+
+    /// The view this core is in.
+    /// ```
+    /// # use control_chain::{core::{Core, Found}, view::Member};
+    /// # let core = Core::start(Default::default(), Member { id: 1, incarnation: 9 }, vec![], Found::default()).unwrap();
+    /// assert_eq!(core.view().n, 0);
+    /// ```
+    pub fn view(&self) -> &View {
+        &self.meta.view
+    }
+
+    /// The state as this core has it, with how far all of the chain has synced it.
+    /// ```
+    /// # use control_chain::{core::{Core, Found}, view::Member};
+    /// # let core = Core::start(Default::default(), Member { id: 1, incarnation: 9 }, vec![], Found::default()).unwrap();
+    /// assert_eq!((core.state().0.seq, core.state().1), (0, 0));
+    /// ```
+    pub fn state(&self) -> (&State, u64) {
+        (&self.state, self.committed)
+    }
+
+    /// The versions of all sources as this core has them.
+    /// ```
+    /// # use control_chain::{core::{Core, Found}, view::Member};
+    /// # let core = Core::start(Default::default(), Member { id: 1, incarnation: 9 }, vec![], Found::default()).unwrap();
+    /// assert_eq!(core.vector(), [0; 6]);
+    /// ```
+    pub fn vector(&self) -> Vector {
+        let mut vector = self.state.versions;
+        vector[fleet_common::ask::CORES] = self.meta.view.n;
+        vector
+    }
+
+    /// One step.
+    /// ```
+    /// # use control_chain::{core::{Core, Found, Input}, view::Member};
+    /// # let mut core = Core::start(Default::default(), Member { id: 1, incarnation: 9 }, vec![], Found::default()).unwrap();
+    /// assert!(core.step(std::time::Duration::from_millis(1), Input::Tick).is_empty());
+    /// ```
+    pub fn step(&mut self, now: Duration, input: Input) -> Vec<Output> {
+        self.now = self.now.max(now);
+        match input {
+            Input::Tick => self.tick(),
+            Input::Heard(sent) => self.on_heard(sent),
+            Input::Synced(ticket, true) => self.on_synced(ticket),
+            Input::Synced(_, false) => self.on_disk_failed(),
+            Input::Asked(token, ask) => self.on_asked(token, ask),
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// A message with this core's name on it.
+    /// ```
+    /// # use control_chain::{core::{Core, Found}, message::Chain, view::{Member, View}};
+    /// # let core = Core::start(Default::default(), Member { id: 1, incarnation: 9 }, vec![], Found::default()).unwrap();
+    /// assert_eq!(core.signed(Chain::ViewIs(View::outside(vec![]))).from, 1);
+    /// ```
+    pub fn signed(&self, message: Chain) -> Sent {
+        Sent { from: self.me.id, incarnation: self.me.incarnation, message }
+    }
+
+    pub(crate) fn send(&mut self, to: u8, message: Chain) {
+        if to == self.me.id {
+            let sent = Sent { from: to, incarnation: self.me.incarnation, message };
+            self.on_heard(sent);
+        } else {
+            self.out.push(Output::Send(to, message));
+        }
+    }
+
+    pub(crate) fn keep(&mut self, records: Vec<Record>, after: After) {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        self.tickets.push_back((ticket, self.now, after));
+        self.out.push(Output::Keep(ticket, records));
+    }
+
+    pub(crate) fn note(&mut self, line: String) {
+        self.out.push(Output::Note(line));
+    }
+}
--- /dev/null
+++ b/crates/control-chain/src/lib.rs
@@ -0,0 +1,17 @@
+//! The control state and the chain that keeps it: no I/O here, only steps.
+
+pub mod blueprint;
+pub mod command;
+pub mod core;
+pub mod message;
+pub mod state;
+pub mod view;
+
+mod agreeing;
+mod answering;
+mod appending;
+mod asked;
+mod hearing;
+mod installing;
+mod ruling;
+mod terms;
--- /dev/null
+++ b/crates/control-chain/src/message.rs
@@ -0,0 +1,34 @@
+//! What cores say to each other.
+use crate::view::{Accepted, View};
+use fleet_common::{Bytes, List};
+
+fleet_common::messages! {
+    /// A sign of life with how far its sender is; it doubles as an acknowledgement.
+    pub struct Beat { pub view: u64, pub seq: u64, pub committed: u64, pub full: u8, pub sick: u8 }
+    pub struct Prepare { pub n: u64, pub ballot: u64 }
+    pub struct Promise { pub n: u64, pub ballot: u64, pub accepted: List<Accepted> }
+    pub struct Accept { pub n: u64, pub ballot: u64, pub view: View }
+    pub struct Vote { pub n: u64, pub ballot: u64 }
+    pub struct Append { pub view: u64, pub first: u64, pub entries: List<Bytes> }
+    pub struct Capture { pub view: u64, pub seq: u64, pub state: Bytes }
+    pub struct Ack { pub view: u64, pub seq: u64 }
+    pub struct Term { pub view: u64, pub sent_us: u64 }
+
+    pub enum Chain {
+        1 = Beat(Beat),
+        2 = ViewIs(View),
+        3 = Prepare(Prepare),
+        4 = Promise(Promise),
+        5 = Accept(Accept),
+        6 = Vote(Vote),
+        7 = Append(Append),
+        8 = Capture(Capture),
+        9 = Ack(Ack),
+        10 = TermAsk(Term),
+        11 = TermGrant(Term),
+        12 = Command(Bytes),
+    }
+
+    /// A message with its sender's id and incarnation.
+    pub struct Sent { pub from: u8, pub incarnation: u64, pub message: Chain }
+}
--- /dev/null
+++ b/crates/control-chain/src/ruling.rs
@@ -0,0 +1,141 @@
+//! What each command does to the state, or why it is refused.
+use crate::command::{Command, Ran};
+use crate::state::{CLAIMS_KEPT, Claim, Duty, Key, State, claim_name};
+use fleet_common::ask::{BLUEPRINT, DUTIES, KEYS, MEMBERS, REPLICAS};
+
+pub(crate) type Ruling = Result<String, (u16, String)>;
+
+pub(crate) fn no(code: u16, detail: impl ToString) -> Ruling {
+    Err((code, detail.to_string()))
+}
+
+impl State {
+    pub(crate) fn source_of(command: &Command) -> Option<usize> {
+        match command {
+            Command::Blueprint { .. } | Command::Weights { .. } => Some(BLUEPRINT),
+            Command::KeyAdd { .. } | Command::KeyWithdraw { .. } => Some(KEYS),
+            Command::Listing { .. } => Some(REPLICAS),
+            Command::Join { .. } | Command::Lapse { .. } => Some(MEMBERS),
+            Command::DutyTake { .. } | Command::DutyGive { .. } => Some(DUTIES),
+            Command::Claim { .. } | Command::Settle { .. } => None,
+        }
+    }
+
+    pub(crate) fn rule(&mut self, command: &Command) -> Ruling {
+        let done = |what: &str| Ok(what.to_string());
+        let same = || Ok("nothing to change".to_string());
+        match command {
+            Command::Blueprint { blueprint } => {
+                self.blueprint = Some(blueprint.clone());
+                done("blueprint replaced")
+            }
+            Command::Weights { model, weights } => {
+                let row = self.blueprint.as_mut().and_then(|b| b.models.get_mut(model));
+                let Some(row) = row else {
+                    return no(404, format!("no model {model}"));
+                };
+                row.weights = weights.clone();
+                done("weights named")
+            }
+            Command::KeyAdd { key, tenant } => {
+                if !self.blueprint.as_ref().is_some_and(|b| b.tenants.contains_key(tenant)) {
+                    return no(404, format!("no tenant {tenant}"));
+                }
+                match self.keys.get(key) {
+                    Some(held) if held.withdrawn => no(409, "a withdrawn key never comes back"),
+                    Some(held) if held.tenant != *tenant => no(409, "the key is another tenant's"),
+                    Some(_) => same(),
+                    None => {
+                        self.keys.insert(key.clone(), Key { tenant: tenant.clone(), withdrawn: false });
+                        done("key added")
+                    }
+                }
+            }
+            Command::KeyWithdraw { key } => match self.keys.get_mut(key) {
+                None => no(404, "no such key"),
+                Some(held) if held.withdrawn => same(),
+                Some(held) => {
+                    held.withdrawn = true;
+                    done("key withdrawn")
+                }
+            },
+            Command::Listing { replicas } if *replicas == self.replicas => same(),
+            Command::Listing { replicas } => {
+                self.replicas = replicas.clone();
+                done("listing replaced")
+            }
+            Command::Join { node, member } if self.members.get(node) == Some(member) => same(),
+            Command::Join { node, member } => {
+                self.members.insert(node.clone(), member.clone());
+                done("joined")
+            }
+            Command::Lapse { node, incarnation } => {
+                if self.members.get(node).is_none_or(|m| m.incarnation != *incarnation) {
+                    return same();
+                }
+                self.members.remove(node);
+                // What a lapsed edge had claimed and not settled can only be called unknown.
+                let open = self.claims.values_mut().filter(|c| c.edge == *node && c.ran == Ran::Claimed);
+                open.for_each(|claim| claim.ran = Ran::Unknown);
+                done("lapsed")
+            }
+            Command::DutyTake { replica, node } => self.duty_take(replica, node),
+            Command::DutyGive { replica, node, fence } => match self.duties.get_mut(replica) {
+                Some(duty) if duty.owner == *node && duty.fence == *fence => {
+                    duty.owner.clear();
+                    done("given up")
+                }
+                _ => no(409, "not the holder"),
+            },
+            Command::Claim { tenant, key, edge, request } => self.claim(tenant, key, edge, request),
+            Command::Settle { tenant, key, request, ran } => match self.claims.get_mut(&claim_name(tenant, key)) {
+                Some(claim) if claim.request == *request && claim.ran == Ran::Claimed => {
+                    claim.ran = *ran;
+                    done("settled")
+                }
+                Some(claim) if claim.request == *request && claim.ran == *ran => same(),
+                _ => no(409, "not this request's claim, or settled otherwise"),
+            },
+        }
+    }
+
+    fn duty_take(&mut self, replica: &str, node: &str) -> Ruling {
+        let Some(taker) = self.members.get(node) else {
+            return no(403, "no term is held");
+        };
+        let incarnation = taker.incarnation;
+        if let Some(duty) = self.duties.get(replica) {
+            let alive = self.members.get(&duty.owner).is_some_and(|m| m.incarnation == duty.incarnation);
+            if duty.owner == node && alive {
+                return Ok("nothing to change".into());
+            }
+            if alive {
+                return no(409, format!("{} holds it", duty.owner));
+            }
+        }
+        self.fence += 1;
+        let duty = Duty { owner: node.to_string(), incarnation, fence: self.fence };
+        self.duties.insert(replica.to_string(), duty);
+        Ok(format!("fence {}", self.fence))
+    }
+
+    fn claim(&mut self, tenant: &str, key: &str, edge: &str, request: &str) -> Ruling {
+        let name = claim_name(tenant, key);
+        if let Some(claim) = self.claims.get_mut(&name) {
+            if claim.request == request && claim.ran == Ran::Claimed {
+                return Ok("claimed".into());
+            }
+            if claim.ran != Ran::NotRun {
+                return no(409, sonic_rs::to_string(claim).unwrap_or_default());
+            }
+            *claim = Claim { edge: edge.into(), request: request.into(), ran: Ran::Claimed };
+            return Ok("claimed".into());
+        }
+        self.claims.insert(name.clone(), Claim { edge: edge.into(), request: request.into(), ran: Ran::Claimed });
+        self.claim_order.push_back(name);
+        while self.claim_order.len() > CLAIMS_KEPT {
+            self.claim_order.pop_front().map(|old| self.claims.remove(&old));
+        }
+        Ok("claimed".into())
+    }
+}
--- /dev/null
+++ b/crates/control-chain/src/state.rs
@@ -0,0 +1,136 @@
+//! The control state: every chain member applies the same commands in the same order to it.
+use crate::blueprint::Blueprint;
+use crate::command::{Envelope, Node, Outcome, Ran, Replica};
+use crate::ruling::no;
+use fleet_common::ask::{BLUEPRINT, CORES, DUTIES, KEYS, MEMBERS, REPLICAS, SOURCES, Vector};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+
+/// How many command outcomes stay askable.
+pub const OUTCOMES_KEPT: usize = 10_000;
+/// How many once-claims are remembered. By count, not by clock: clocks jump.
+pub const CLAIMS_KEPT: usize = 50_000;
+
+/// A key's print stands for a tenant until it is withdrawn.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Key {
+    pub tenant: String,
+    pub withdrawn: bool,
+}
+
+/// Who holds a duty, under which fence; an empty owner means it was given up.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Duty {
+    pub owner: String,
+    pub incarnation: u64,
+    pub fence: u64,
+}
+
+/// A once-claim.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    pub edge: String,
+    pub request: String,
+    pub ran: Ran,
+}
+
+/// All control state.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    pub seq: u64,
+    pub versions: Vector,
+    pub blueprint: Option<Blueprint>,
+    pub keys: BTreeMap<String, Key>,
+    pub replicas: Vec<Replica>,
+    pub members: BTreeMap<String, Node>,
+    pub duties: BTreeMap<String, Duty>,
+    pub fence: u64,
+    pub claims: BTreeMap<String, Claim>,
+    pub claim_order: VecDeque<String>,
+    pub outcomes: BTreeMap<String, (u64, Outcome)>,
+    pub outcome_order: VecDeque<String>,
+}
+
+/// The name a once-claim is kept under.
+/// ```
+/// assert_ne!(control_chain::state::claim_name("a", "bc"), control_chain::state::claim_name("ab", "c"));
+/// ```
+pub fn claim_name(tenant: &str, key: &str) -> String {
+    format!("{}:{tenant}/{key}", tenant.len())
+}
+
+impl State {
+    /// Applies the next command. Only its outcome tells whether anything changed.
+    /// ```
+    /// use control_chain::{command::{Command, Envelope}, state::State};
+    /// let mut state = State::default();
+    /// let outcome = state.apply(&Envelope::bare(Command::KeyAdd { key: "p".into(), tenant: "t".into() }));
+    /// assert_eq!((outcome.code, state.seq, state.keys.len()), (404, 1, 0));
+    /// ```
+    pub fn apply(&mut self, envelope: &Envelope) -> Outcome {
+        self.seq += 1;
+        if let Some((_, outcome)) = self.outcomes.get(&envelope.id) {
+            return outcome.clone();
+        }
+        let source = Self::source_of(&envelope.command);
+        let ruling = match (envelope.expect, source) {
+            (Some(expect), Some(at)) if expect != self.versions[at] => {
+                no(409, format!("version {} holds, not {expect}", self.versions[at]))
+            }
+            _ => self.rule(&envelope.command),
+        };
+        let (code, detail) = match ruling {
+            Ok(detail) => (202, detail),
+            Err((code, detail)) => (code, detail),
+        };
+        if let (Some(at), true) = (source, code == 202 && detail != "nothing to change") {
+            self.versions[at] = self.seq;
+        }
+        let name = source.map_or("claims", |at| SOURCES[at]);
+        let version = source.map_or(self.seq, |at| self.versions[at]);
+        let outcome = Outcome { code, source: name.into(), version, detail };
+        if !envelope.id.is_empty() {
+            self.outcomes.insert(envelope.id.clone(), (self.seq, outcome.clone()));
+            self.outcome_order.push_back(envelope.id.clone());
+            while self.outcome_order.len() > OUTCOMES_KEPT {
+                self.outcome_order.pop_front().map(|id| self.outcomes.remove(&id));
+            }
+        }
+        outcome
+    }
+
+    /// A source's whole value as JSON. The cores come from the view, not from here.
+    /// ```
+    /// assert_eq!(control_chain::state::State::default().value(fleet_common::ask::KEYS), "{}");
+    /// ```
+    pub fn value(&self, source: usize) -> String {
+        let text = match source {
+            BLUEPRINT => sonic_rs::to_string(&self.blueprint),
+            KEYS => sonic_rs::to_string(&self.keys),
+            REPLICAS => sonic_rs::to_string(&self.replicas),
+            MEMBERS => sonic_rs::to_string(&self.members),
+            DUTIES => sonic_rs::to_string(&self.duties),
+            CORES => return "[]".into(),
+            _ => return "null".into(),
+        };
+        text.unwrap_or_else(|_| "null".into())
+    }
+
+    /// Packs the state as a capture.
+    /// ```
+    /// use control_chain::state::State;
+    /// let state = State::default();
+    /// assert_eq!(State::unpack(&state.pack()), Some(state));
+    /// ```
+    pub fn pack(&self) -> Vec<u8> {
+        sonic_rs::to_vec(self).unwrap_or_default()
+    }
+
+    /// Reads a capture.
+    /// ```
+    /// assert_eq!(control_chain::state::State::unpack(b"?"), None);
+    /// ```
+    pub fn unpack(bytes: &[u8]) -> Option<Self> {
+        sonic_rs::from_slice(bytes).ok()
+    }
+}
--- /dev/null
+++ b/crates/control-chain/src/view.rs
@@ -0,0 +1,92 @@
+//! Views: who is in the chain, who votes on the next view, who is spare.
+use fleet_common::{List, Text};
+
+fleet_common::messages! {
+    /// One core machine with one disk: an emptied disk is another member.
+    pub struct Member { pub id: u8, pub incarnation: u64 }
+
+    /// Where a core machine is reached: by other cores, by nodes, by operators.
+    pub struct CoreAt { pub id: u8, pub chain: Text, pub node: Text, pub http: Text }
+
+    /// An agreed view.
+    pub struct View {
+        pub n: u64, pub chain: List<Member>, pub voters: List<Member>, pub spares: List<Member>,
+        pub cores: List<CoreAt>,
+    }
+
+    /// A value accepted in the agreement on the next view.
+    pub struct Accepted { pub ballot: u64, pub view: View }
+
+    /// What a core must find again on its disk: its incarnation, view, vote and whether it holds all.
+    pub struct Meta {
+        pub incarnation: u64, pub view: View, pub promised: u64, pub accepted: List<Accepted>, pub full: u8,
+    }
+}
+
+impl View {
+    /// A view nobody is in yet: where an emptied core starts.
+    /// ```
+    /// let view = control_chain::view::View::outside(vec![]);
+    /// assert_eq!((view.n, view.chain.items().len()), (0, 0));
+    /// ```
+    pub fn outside(cores: Vec<CoreAt>) -> Self {
+        View { n: 0, chain: vec![].into(), voters: vec![].into(), spares: vec![].into(), cores: cores.into() }
+    }
+
+    /// The founding view: the first three cores are the chain, the rest spares, all of the first incarnation.
+    /// ```
+    /// use control_chain::view::{CoreAt, View};
+    /// let at = |id| CoreAt { id, chain: "".into(), node: "".into(), http: "".into() };
+    /// let view = View::founding((1..=4).map(at).collect());
+    /// assert_eq!((view.chain.items().len(), view.spares.items().len()), (3, 1));
+    /// ```
+    pub fn founding(cores: Vec<CoreAt>) -> Self {
+        let members: Vec<_> = cores.iter().map(|c| Member { id: c.id, incarnation: 1 }).collect();
+        let chain: Vec<_> = members.iter().take(3).cloned().collect();
+        let spares: Vec<_> = members.into_iter().skip(3).collect();
+        View { n: 1, voters: chain.clone().into(), chain: chain.into(), spares: spares.into(), cores: cores.into() }
+    }
+
+    /// A member's place in the chain, the head's being 0.
+    /// ```
+    /// use control_chain::view::{Member, View};
+    /// assert_eq!(View::outside(vec![]).place(&Member { id: 1, incarnation: 1 }), None);
+    /// ```
+    pub fn place(&self, member: &Member) -> Option<usize> {
+        self.chain.items().iter().position(|m| m == member)
+    }
+
+    /// Whether a member is in the chain or a spare.
+    /// ```
+    /// use control_chain::view::{Member, View};
+    /// assert!(!View::outside(vec![]).holds(&Member { id: 1, incarnation: 1 }));
+    /// ```
+    pub fn holds(&self, member: &Member) -> bool {
+        self.place(member).is_some() || self.spares.items().contains(member)
+    }
+
+    /// Where a core is reached.
+    /// ```
+    /// assert!(control_chain::view::View::outside(vec![]).at(3).is_none());
+    /// ```
+    pub fn at(&self, id: u8) -> Option<&CoreAt> {
+        self.cores.items().iter().find(|c| c.id == id)
+    }
+
+    /// How many votes decide: a majority of the voters.
+    /// ```
+    /// assert_eq!(control_chain::view::View::founding(vec![]).majority(), 1);
+    /// ```
+    pub fn majority(&self) -> usize {
+        self.voters.items().len() / 2 + 1
+    }
+
+    /// Short words for the log and for operators.
+    /// ```
+    /// assert_eq!(control_chain::view::View::outside(vec![]).words(), "view 0 chain [] spares []");
+    /// ```
+    pub fn words(&self) -> String {
+        let ids = |list: &List<Member>| list.items().iter().map(|m| m.id.to_string()).collect::<Vec<_>>().join(" ");
+        format!("view {} chain [{}] spares [{}]", self.n, ids(&self.chain), ids(&self.spares))
+    }
+}
--- /dev/null
+++ b/crates/control-core/src/drive.rs
@@ -0,0 +1,137 @@
+//! Threads around the core's state machine: an inbox, a disk thread that syncs many tickets at once,
+//! and answers to whoever asked.
+use crate::disk::Store;
+use crate::links::Links;
+use control_chain::core::{Core, Input, Output, Record};
+use control_chain::message::Sent;
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded, unbounded};
+use fleet_common::ask::{Answer, Ask};
+use fleet_common::frame::Caller;
+use fleet_common::{Mishap, Step, ring};
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+const TICK: Duration = Duration::from_millis(20);
+const ANSWER_WAIT: Duration = Duration::from_secs(4);
+
+enum Inbox {
+    Heard(Sent),
+    Synced(u64, bool),
+    Asked(Ask, Sender<Answer>),
+}
+
+/// The way in to a running core.
+#[derive(Clone)]
+pub struct Driver {
+    inbox: Sender<Inbox>,
+}
+
+impl Driver {
+    pub fn heard(&self, sent: Sent) {
+        let _ = self.inbox.send(Inbox::Heard(sent));
+    }
+
+    pub fn ask(&self, ask: Ask) -> Answer {
+        let (sender, receiver) = bounded(1);
+        let _ = self.inbox.send(Inbox::Asked(ask, sender));
+        receiver.recv_timeout(ANSWER_WAIT).unwrap_or_else(|_| Answer::Refused("unknown".into()))
+    }
+
+    /// Asks here or, when sent elsewhere, there. `fallen` tells what was sent and never answered.
+    pub fn ask_fleet(&self, ask: Ask, wait: Duration) -> Result<Answer, Mishap> {
+        let until = Instant::now() + wait;
+        let mut answer = self.ask(ask.clone());
+        loop {
+            let Answer::Elsewhere(at) = &answer else {
+                return Ok(answer);
+            };
+            if Instant::now() >= until {
+                return Err(Mishap::at(Step::Query, "cores", "no core holds the term to answer"));
+            }
+            answer = match at.as_str().parse() {
+                Ok(to) => match Caller::new(to, ANSWER_WAIT).ask(&ask) {
+                    Ok(answer) => answer,
+                    Err(mishap) if mishap.step == Step::Connect => {
+                        std::thread::sleep(Duration::from_millis(60));
+                        self.ask(ask.clone())
+                    }
+                    Err(mishap) => return Err(mishap),
+                },
+                Err(_) => {
+                    std::thread::sleep(Duration::from_millis(60));
+                    self.ask(ask.clone())
+                }
+            };
+        }
+    }
+}
+
+fn disk_thread(mut store: impl Store + 'static, jobs: Receiver<(u64, Vec<Record>)>, inbox: Sender<Inbox>) {
+    let mut failed = false;
+    while let Ok((mut ticket, records)) = jobs.recv() {
+        let mut kept = if failed { Err(std::io::ErrorKind::Other.into()) } else { store.keep(&records) };
+        while kept.is_ok()
+            && let Ok((next, records)) = jobs.try_recv()
+        {
+            kept = store.keep(&records);
+            ticket = next;
+        }
+        let synced = kept.and_then(|_| store.sync());
+        if let (Err(e), false) = (&synced, failed) {
+            failed = true;
+            ring::mishap(&Mishap::at(Step::Disk, "own disk", e));
+        }
+        if inbox.send(Inbox::Synced(ticket, synced.is_ok())).is_err() {
+            return;
+        }
+    }
+}
+
+pub fn start(mut core: Core, store: impl Store + 'static) -> Driver {
+    let (inbox, receiver) = unbounded();
+    let (jobs, job_receiver) = unbounded();
+    let for_disk = inbox.clone();
+    std::thread::spawn(move || disk_thread(store, job_receiver, for_disk));
+    std::thread::spawn(move || {
+        let begun = Instant::now();
+        let mut links = Links::default();
+        let mut asking: HashMap<u64, Sender<Answer>> = HashMap::new();
+        let mut token = 0u64;
+        let mut ticked = Instant::now();
+        loop {
+            let wait = TICK.saturating_sub(ticked.elapsed());
+            let input = match receiver.recv_timeout(wait) {
+                Ok(Inbox::Heard(sent)) => Input::Heard(sent),
+                Ok(Inbox::Synced(ticket, good)) => Input::Synced(ticket, good),
+                Ok(Inbox::Asked(ask, sender)) => {
+                    token += 1;
+                    asking.insert(token, sender);
+                    Input::Asked(token, ask)
+                }
+                Err(RecvTimeoutError::Timeout) => Input::Tick,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            let mut outputs = core.step(begun.elapsed(), input);
+            if ticked.elapsed() >= TICK {
+                ticked = Instant::now();
+                outputs.extend(core.step(begun.elapsed(), Input::Tick));
+            }
+            for output in outputs {
+                match output {
+                    Output::Send(to, message) => {
+                        let at = core.view().at(to).and_then(|c| c.chain.as_str().parse().ok());
+                        if let Some(at) = at {
+                            links.send(at, core.signed(message));
+                        }
+                    }
+                    Output::Keep(ticket, records) => _ = jobs.send((ticket, records)),
+                    Output::Answer(token, answer) => {
+                        asking.remove(&token).map(|sender| sender.try_send(answer));
+                    }
+                    Output::Note(line) => ring::note(&line),
+                }
+            }
+        }
+    });
+    Driver { inbox }
+}
--- /dev/null
+++ b/crates/control-core/src/main.rs
@@ -0,0 +1,82 @@
+//! A core machine: keeps the control state in a chain with its colleagues.
+mod disk;
+mod drive;
+mod links;
+mod listing;
+mod operators;
+mod settings;
+
+use control_chain::core::Core;
+use fleet_common::settings::{EXIT_DISK, EXIT_LISTEN};
+use fleet_common::{frame, hash, http_in, ring};
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+
+mod flags {
+    use std::path::PathBuf;
+    xflags::xflags! {
+        /// One of the core machines that keep the fleet's control state.
+        cmd control-core {
+            /// Settings file (JSON).
+            optional --settings path: PathBuf
+            /// A setting that goes over the file's, as name=value.
+            repeated --set pair: String
+            /// Found a new fleet on an empty disk. Only for a core that has never run.
+            optional --found
+            /// Only check the settings.
+            optional --check
+            /// Show the version.
+            optional --version
+        }
+    }
+}
+
+fn main() {
+    let flags = flags::ControlCore::from_env_or_exit();
+    if flags.version {
+        return println!("control-core {}", env!("CARGO_PKG_VERSION"));
+    }
+    ring::start("control-core");
+    let settings = settings::read(flags.settings.as_deref(), &flags.set, flags.check);
+    let listen = |at: &str| {
+        TcpListener::bind(at).unwrap_or_else(|e| {
+            eprintln!("control-core: cannot listen on {at}: {e}");
+            std::process::exit(EXIT_LISTEN)
+        })
+    };
+    let own = settings.own();
+    let (chain, node, http) = (listen(own.chain.as_str()), listen(own.node.as_str()), listen(own.http.as_str()));
+    let (disk, found) = disk::open(&settings.data, flags.found, &settings.cores).unwrap_or_else(|e| {
+        eprintln!("control-core: {e}; refusing to start");
+        std::process::exit(EXIT_DISK)
+    });
+    let me = control_chain::view::Member {
+        id: settings.id,
+        incarnation: found.meta.as_ref().map_or_else(hash::unique, |m| m.incarnation),
+    };
+    let core = Core::start(Duration::ZERO, me, settings.cores.clone(), found).unwrap_or_else(|e| {
+        eprintln!("control-core: disk state is damaged: {e}; refusing to start");
+        std::process::exit(EXIT_DISK)
+    });
+    let driver = drive::start(core, disk);
+    let inbox = driver.clone();
+    frame::serve(chain, move |sent: control_chain::message::Sent| {
+        inbox.heard(sent);
+        None::<fleet_common::ask::Answer>
+    });
+    let inbox = driver.clone();
+    frame::serve(node, move |ask: fleet_common::ask::Ask| Some(inbox.ask(ask)));
+    let driver = Arc::new(driver);
+    if let Some(platform) = settings.platform.clone() {
+        listing::follow(driver.clone(), platform);
+    }
+    let served = http_in::serve(http, move |incoming| operators::answer(&driver, incoming));
+    if let Err(e) = served {
+        eprintln!("control-core: {e}");
+        std::process::exit(EXIT_LISTEN);
+    }
+    loop {
+        std::thread::park();
+    }
+}
--- /dev/null
+++ b/crates/control-core/src/operators.rs
@@ -0,0 +1,84 @@
+//! What operators ask over HTTP: commands at /commands, queries everywhere else.
+use crate::drive::Driver;
+use control_chain::command::Envelope;
+use fleet_common::ask::{Answer, Ask};
+use fleet_common::http_in::Incoming;
+use fleet_common::json::{Fault, quote};
+use fleet_common::ring;
+use std::time::Duration;
+
+const WAIT: Duration = Duration::from_secs(5);
+
+fn refuse(incoming: Incoming, status: u16, fault: &Fault) {
+    let body = format!("{{\"error\":{{\"pointer\":{},\"what\":{}}}}}", quote(&fault.pointer), quote(&fault.what));
+    let extra = if status == 503 { vec![("Retry-After", "1".to_string())] } else { vec![] };
+    incoming.json(status, &body, extra);
+}
+
+pub fn answer(driver: &Driver, incoming: Incoming) {
+    let path = incoming.path.trim_matches('/').to_string();
+    match (incoming.method.as_str(), path.as_str()) {
+        ("POST", "commands") => command(driver, incoming),
+        ("GET", "health") => incoming.json(200, "{\"up\":true}", vec![]),
+        ("GET", "log") => incoming.whole(200, "text/plain", ring::lines().join("\n").as_bytes(), vec![]),
+        ("GET", "self") => query(driver, incoming, "self"),
+        ("GET", "metrics") => metrics(driver, incoming),
+        ("GET", _) => query(driver, incoming, &path),
+        _ => refuse(incoming, 405, &Fault { pointer: String::new(), what: "GET, or POST /commands".into() }),
+    }
+}
+
+fn command(driver: &Driver, incoming: Incoming) {
+    let envelope = match Envelope::read(&incoming.body) {
+        Ok(envelope) => envelope,
+        Err(fault) => return refuse(incoming, 400, &fault),
+    };
+    let id = quote(&envelope.id);
+    let unknown = |incoming: Incoming, what: &str| {
+        let body = format!("{{\"id\":{id},\"status\":\"unknown\",\"detail\":{}}}", quote(what));
+        incoming.json(503, &body, vec![("Retry-After", "1".into())]);
+    };
+    match driver.ask_fleet(Ask::Command(envelope.pack().into()), WAIT) {
+        Ok(Answer::Json(text)) => {
+            let text = String::from_utf8_lossy(text.as_slice()).into_owned();
+            let outcome: Option<control_chain::command::Outcome> = sonic_rs::from_str(&text).ok();
+            match outcome {
+                Some(outcome) => {
+                    let status = if outcome.accepted() { "accepted" } else { "refused" };
+                    let body = format!("{{\"id\":{id},\"status\":\"{status}\",\"outcome\":{text}}}");
+                    incoming.json(outcome.code, &body, vec![]);
+                }
+                None => unknown(incoming, "the outcome cannot be read"),
+            }
+        }
+        Ok(other) => unknown(incoming, &format!("{other:?}")),
+        Err(mishap) => unknown(incoming, &mishap.to_string()),
+    }
+}
+
+fn query(driver: &Driver, incoming: Incoming, path: &str) {
+    match driver.ask_fleet(Ask::Query(path.into()), WAIT) {
+        Ok(Answer::Json(text)) => {
+            let text = String::from_utf8_lossy(text.as_slice()).into_owned();
+            let status = if text.starts_with("{\"error\"") { 404 } else { 200 };
+            incoming.json(status, &text, vec![]);
+        }
+        Ok(other) => refuse(incoming, 503, &Fault { pointer: String::new(), what: format!("{other:?}") }),
+        Err(mishap) => refuse(incoming, 503, &Fault { pointer: String::new(), what: mishap.to_string() }),
+    }
+}
+
+fn metrics(driver: &Driver, incoming: Incoming) {
+    let text = match driver.ask(Ask::Query("self".into())) {
+        Answer::Json(text) => String::from_utf8_lossy(text.as_slice()).into_owned(),
+        _ => {
+            return refuse(incoming, 503, &Fault { pointer: String::new(), what: "busy".into() });
+        }
+    };
+    let number = |name: &str| {
+        use sonic_rs::JsonValueTrait;
+        sonic_rs::get(&text, [name]).ok().and_then(|v| v.as_u64()).unwrap_or(0)
+    };
+    let body = ["seq", "synced", "committed"].map(|n| format!("coursebend_core_{n} {}\n", number(n))).concat();
+    incoming.whole(200, "text/plain; version=0.0.4", body.as_bytes(), vec![]);
+}
--- /dev/null
+++ b/crates/fleet-common/src/ask.rs
@@ -0,0 +1,81 @@
+//! What nodes ask of the core, of the index and of each other, as frames.
+use crate::{Bytes, List, Text};
+
+/// Where news comes from; a version vector holds one entry for each.
+pub const SOURCES: [&str; 6] = ["blueprint", "keys", "replicas", "members", "duties", "cores"];
+pub const BLUEPRINT: usize = 0;
+pub const KEYS: usize = 1;
+pub const REPLICAS: usize = 2;
+pub const MEMBERS: usize = 3;
+pub const DUTIES: usize = 4;
+pub const CORES: usize = 5;
+
+/// How long a node's term lasts, counted from when its pull was sent.
+pub const TERM: std::time::Duration = std::time::Duration::from_secs(3);
+
+/// Whole versions, one for each source.
+pub type Vector = [u64; SOURCES.len()];
+
+crate::messages! {
+    /// One source at one version, whole.
+    pub struct Versioned { pub source: u8, pub version: u64, pub value: Bytes }
+
+    /// A node's pull: what it has, what is confirmed in use, and whether it still holds a term.
+    pub struct Pull {
+        pub node: Text, pub kind: Text, pub incarnation: u64, pub at: Text, pub district: Text,
+        pub have: List<u64>, pub confirmed: List<u64>, pub holding: u8, pub wait_ms: u32,
+    }
+
+    /// The answer: the whole versions lacked. It confirms the term unless `member` is 0.
+    pub struct Pulled { pub member: u8, pub age_ms: u64, pub changed: List<Versioned> }
+
+    /// A replica's bit filter with what it stands for.
+    pub struct Filter {
+        pub replica: Text, pub index: Text, pub fence: u64, pub version: u64, pub weights: Text, pub m: u32, pub k: u8,
+        pub items: u32, pub bits: Bytes,
+    }
+
+    /// One try at a hand-over, as the router saw it.
+    pub struct Handover {
+        pub request: Text, pub router: Text, pub source: Text, pub block: u64, pub filter_version: u64,
+        pub expected_ms: u64, pub first_piece_ms: u64,
+    }
+
+    /// A table on its way to the next holder of a duty.
+    pub struct TableCopy {
+        pub replica: Text, pub fence: u64, pub incarnation: Text, pub weights: Text, pub sequence: u64, pub blocks: List<u64>,
+        pub doubtful: List<u64>,
+    }
+
+    /// Everything that may be asked.
+    pub enum Ask {
+        1 = Pull(Pull),
+        2 = Command(Bytes),
+        3 = Query(Text),
+        4 = FilterPull(Text),
+        5 = FilterPush(Filter),
+        6 = Handover(Handover),
+        7 = TablePull(Text),
+        8 = TablePush(TableCopy),
+    }
+
+    /// Everything that may be answered.
+    pub enum Answer {
+        1 = Pulled(Pulled),
+        2 = Json(Bytes),
+        3 = Elsewhere(Text),
+        4 = Filter(Filter),
+        5 = Audit(u8),
+        6 = Table(TableCopy),
+        7 = Done,
+        8 = Refused(Text),
+    }
+}
+
+/// The audit's verdicts on a hand-over try.
+pub mod audit {
+    pub const HELD: u8 = 0;
+    pub const COLLISION: u8 = 1;
+    pub const STALE: u8 = 2;
+    pub const NOT_MINE: u8 = 3;
+}
--- /dev/null
+++ b/crates/fleet-common/src/frame.rs
@@ -0,0 +1,199 @@
+//! Frames between our own processes: length, checksum, then a message packed by `deku`.
+use crate::{Mishap, Step, hash, ring};
+use deku::{DekuContainerRead, DekuContainerWrite};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+const FRAME_MAX: usize = 64 << 20;
+const STREAMS_MAX: usize = 512;
+const WRITE_WAIT: Duration = Duration::from_secs(3);
+
+/// Packs a message into a whole frame.
+/// ```
+/// let frame = fleet_common::frame::pack(&fleet_common::Text::from("hi")).unwrap();
+/// assert_eq!(frame.len(), 8 + 4 + 2);
+/// ```
+pub fn pack<M: DekuContainerWrite>(message: &M) -> Result<Vec<u8>, Mishap> {
+    let body = message.to_bytes().map_err(|e| Mishap::at(Step::Decode, "self", e))?;
+    let mut frame = Vec::with_capacity(body.len() + 8);
+    frame.extend_from_slice(&(body.len() as u32).to_le_bytes());
+    frame.extend_from_slice(&(hash::bytes(3, &body) as u32).to_le_bytes());
+    frame.extend_from_slice(&body);
+    Ok(frame)
+}
+
+/// Reads the message of a frame's body; bytes left over are a mishap.
+/// ```
+/// use fleet_common::{Text, frame};
+/// let packed = frame::pack(&Text::from("hi")).unwrap();
+/// assert_eq!(frame::unpack::<Text>(&packed[8..], "x").unwrap().as_str(), "hi");
+/// assert!(frame::unpack::<Text>(&[9, 0, 0, 0, 1], "x").is_err());
+/// ```
+pub fn unpack<M: for<'a> DekuContainerRead<'a>>(body: &[u8], colleague: &str) -> Result<M, Mishap> {
+    match M::from_bytes((body, 0)) {
+        Ok(((rest, _), message)) if rest.is_empty() => Ok(message),
+        Ok(_) => Err(Mishap::at(Step::Decode, colleague, "bytes left over in a frame")),
+        Err(e) => Err(Mishap::at(Step::Decode, colleague, e)),
+    }
+}
+
+/// Writes one frame.
+/// ```
+/// let mut out = Vec::new();
+/// fleet_common::frame::write(&mut out, &fleet_common::Text::from("a"), "core-1").unwrap();
+/// assert_eq!(out.len(), 13);
+/// ```
+pub fn write<M: DekuContainerWrite>(out: &mut impl Write, message: &M, colleague: &str) -> Result<(), Mishap> {
+    let frame = pack(message)?;
+    out.write_all(&frame).and_then(|_| out.flush()).map_err(|e| Mishap::at(Step::Send, colleague, e))
+}
+
+/// Reads one frame; `None` when the stream ended between frames.
+/// ```
+/// use fleet_common::{Text, frame};
+/// let packed = frame::pack(&Text::from("a")).unwrap();
+/// assert_eq!(frame::read::<Text>(&mut &packed[..], "x").unwrap().unwrap().as_str(), "a");
+/// assert!(frame::read::<Text>(&mut &packed[..9], "x").is_err());
+/// ```
+pub fn read<M: for<'a> DekuContainerRead<'a>>(input: &mut impl Read, colleague: &str) -> Result<Option<M>, Mishap> {
+    let fault = |e: std::io::Error| Mishap::at(Step::Receive, colleague, e);
+    let mut head = [0u8; 8];
+    let mut got = 0;
+    while got < head.len() {
+        match input.read(&mut head[got..]) {
+            Ok(0) if got == 0 => return Ok(None),
+            Ok(0) => {
+                return Err(Mishap::at(Step::Receive, colleague, "stream ended inside a frame"));
+            }
+            Ok(n) => got += n,
+            Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
+            Err(e) => return Err(fault(e)),
+        }
+    }
+    let length = u32::from_le_bytes(head[..4].try_into().unwrap_or_default()) as usize;
+    let sum = u32::from_le_bytes(head[4..].try_into().unwrap_or_default());
+    if length > FRAME_MAX {
+        return Err(Mishap::at(Step::Decode, colleague, format!("frame of {length} bytes")));
+    }
+    let mut body = Vec::new();
+    input.take(length as u64).read_to_end(&mut body).map_err(fault)?;
+    if body.len() != length || hash::bytes(3, &body) as u32 != sum {
+        return Err(Mishap::at(Step::Decode, colleague, "frame cut or damaged"));
+    }
+    unpack(&body, colleague).map(Some)
+}
+
+/// Opens a stream to a colleague with bounds on connecting and writing.
+/// ```
+/// let gone = fleet_common::frame::connect("127.0.0.1:1".parse().unwrap(), std::time::Duration::from_millis(50));
+/// assert!(gone.is_err());
+/// ```
+pub fn connect(to: SocketAddr, read_wait: Duration) -> Result<TcpStream, Mishap> {
+    let fault = |e| Mishap::at(Step::Connect, to, e);
+    let stream = TcpStream::connect_timeout(&to, Duration::from_millis(500)).map_err(fault)?;
+    stream.set_nodelay(true).map_err(fault)?;
+    stream.set_read_timeout(Some(read_wait)).map_err(fault)?;
+    stream.set_write_timeout(Some(WRITE_WAIT)).map_err(fault)?;
+    Ok(stream)
+}
+
+/// A kept stream on which asks are answered one at a time; reopened after any mishap.
+pub struct Caller {
+    to: SocketAddr,
+    wait: Duration,
+    stream: Option<TcpStream>,
+}
+
+impl Caller {
+    /// Prepares a caller; nothing is opened yet.
+    /// ```
+    /// let caller = fleet_common::frame::Caller::new("127.0.0.1:1".parse().unwrap(), std::time::Duration::from_secs(1));
+    /// assert_eq!(caller.to().port(), 1);
+    /// ```
+    pub fn new(to: SocketAddr, wait: Duration) -> Self {
+        Caller { to, wait, stream: None }
+    }
+
+    /// Whom this caller asks.
+    /// ```
+    /// # use fleet_common::frame::Caller;
+    /// # let caller = Caller::new("127.0.0.1:7".parse().unwrap(), std::time::Duration::from_secs(1));
+    /// assert_eq!(caller.to().port(), 7);
+    /// ```
+    pub fn to(&self) -> SocketAddr {
+        self.to
+    }
+
+    /// Sends an ask and waits for its answer.
+    /// ```
+    /// use fleet_common::{Text, frame::Caller};
+    /// let mut caller = Caller::new("127.0.0.1:1".parse().unwrap(), std::time::Duration::from_millis(50));
+    /// assert!(caller.ask::<Text, Text>(&Text::from("anyone?")).is_err());
+    /// ```
+    pub fn ask<A: DekuContainerWrite, B: for<'a> DekuContainerRead<'a>>(&mut self, ask: &A) -> Result<B, Mishap> {
+        let mut stream = match self.stream.take() {
+            Some(stream) => stream,
+            None => connect(self.to, self.wait)?,
+        };
+        let name = self.to.to_string();
+        write(&mut stream, ask, &name)?;
+        let answer = read(&mut stream, &name)?;
+        self.stream = Some(stream);
+        answer.ok_or_else(|| Mishap::at(Step::Receive, self.to, "stream ended before an answer"))
+    }
+}
+
+/// Serves frames: each stream has a thread that reads an ask and writes what `answer` gives.
+/// A broken frame closes its stream and is noted; the process goes on.
+/// ```
+/// use fleet_common::{Text, frame};
+/// let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+/// let at = listener.local_addr().unwrap();
+/// frame::serve(listener, |ask: Text| Some(ask));
+/// let mut caller = frame::Caller::new(at, std::time::Duration::from_secs(5));
+/// assert_eq!(caller.ask::<Text, Text>(&Text::from("echo")).unwrap().as_str(), "echo");
+/// ```
+pub fn serve<A, B>(listener: TcpListener, answer: impl Fn(A) -> Option<B> + Send + Sync + 'static)
+where
+    A: for<'a> DekuContainerRead<'a> + 'static,
+    B: DekuContainerWrite + 'static,
+{
+    let answer = Arc::new(answer);
+    let open = Arc::new(AtomicUsize::new(0));
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else { continue };
+            if open.fetch_add(1, Ordering::Relaxed) >= STREAMS_MAX {
+                open.fetch_sub(1, Ordering::Relaxed);
+                continue;
+            }
+            let (answer, open) = (answer.clone(), open.clone());
+            std::thread::spawn(move || {
+                let from = stream.peer_addr().map(|a| a.to_string()).unwrap_or_default();
+                let _ = stream.set_nodelay(true);
+                let _ = stream.set_write_timeout(Some(WRITE_WAIT));
+                loop {
+                    match read::<A>(&mut stream, &from) {
+                        Ok(Some(ask)) => {
+                            if let Some(reply) = answer(ask)
+                                && write(&mut stream, &reply, &from).is_err()
+                            {
+                                break;
+                            }
+                        }
+                        Ok(None) => break,
+                        Err(mishap) if mishap.step == Step::Decode => {
+                            ring::mishap(&mishap);
+                            break;
+                        }
+                        Err(_) => break,
+                    }
+                }
+                open.fetch_sub(1, Ordering::Relaxed);
+            });
+        }
+    });
+}
--- /dev/null
+++ b/crates/fleet-common/src/http_in.rs
@@ -0,0 +1,229 @@
+//! Answering over HTTP/1.1, through `tiny_http`. The library's chunked writer holds pieces back and
+//! ends a body cleanly even after an error, and dropping its raw writer leaves the stream open. So
+//! pieces are framed here on the raw writer, and a cut shuts the stream itself.
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+
+const BODY_MAX: u64 = 4 << 20;
+const HEADERS_MAX: usize = 16 << 10;
+const WORKERS: usize = 64;
+
+/// A request with its body read, not yet answered.
+pub struct Incoming {
+    pub method: String,
+    pub path: String,
+    pub query: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+    request: tiny_http::Request,
+    caller: Option<SocketAddr>,
+    old: bool,
+}
+
+/// Sends the head of an answer and then its pieces, each as it comes.
+pub struct Pieces {
+    writer: Box<dyn Write + Send>,
+    caller: Option<SocketAddr>,
+    ended: bool,
+}
+
+/// Names and values of an answer's headers.
+pub type Extra = Vec<(&'static str, String)>;
+
+impl Incoming {
+    /// A header's value, by its lower-case name.
+    /// ```ignore
+    /// let key = incoming.header("authorization");
+    /// ```
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+
+    /// Whether the caller speaks HTTP/1.0, which has no pieces and so cannot show a cut.
+    /// ```ignore
+    /// if incoming.cannot_stream() { return incoming.json(505, "{}", vec![]); }
+    /// ```
+    pub fn cannot_stream(&self) -> bool {
+        self.old
+    }
+
+    /// Answers with whole JSON.
+    /// ```ignore
+    /// incoming.json(200, "{\"ok\":true}", vec![]);
+    /// ```
+    pub fn json(self, status: u16, body: &str, extra: Extra) {
+        self.whole(status, "application/json", body.as_bytes(), extra);
+    }
+
+    /// Answers with a whole body of any type.
+    /// ```ignore
+    /// incoming.whole(200, "text/plain", b"up", vec![]);
+    /// ```
+    pub fn whole(self, status: u16, kind: &str, body: &[u8], extra: Extra) {
+        let mut answer = tiny_http::Response::from_data(body).with_status_code(status);
+        for (name, value) in extra.iter().map(|(n, v)| (*n, v.as_str())).chain([("Content-Type", kind)]) {
+            if let Ok(header) = tiny_http::Header::from_bytes(name.as_bytes(), value.as_bytes()) {
+                answer.add_header(header);
+            }
+        }
+        let _ = self.request.respond(answer);
+    }
+
+    /// Whether the caller has gone away, seen without reading anything.
+    /// ```ignore
+    /// if incoming.caller_left() { return; }
+    /// ```
+    pub fn caller_left(&self) -> bool {
+        caller_left(self.caller)
+    }
+
+    /// Begins an answer in pieces.
+    /// ```ignore
+    /// let mut pieces = incoming.pieces(200, vec![("Content-Type", "text/event-stream".into())])?;
+    /// pieces.send(b"data: hello\n\n")?;
+    /// pieces.end()?;
+    /// ```
+    pub fn pieces(self, status: u16, extra: Extra) -> std::io::Result<Pieces> {
+        let caller = self.caller;
+        let mut writer = self.request.into_writer();
+        let mut head = format!("HTTP/1.1 {status} OK\r\nTransfer-Encoding: chunked\r\n");
+        for (name, value) in extra {
+            head.push_str(&format!("{name}: {}\r\n", value.replace(['\r', '\n'], " ")));
+        }
+        head.push_str("\r\n");
+        writer.write_all(head.as_bytes())?;
+        writer.flush()?;
+        Ok(Pieces { writer, caller, ended: false })
+    }
+}
+
+impl Pieces {
+    /// Sends a piece and pushes it out.
+    /// ```ignore
+    /// pieces.send(b"data: one\n\n")?;
+    /// ```
+    pub fn send(&mut self, piece: &[u8]) -> std::io::Result<()> {
+        if piece.is_empty() {
+            return Ok(());
+        }
+        let mut framed = format!("{:x}\r\n", piece.len()).into_bytes();
+        framed.extend_from_slice(piece);
+        framed.extend_from_slice(b"\r\n");
+        self.writer.write_all(&framed)?;
+        self.writer.flush()
+    }
+
+    /// Ends a whole answer. Without this call the stream is cut, and looks it.
+    /// ```ignore
+    /// pieces.end()?;
+    /// ```
+    pub fn end(mut self) -> std::io::Result<()> {
+        self.writer.write_all(b"0\r\n\r\n")?;
+        self.writer.flush()?;
+        self.ended = true;
+        Ok(())
+    }
+
+    /// Whether the caller has gone away.
+    /// ```ignore
+    /// if pieces.caller_left() { break; }
+    /// ```
+    pub fn caller_left(&self) -> bool {
+        caller_left(self.caller)
+    }
+}
+
+impl Drop for Pieces {
+    fn drop(&mut self) {
+        if !self.ended {
+            with_stream(self.caller, |fd| unsafe { libc::shutdown(fd, libc::SHUT_RDWR) == 0 });
+        }
+    }
+}
+
+/// Finds our end of the caller's stream. The request or writer we hold keeps it open, so the
+/// address stands for this stream alone while we look.
+fn with_stream(caller: Option<SocketAddr>, act: impl Fn(i32) -> bool) -> bool {
+    let Some(SocketAddr::V4(caller)) = caller else {
+        return false;
+    };
+    let Ok(entries) = std::fs::read_dir("/proc/self/fd") else {
+        return false;
+    };
+    for fd in entries.flatten().filter_map(|e| e.file_name().to_str()?.parse::<i32>().ok()) {
+        let mut at: libc::sockaddr_in = unsafe { std::mem::zeroed() };
+        let mut size = std::mem::size_of::<libc::sockaddr_in>() as libc::socklen_t;
+        let found = unsafe { libc::getpeername(fd, (&raw mut at).cast(), &mut size) } == 0;
+        if found
+            && at.sin_family == libc::AF_INET as u16
+            && u16::from_be(at.sin_port) == caller.port()
+            && u32::from_be(at.sin_addr.s_addr) == u32::from(*caller.ip())
+        {
+            return act(fd);
+        }
+    }
+    false
+}
+
+fn caller_left(caller: Option<SocketAddr>) -> bool {
+    with_stream(caller, |fd| {
+        let mut byte = 0u8;
+        let flags = libc::MSG_PEEK | libc::MSG_DONTWAIT;
+        unsafe { libc::recv(fd, (&raw mut byte).cast(), 1, flags) == 0 }
+    })
+}
+
+/// Serves a listener with a pool of workers; oversized requests are refused before `answer` sees them.
+/// ```
+/// use fleet_common::{http_in, http_out};
+/// let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+/// let at = listener.local_addr().unwrap();
+/// http_in::serve(listener, |incoming| incoming.json(200, "{}", vec![])).unwrap();
+/// let wait = std::time::Duration::from_secs(5);
+/// assert_eq!(http_out::json("GET", &format!("http://{at}/x"), "", wait).unwrap(), "{}");
+/// ```
+pub fn serve(listener: TcpListener, answer: impl Fn(Incoming) + Send + Sync + 'static) -> std::io::Result<()> {
+    let server = tiny_http::Server::from_listener(listener, None).map_err(std::io::Error::other)?;
+    let (server, answer) = (Arc::new(server), Arc::new(answer));
+    for _ in 0..WORKERS {
+        let (server, answer) = (server.clone(), answer.clone());
+        std::thread::spawn(move || {
+            while let Ok(request) = server.recv() {
+                if let Some(incoming) = take_in(request) {
+                    answer(incoming);
+                }
+            }
+        });
+    }
+    Ok(())
+}
+
+fn take_in(mut request: tiny_http::Request) -> Option<Incoming> {
+    let headers: Vec<(String, String)> =
+        request.headers().iter().map(|h| (h.field.as_str().as_str().to_lowercase(), h.value.to_string())).collect();
+    let refuse = |request: tiny_http::Request, status: u16, what: &str| {
+        let body = format!("{{\"error\":{{\"pointer\":\"\",\"what\":\"{what}\"}}}}");
+        let _ = request.respond(tiny_http::Response::from_string(body).with_status_code(status));
+        None
+    };
+    if headers.iter().map(|(n, v)| n.len() + v.len()).sum::<usize>() > HEADERS_MAX {
+        return refuse(request, 431, "headers over 16 KiB");
+    }
+    let mut body = Vec::new();
+    let read = request.as_reader().take(BODY_MAX + 1).read_to_end(&mut body);
+    if body.len() as u64 > BODY_MAX {
+        return refuse(request, 413, "body over 4 MiB");
+    }
+    let stated = request.body_length();
+    if read.is_err() || stated.is_some_and(|length| length != body.len()) {
+        return refuse(request, 400, "body cut short");
+    }
+    let (path, query) = match request.url().split_once('?') {
+        Some((path, query)) => (path.to_string(), query.to_string()),
+        None => (request.url().to_string(), String::new()),
+    };
+    let caller = request.remote_addr().copied();
+    let old = *request.http_version() < tiny_http::HTTPVersion(1, 1);
+    Some(Incoming { method: request.method().to_string(), path, query, headers, body, request, caller, old })
+}
--- /dev/null
+++ b/crates/fleet-common/src/lib.rs
@@ -0,0 +1,19 @@
+//! What every program of the fleet shares: frames between our own processes, mishaps that carry
+//! step and colleague, the ring log, hashes, HTTP edges, and checked JSON.
+
+pub mod ask;
+pub mod frame;
+pub mod hash;
+pub mod http_in;
+pub mod http_out;
+pub mod json;
+pub mod mishap;
+pub mod node;
+pub mod packed;
+pub mod rcu;
+pub mod ring;
+pub mod settings;
+
+pub use mishap::{Mishap, Step};
+pub use packed::{Bytes, List, Text};
+pub use rcu::Rcu;
--- /dev/null
+++ b/crates/fleet-common/src/ring.rs
@@ -0,0 +1,86 @@
+//! The log: a ring in memory, written out when something goes wrong, and little else.
+use crate::Mishap;
+use logforth::append::Append;
+use std::collections::VecDeque;
+use std::io::Write;
+use std::sync::{Mutex, OnceLock};
+
+const LINES: usize = 512;
+static RING: OnceLock<Mutex<Ring>> = OnceLock::new();
+
+struct Ring {
+    program: String,
+    lines: VecDeque<String>,
+    written_out: u64,
+}
+
+#[derive(Debug)]
+struct IntoRing;
+
+impl Append for IntoRing {
+    fn append(
+        &self,
+        record: &logforth::record::Record<'_>,
+        _: &[Box<dyn logforth::Diagnostic>],
+    ) -> Result<(), logforth::Error> {
+        note(&format!("{} {}", record.level(), record.payload()));
+        Ok(())
+    }
+
+    fn flush(&self) -> Result<(), logforth::Error> {
+        Ok(())
+    }
+}
+
+fn ring() -> &'static Mutex<Ring> {
+    RING.get_or_init(|| Mutex::new(Ring { program: "coursebend".into(), lines: VecDeque::new(), written_out: 0 }))
+}
+
+/// Names the program and puts the ring behind the `log` macros.
+/// ```
+/// fleet_common::ring::start("request-router");
+/// ```
+pub fn start(program: &str) {
+    ring().lock().unwrap_or_else(|held| held.into_inner()).program = program.to_string();
+    let _ = logforth::starter_log::builder().dispatch(|d| d.append(IntoRing)).try_apply();
+}
+
+/// Keeps a line in the ring.
+/// ```
+/// fleet_common::ring::note("view 2 holds");
+/// assert!(fleet_common::ring::lines().iter().any(|line| line.contains("view 2 holds")));
+/// ```
+pub fn note(line: &str) {
+    let at = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    let mut ring = ring().lock().unwrap_or_else(|held| held.into_inner());
+    if ring.lines.len() == LINES {
+        ring.lines.pop_front();
+    }
+    ring.lines.push_back(format!("{}.{:03} {line}", at.as_secs(), at.subsec_millis()));
+}
+
+/// The lines held now, oldest first.
+/// ```
+/// let _held: Vec<String> = fleet_common::ring::lines();
+/// ```
+pub fn lines() -> Vec<String> {
+    ring().lock().unwrap_or_else(|held| held.into_inner()).lines.iter().cloned().collect()
+}
+
+/// Notes a mishap and writes the ring out to standard error; the ring is empty afterwards.
+/// ```
+/// use fleet_common::{Mishap, Step, ring};
+/// ring::mishap(&Mishap::at(Step::Disk, "own disk", "no space left"));
+/// ```
+pub fn mishap(mishap: &Mishap) {
+    note(&format!("MISHAP {mishap}"));
+    let (program, lines) = {
+        let mut ring = ring().lock().unwrap_or_else(|held| held.into_inner());
+        ring.written_out += 1;
+        (ring.program.clone(), ring.lines.drain(..).collect::<Vec<_>>())
+    };
+    let mut out = std::io::stderr().lock();
+    for line in lines {
+        let _ = writeln!(out, "{program} {line}");
+    }
+}
--- /dev/null
+++ b/crates/prefix-table/src/copying.rs
@@ -0,0 +1,46 @@
+//! Copies of a table, for the shadow and for the next holder of the duty.
+use crate::table::{Shape, Table};
+use fleet_common::ask::TableCopy;
+use std::time::Duration;
+
+impl Table {
+    /// A copy to shadow or to hand over.
+    /// ```
+    /// # use prefix_table::table::{Shape, Table};
+    /// let table = Table::new(Shape { bits: 64, hashes: 2 }, Default::default());
+    /// assert_eq!(table.copy("r", 3).fence, 3);
+    /// ```
+    pub fn copy(&self, replica: &str, fence: u64) -> TableCopy {
+        let (sure, doubtful): (Vec<_>, Vec<_>) = self.held.iter().partition(|(_, since)| since.is_none());
+        let only = |pairs: Vec<(&u64, &Option<Duration>)>| pairs.into_iter().map(|(h, _)| *h).collect::<Vec<_>>();
+        TableCopy {
+            replica: replica.into(),
+            fence,
+            incarnation: self.incarnation.as_str().into(),
+            weights: self.weights.as_str().into(),
+            sequence: self.next,
+            blocks: only(sure).into(),
+            doubtful: only(doubtful).into(),
+        }
+    }
+
+    /// Starts from a copy; events after it are asked for from its sequence number on.
+    /// ```
+    /// # use prefix_table::table::{Shape, Table};
+    /// let shape = Shape { bits: 64, hashes: 2 };
+    /// let copy = Table::new(shape, Default::default()).copy("r", 3);
+    /// assert_eq!(Table::from_copy(shape, Default::default(), &copy).items(), 0);
+    /// ```
+    pub fn from_copy(shape: Shape, now: Duration, copy: &TableCopy) -> Self {
+        let mut table = Table::new(shape, now);
+        table.incarnation = copy.incarnation.to_string();
+        table.weights = copy.weights.to_string();
+        table.next = copy.sequence;
+        copy.blocks.items().iter().for_each(|hash| table.store(*hash));
+        for hash in copy.doubtful.items() {
+            table.store(*hash);
+            table.held.insert(*hash, Some(now));
+        }
+        table
+    }
+}
--- /dev/null
+++ b/crates/prefix-table/src/counting.rs
@@ -0,0 +1,91 @@
+//! The source's table: m counters, incremented at k positions for each item; its filter has a bit
+//! wherever a counter is 1 or more.
+use crate::filter::{Bits, positions};
+
+/// A counting table. It must never be told to remove what was not added; `table` sees to that.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Counting {
+    counters: Vec<u16>,
+    hashes: u8,
+    items: u32,
+}
+
+/// The best number of hashes for m bits and n items: (m/n) ln 2, within 1 to 16.
+/// ```
+/// assert_eq!(prefix_table::counting::best_hashes(8000, 1766), 3);
+/// assert_eq!(prefix_table::counting::best_hashes(64, 0), 16);
+/// ```
+pub fn best_hashes(bits: u32, items: u32) -> u8 {
+    (f64::from(bits) / f64::from(items.max(1)) * std::f64::consts::LN_2).round().clamp(1.0, 16.0) as u8
+}
+
+impl Counting {
+    /// An empty table of `bits` counters.
+    /// ```
+    /// assert_eq!(prefix_table::counting::Counting::new(64, 3).items(), 0);
+    /// ```
+    pub fn new(bits: u32, hashes: u8) -> Self {
+        Counting { counters: vec![0; bits.max(1) as usize], hashes: hashes.max(1), items: 0 }
+    }
+
+    /// How many items are counted.
+    /// ```
+    /// let mut table = prefix_table::counting::Counting::new(64, 3);
+    /// table.add(9);
+    /// assert_eq!(table.items(), 1);
+    /// ```
+    pub fn items(&self) -> u32 {
+        self.items
+    }
+
+    /// How many hashes each item has.
+    /// ```
+    /// assert_eq!(prefix_table::counting::Counting::new(64, 3).hashes(), 3);
+    /// ```
+    pub fn hashes(&self) -> u8 {
+        self.hashes
+    }
+
+    /// Counts an item in.
+    /// ```
+    /// let mut table = prefix_table::counting::Counting::new(64, 3);
+    /// table.add(9);
+    /// assert!(table.filter().has(9));
+    /// ```
+    pub fn add(&mut self, item: u64) {
+        self.items += 1;
+        for at in positions(item, self.counters.len() as u32, self.hashes) {
+            self.counters[at as usize] = self.counters[at as usize].saturating_add(1);
+        }
+    }
+
+    /// Counts out an item that was counted in. A counter that is full stays full: it has lost count.
+    /// ```
+    /// let mut table = prefix_table::counting::Counting::new(64, 3);
+    /// table.add(9);
+    /// table.remove(9);
+    /// assert!(!table.filter().has(9));
+    /// ```
+    pub fn remove(&mut self, item: u64) {
+        self.items = self.items.saturating_sub(1);
+        for at in positions(item, self.counters.len() as u32, self.hashes) {
+            let counter = &mut self.counters[at as usize];
+            if *counter != u16::MAX {
+                *counter = counter.saturating_sub(1);
+            }
+        }
+    }
+
+    /// The bit filter: all that ever leaves.
+    /// ```
+    /// let filter = prefix_table::counting::Counting::new(64, 3).filter();
+    /// assert!(!filter.has(1));
+    /// ```
+    pub fn filter(&self) -> Bits {
+        let mut bits = Bits::new(self.counters.len() as u32, self.hashes);
+        for (at, _) in self.counters.iter().enumerate().filter(|(_, counter)| **counter > 0) {
+            bits.set(at as u32);
+        }
+        bits
+    }
+}
--- /dev/null
+++ b/crates/prefix-table/src/table.rs
@@ -0,0 +1,226 @@
+//! What an index node keeps for one replica: the counting table, and beside it the exact set that
+//! makes sure nothing is counted out that was not counted in.
+use crate::counting::{Counting, best_hashes};
+use crate::event::{Batch, Event, hashes};
+use crate::filter::Bits;
+use fleet_common::ask::audit;
+use indexmap::{IndexMap, IndexSet};
+use std::time::Duration;
+
+/// A doubtful entry is dropped after this long unless an event names it again.
+pub const DOUBT: Duration = Duration::from_secs(10);
+/// A replica unheard for this long makes all its entries doubtful.
+pub const SILENCE: Duration = Duration::from_secs(15);
+const REMOVED_KEPT: usize = 8192;
+
+/// Numbers of a table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shape {
+    pub bits: u32,
+    /// 0 means: choose by (m/n) ln 2.
+    pub hashes: u8,
+}
+
+/// The table of one replica.
+#[derive(Clone, Debug)]
+pub struct Table {
+    shape: Shape,
+    counting: Counting,
+    pub(crate) held: IndexMap<u64, Option<Duration>>,
+    removed: IndexSet<u64>,
+    pub(crate) incarnation: String,
+    pub(crate) weights: String,
+    pub(crate) next: u64,
+    heard: Duration,
+    since_push: u64,
+    version: u64,
+    gaps: u64,
+}
+
+impl Table {
+    /// An empty table.
+    /// ```
+    /// use prefix_table::table::{Shape, Table};
+    /// assert_eq!(Table::new(Shape { bits: 64, hashes: 2 }, Default::default()).items(), 0);
+    /// ```
+    pub fn new(shape: Shape, now: Duration) -> Self {
+        Table {
+            shape,
+            counting: Counting::new(shape.bits, if shape.hashes == 0 { 4 } else { shape.hashes }),
+            held: IndexMap::new(),
+            removed: IndexSet::new(),
+            incarnation: String::new(),
+            weights: String::new(),
+            next: 0,
+            heard: now,
+            since_push: 0,
+            version: 0,
+            gaps: 0,
+        }
+    }
+
+    /// Applies a batch of events; returns how many were new.
+    /// ```
+    /// use prefix_table::{event::{Batch, Event, Numbered}, table::{Shape, Table}};
+    /// let mut table = Table::new(Shape { bits: 256, hashes: 2 }, Default::default());
+    /// let stored = Event::BlockStored { block_hashes: vec!["7".into()], parent_block_hash: None, block_size: 4 };
+    /// let batch = Batch { incarnation: "1".into(), weights: "w".into(), next: 1, events: vec![Numbered { seq: 0, event: stored }] };
+    /// assert_eq!(table.apply(Default::default(), &batch), 1);
+    /// assert_eq!(table.apply(Default::default(), &batch), 0);
+    /// assert!(table.filter().has(7));
+    /// ```
+    pub fn apply(&mut self, now: Duration, batch: &Batch) -> u64 {
+        self.heard = now;
+        if batch.incarnation != self.incarnation {
+            self.clear();
+            self.incarnation = batch.incarnation.clone();
+            self.next = batch.events.first().map_or(batch.next, |e| e.seq);
+        }
+        self.weights = batch.weights.clone();
+        let mut fresh = 0;
+        for numbered in &batch.events {
+            if numbered.seq < self.next {
+                continue;
+            }
+            if numbered.seq > self.next {
+                self.doubt_all(now);
+            }
+            self.next = numbered.seq + 1;
+            fresh += 1;
+            match &numbered.event {
+                Event::BlockStored { block_hashes, .. } => {
+                    hashes(block_hashes).into_iter().for_each(|hash| self.store(hash));
+                }
+                Event::BlockRemoved { block_hashes } => {
+                    hashes(block_hashes).into_iter().for_each(|hash| self.remove(hash));
+                }
+                Event::AllBlocksCleared => self.clear(),
+            }
+        }
+        if batch.next > self.next {
+            self.doubt_all(now);
+            self.next = batch.next;
+        }
+        self.since_push += fresh;
+        fresh
+    }
+
+    /// Ages out: silence makes entries doubtful, and doubtful entries go in time. Tells how many went.
+    /// ```
+    /// # use prefix_table::table::{Shape, Table};
+    /// let mut table = Table::new(Shape { bits: 64, hashes: 2 }, Default::default());
+    /// assert_eq!(table.age(std::time::Duration::from_secs(60)), 0);
+    /// ```
+    pub fn age(&mut self, now: Duration) -> u64 {
+        if now.saturating_sub(self.heard) > SILENCE {
+            self.heard = now;
+            self.doubt_all(now);
+        }
+        let over = |since: &Option<Duration>| since.is_some_and(|s| now.saturating_sub(s) > DOUBT);
+        let gone: Vec<u64> = self.held.iter().filter(|(_, since)| over(since)).map(|(hash, _)| *hash).collect();
+        gone.iter().for_each(|hash| self.remove(*hash));
+        self.since_push += gone.len() as u64;
+        gone.len() as u64
+    }
+
+    fn doubt_all(&mut self, now: Duration) {
+        self.gaps += 1;
+        self.held.values_mut().for_each(|since| _ = since.get_or_insert(now));
+    }
+
+    pub(crate) fn store(&mut self, hash: u64) {
+        self.removed.swap_remove(&hash);
+        if self.held.insert(hash, None).is_none() {
+            self.counting.add(hash);
+            self.fit();
+        }
+    }
+
+    fn remove(&mut self, hash: u64) {
+        if self.held.swap_remove(&hash).is_some() {
+            self.counting.remove(hash);
+            self.removed.insert(hash);
+            if self.removed.len() > REMOVED_KEPT {
+                self.removed.shift_remove_index(0);
+            }
+        }
+    }
+
+    fn clear(&mut self) {
+        for hash in std::mem::take(&mut self.held).into_keys() {
+            self.removed.insert(hash);
+        }
+        self.counting = Counting::new(self.shape.bits, self.counting.hashes());
+    }
+
+    /// Counts all anew under a better k once the number of items has outgrown the one in use.
+    fn fit(&mut self) {
+        let best = best_hashes(self.shape.bits, self.counting.items());
+        if self.shape.hashes == 0 && best.abs_diff(self.counting.hashes()) > 1 && self.counting.items() >= 64 {
+            self.counting = Counting::new(self.shape.bits, best);
+            self.held.keys().for_each(|hash| self.counting.add(*hash));
+        }
+    }
+
+    /// How many blocks are held.
+    /// ```
+    /// # use prefix_table::table::{Shape, Table};
+    /// assert_eq!(Table::new(Shape { bits: 64, hashes: 2 }, Default::default()).items(), 0);
+    /// ```
+    pub fn items(&self) -> usize {
+        self.held.len()
+    }
+
+    /// The incarnation and the number of the next event wanted.
+    /// ```
+    /// # use prefix_table::table::{Shape, Table};
+    /// assert_eq!(Table::new(Shape { bits: 64, hashes: 2 }, Default::default()).wanted(), ("", 0));
+    /// ```
+    pub fn wanted(&self) -> (&str, u64) {
+        (&self.incarnation, self.next)
+    }
+
+    /// The replica's weights by its own word, gaps seen, and events since the last push.
+    /// ```
+    /// # use prefix_table::table::{Shape, Table};
+    /// assert_eq!(Table::new(Shape { bits: 64, hashes: 2 }, Default::default()).facts(), ("", 0, 0));
+    /// ```
+    pub fn facts(&self) -> (&str, u64, u64) {
+        (&self.weights, self.gaps, self.since_push)
+    }
+
+    /// The bit filter as it stands.
+    /// ```
+    /// # use prefix_table::table::{Shape, Table};
+    /// assert!(!Table::new(Shape { bits: 64, hashes: 2 }, Default::default()).filter().has(1));
+    /// ```
+    pub fn filter(&self) -> Bits {
+        self.counting.filter()
+    }
+
+    /// The filter for sending, under a new version; the count towards the next push starts again.
+    /// ```
+    /// # use prefix_table::table::{Shape, Table};
+    /// let mut table = Table::new(Shape { bits: 64, hashes: 2 }, Default::default());
+    /// assert_eq!((table.send().1, table.send().1), (1, 2));
+    /// ```
+    pub fn send(&mut self) -> (Bits, u64) {
+        self.since_push = 0;
+        self.version += 1;
+        (self.counting.filter(), self.version)
+    }
+
+    /// Audits a hand-over try: whether the block named was held, and if not, why a filter matched.
+    /// ```
+    /// # use prefix_table::table::{Shape, Table};
+    /// let table = Table::new(Shape { bits: 64, hashes: 2 }, Default::default());
+    /// assert_eq!(table.audit(5), fleet_common::ask::audit::COLLISION);
+    /// ```
+    pub fn audit(&self, block: u64) -> u8 {
+        match (self.held.contains_key(&block), self.removed.contains(&block)) {
+            (true, _) => audit::HELD,
+            (false, true) => audit::STALE,
+            (false, false) => audit::COLLISION,
+        }
+    }
+}
