Whole path in separate processes: edges, index, replicas, callers, one command

Cause: the core alone served nobody. Now agents pull and feed routers, index nodes hold duties and push filters, routers place sessions and name sources, callers check every byte.

--- a/crates/control-chain/src/agreeing.rs
+++ b/crates/control-chain/src/agreeing.rs
@@ -1,7 +1,8 @@
 //! Agreement on the next view: one decree by Paxos among the voters of the view that holds, with
 //! every promise and acceptance synced before it is said.
-use crate::core::{After, Core, Record, SUSPECT};
+use crate::core::{Core, Record, SUSPECT};
 use crate::message::{Accept, Chain, Prepare, Promise, Vote};
+use crate::steps::After;
 use crate::view::{Accepted, Member, View};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -133,10 +134,10 @@
             votes: BTreeSet::new(),
             begun: self.now,
         });
-        self.to_voters(Chain::Prepare(Prepare { n, ballot }));
+        self.tell_voters(Chain::Prepare(Prepare { n, ballot }));
     }
 
-    fn to_voters(&mut self, message: Chain) {
+    fn tell_voters(&mut self, message: Chain) {
         for voter in self.meta.view.voters.clone().into_items() {
             self.send(voter.id, message.clone());
         }
@@ -194,7 +195,7 @@
         let view = bound.map_or_else(|| proposal.wish.clone(), |a| a.view.clone());
         proposal.asked = Some(view.clone());
         let accept = Accept { n: proposal.n, ballot: proposal.ballot, view };
-        self.to_voters(Chain::Accept(accept));
+        self.tell_voters(Chain::Accept(accept));
     }
 
     pub(crate) fn on_accept(&mut self, from: u8, accept: Accept) {
--- a/crates/control-chain/src/answering.rs
+++ b/crates/control-chain/src/answering.rs
@@ -104,7 +104,7 @@
             let due = seen.join_asked.is_none_or(|at| self.now.saturating_sub(at) > Duration::from_millis(300));
             if due {
                 seen.join_asked = Some(self.now);
-                self.to_head(Command::Join { node: name.clone(), member });
+                self.tell_head(Command::Join { node: name.clone(), member });
             }
             self.seen.insert(name, seen);
             return self.answer(token, Answer::Pulled(Pulled { member: 0, age_ms: 0, changed: vec![].into() }));
@@ -116,7 +116,7 @@
         self.wake_parked();
     }
 
-    fn to_head(&mut self, command: Command) {
+    fn tell_head(&mut self, command: Command) {
         if let Some(head) = self.meta.view.chain.items().first().map(|m| m.id) {
             self.send(head, Chain::Command(Envelope::bare(command).pack().into()));
         }
@@ -137,6 +137,10 @@
             std::mem::take(&mut self.parked).into_iter().partition(|p| p.until <= now || lacks(&p.pull));
         self.parked = parked;
         for parked in due {
+            // From here on the node may hold a term, whatever it said when it asked.
+            if let Some(seen) = self.seen.get_mut(parked.pull.node.as_str()) {
+                seen.holding = true;
+            }
             let have = vector(parked.pull.have.items());
             let changed: Vec<Versioned> = (0..SOURCES.len())
                 .filter(|at| have[*at] < holds[*at])
@@ -177,7 +181,7 @@
             .map(|(name, member)| Command::Lapse { node: name.clone(), incarnation: member.incarnation })
             .collect();
         for command in lapsed {
-            self.to_head(command);
+            self.tell_head(command);
         }
     }
 
--- a/crates/control-chain/src/appending.rs
+++ b/crates/control-chain/src/appending.rs
@@ -1,8 +1,9 @@
 //! The chain itself: entries go from the head to the tail, each synced before it goes on.
 use crate::command::Envelope;
-use crate::core::{After, CAPTURE_EVERY, Core, Record};
+use crate::core::{CAPTURE_EVERY, Core, Record};
 use crate::message::{Ack, Append, Capture, Chain};
 use crate::state::State;
+use crate::steps::After;
 use fleet_common::Bytes;
 
 const ENTRIES_A_MESSAGE: usize = 1024;
--- /dev/null
+++ b/crates/control-chain/src/fleet.rs
@@ -0,0 +1,129 @@
+//! The fleet as a node last pulled it: whole versions of each source, never an older one.
+use crate::blueprint::Blueprint;
+use crate::command::{Node, Replica};
+use crate::state::{Duty, Key};
+use fleet_common::ask::{BLUEPRINT, DUTIES, KEYS, MEMBERS, REPLICAS, SOURCES, Vector, Versioned};
+use fleet_common::node::Identity;
+use fleet_common::{hash, ring};
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+/// The model name under which the platform lists a prefix store: a source, never a place.
+pub const STORE: &str = "@store";
+/// The model name under which the platform lists the app service.
+pub const APP: &str = "@app";
+
+/// A node's knowledge of the fleet.
+#[derive(Clone, Default)]
+pub struct Fleet {
+    pub vector: Vector,
+    pub blueprint: Option<Blueprint>,
+    /// For each model its weights and since when this node knows them to be named.
+    pub weights_since: BTreeMap<String, (String, Instant)>,
+    pub keys: BTreeMap<String, Key>,
+    pub replicas: Vec<Replica>,
+    pub members: BTreeMap<String, Node>,
+    pub duties: BTreeMap<String, Duty>,
+}
+
+fn parse<T: serde::de::DeserializeOwned>(news: &Versioned) -> Option<T> {
+    match sonic_rs::from_slice(news.value.as_slice()) {
+        Ok(value) => Some(value),
+        Err(e) => {
+            ring::note(&format!(
+                "source {} version {} cannot be read: {e}",
+                SOURCES[news.source as usize], news.version
+            ));
+            None
+        }
+    }
+}
+
+impl Fleet {
+    /// Takes one source's news, whole or not at all; an older version is passed over.
+    /// ```
+    /// use control_chain::fleet::Fleet;
+    /// use fleet_common::ask::{KEYS, Versioned};
+    /// let news = |version, text: &str| Versioned { source: KEYS as u8, version, value: text.as_bytes().to_vec().into() };
+    /// let mut fleet = Fleet::default();
+    /// fleet.take(&news(5, r#"{"p":{"tenant":"t","withdrawn":true}}"#));
+    /// fleet.take(&news(4, "{}"));
+    /// fleet.take(&news(6, "{\"p\":"));
+    /// assert_eq!((fleet.vector[KEYS], fleet.keys["p"].withdrawn), (5, true));
+    /// ```
+    pub fn take(&mut self, news: &Versioned) {
+        let at = news.source as usize;
+        if at >= SOURCES.len() || news.version <= self.vector[at] {
+            return;
+        }
+        let taken = match at {
+            BLUEPRINT => parse::<Option<Blueprint>>(news).map(|blueprint| self.take_blueprint(blueprint)),
+            KEYS => parse(news).map(|v| self.keys = v),
+            REPLICAS => parse(news).map(|v| self.replicas = v),
+            MEMBERS => parse(news).map(|v| self.members = v),
+            DUTIES => parse(news).map(|v| self.duties = v),
+            _ => Some(()),
+        };
+        if taken.is_some() {
+            self.vector[at] = news.version;
+        }
+    }
+
+    fn take_blueprint(&mut self, blueprint: Option<Blueprint>) {
+        for (name, model) in blueprint.iter().flat_map(|b| &b.models) {
+            if self.weights_since.get(name).is_none_or(|(weights, _)| *weights != model.weights) {
+                self.weights_since.insert(name.clone(), (model.weights.clone(), Instant::now()));
+            }
+        }
+        self.blueprint = blueprint;
+    }
+
+    /// Live index nodes for a replica, best first by rendezvous.
+    /// ```
+    /// assert!(control_chain::fleet::Fleet::default().order("r1").is_empty());
+    /// ```
+    pub fn order(&self, replica: &str) -> Vec<&String> {
+        let nodes = self.members.iter().filter(|(_, m)| m.kind == "index").map(|(name, _)| name);
+        hash::rendezvous(replica, nodes)
+    }
+
+    /// The fence under which a node holds a duty, if it does.
+    /// ```
+    /// use fleet_common::node::Identity;
+    /// let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
+    /// assert_eq!(control_chain::fleet::Fleet::default().fence("r1", &me), None);
+    /// ```
+    pub fn fence(&self, replica: &str, me: &Identity) -> Option<u64> {
+        let duty = self.duties.get(replica)?;
+        (duty.owner == me.name && duty.incarnation == me.incarnation).then_some(duty.fence)
+    }
+
+    /// Where the holder of a replica's duty is reached.
+    /// ```
+    /// assert_eq!(control_chain::fleet::Fleet::default().holder("r1"), None);
+    /// ```
+    pub fn holder(&self, replica: &str) -> Option<&str> {
+        Some(self.members.get(&self.duties.get(replica)?.owner)?.at.as_str())
+    }
+
+    /// The tenant of a key print that is not withdrawn; `Err(true)` for a withdrawn one.
+    /// ```
+    /// assert_eq!(control_chain::fleet::Fleet::default().tenant("print"), Err(false));
+    /// ```
+    pub fn tenant(&self, print: &str) -> Result<&str, bool> {
+        match self.keys.get(print) {
+            Some(key) if !key.withdrawn => Ok(&key.tenant),
+            Some(_) => Err(true),
+            None => Err(false),
+        }
+    }
+
+    /// The versions of all sources as JSON fields.
+    /// ```
+    /// assert!(control_chain::fleet::Fleet::default().versions().starts_with("\"blueprint\":0,"));
+    /// ```
+    pub fn versions(&self) -> String {
+        let each: Vec<String> = SOURCES.iter().zip(self.vector).map(|(name, n)| format!("\"{name}\":{n}")).collect();
+        each.join(",")
+    }
+}
--- a/crates/control-chain/src/hearing.rs
+++ b/crates/control-chain/src/hearing.rs
@@ -1,7 +1,8 @@
 //! Signs of life between cores, and where each message goes.
 use crate::command::Envelope;
-use crate::core::{After, BEAT, Core, Heard, Record, STALL};
+use crate::core::{BEAT, Core, Record, STALL};
 use crate::message::{Ack, Beat, Chain, Sent};
+use crate::steps::{After, Heard};
 use crate::view::Member;
 
 impl Core {
--- a/crates/control-chain/src/installing.rs
+++ b/crates/control-chain/src/installing.rs
@@ -1,6 +1,7 @@
 //! Taking on a view: what of the own past stays, what must be fetched anew.
-use crate::core::{After, Core, Record};
+use crate::core::{Core, Record};
 use crate::state::State;
+use crate::steps::After;
 use crate::view::View;
 
 impl Core {
--- a/crates/control-chain/src/lib.rs
+++ b/crates/control-chain/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod blueprint;
 pub mod command;
 pub mod core;
+pub mod fleet;
 pub mod message;
 pub mod state;
 pub mod view;
@@ -14,4 +15,5 @@
 mod hearing;
 mod installing;
 mod ruling;
+mod steps;
 mod terms;
--- a/crates/control-core/src/drive.rs
+++ b/crates/control-core/src/drive.rs
@@ -126,7 +126,9 @@
                     }
                     Output::Keep(ticket, records) => _ = jobs.send((ticket, records)),
                     Output::Answer(token, answer) => {
-                        asking.remove(&token).map(|sender| sender.try_send(answer));
+                        if let Some(sender) = asking.remove(&token) {
+                            let _ = sender.try_send(answer);
+                        }
                     }
                     Output::Note(line) => ring::note(&line),
                 }
--- a/crates/fleet-common/src/ask.rs
+++ b/crates/fleet-common/src/ask.rs
@@ -35,6 +35,9 @@
         pub items: u32, pub bits: Bytes,
     }
 
+    /// What the index knows of a replica's state; only the holder of its duty sends it.
+    pub struct SeatNews { pub replica: Text, pub fence: u64, pub load: u64, pub weights: Text, pub down: u8 }
+
     /// One try at a hand-over, as the router saw it.
     pub struct Handover {
         pub request: Text, pub router: Text, pub source: Text, pub block: u64, pub filter_version: u64,
@@ -57,6 +60,7 @@
         6 = Handover(Handover),
         7 = TablePull(Text),
         8 = TablePush(TableCopy),
+        9 = Seats(List<SeatNews>),
     }
 
     /// Everything that may be answered.
--- a/crates/fleet-common/src/frame.rs
+++ b/crates/fleet-common/src/frame.rs
@@ -34,7 +34,7 @@
 /// ```
 pub fn unpack<M: for<'a> DekuContainerRead<'a>>(body: &[u8], colleague: &str) -> Result<M, Mishap> {
     match M::from_bytes((body, 0)) {
-        Ok(((rest, _), message)) if rest.is_empty() => Ok(message),
+        Ok((([], _), message)) => Ok(message),
         Ok(_) => Err(Mishap::at(Step::Decode, colleague, "bytes left over in a frame")),
         Err(e) => Err(Mishap::at(Step::Decode, colleague, e)),
     }
--- a/crates/fleet-common/src/http_in.rs
+++ b/crates/fleet-common/src/http_in.rs
@@ -166,11 +166,12 @@
     false
 }
 
+/// A caller that only closed its sending side (as `attohttpc` does after each request) has not left;
+/// one whose stream is broken or closed both ways has.
 fn caller_left(caller: Option<SocketAddr>) -> bool {
     with_stream(caller, |fd| {
-        let mut byte = 0u8;
-        let flags = libc::MSG_PEEK | libc::MSG_DONTWAIT;
-        unsafe { libc::recv(fd, (&raw mut byte).cast(), 1, flags) == 0 }
+        let mut look = libc::pollfd { fd, events: libc::POLLIN, revents: 0 };
+        unsafe { libc::poll(&raw mut look, 1, 0) > 0 && look.revents & (libc::POLLERR | libc::POLLHUP) != 0 }
     })
 }
 
--- /dev/null
+++ b/crates/fleet-query/src/commands.rs
@@ -0,0 +1,67 @@
+//! Commands: what should hold.
+use crate::cores::Cores;
+use fleet_common::hash;
+use fleet_common::json::quote;
+use sonic_rs::JsonValueTrait;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+const FORCE_WAIT: Duration = Duration::from_secs(15);
+
+fn version(cores: &Cores, kind: &str) -> Option<u64> {
+    let source = if kind.starts_with("key") { "keys" } else { "blueprint" };
+    let holds = cores.get("/holds").ok()?;
+    sonic_rs::get(&holds, ["sources", source, "version"]).ok()?.as_u64()
+}
+
+pub fn apply(cores: &Cores, path: &Path, id: Option<String>, expect: Option<u64>, wait: bool) -> i32 {
+    match std::fs::read_to_string(path) {
+        Ok(text) => send(cores, "blueprint", &format!("\"blueprint\":{}", text.trim()), id, expect, wait),
+        Err(e) => {
+            eprintln!("fleet-query: {}: {e}", path.display());
+            64
+        }
+    }
+}
+
+type Fields<'a> = &'a [(&'a str, String)];
+
+pub fn run(cores: &Cores, kind: &str, fields: Fields, id: Option<String>, expect: Option<u64>, wait: bool) -> i32 {
+    let rest: Vec<String> = fields.iter().map(|(name, value)| format!("{}:{}", quote(name), quote(value))).collect();
+    send(cores, kind, &rest.join(","), id, expect, wait)
+}
+
+fn send(cores: &Cores, kind: &str, rest: &str, id: Option<String>, expect: Option<u64>, wait: bool) -> i32 {
+    let id = id.unwrap_or_else(|| format!("op-{:016x}", hash::unique()));
+    let Some(expect) = expect.or_else(|| version(cores, kind)) else {
+        eprintln!("fleet-query: no core can say which version holds");
+        return 2;
+    };
+    let body = format!("{{\"id\":{},\"expect\":{expect},\"kind\":{},{rest}}}", quote(&id), quote(kind));
+    let (status, text) = match cores.post(&body) {
+        Ok(answer) => answer,
+        Err(mishap) => {
+            eprintln!("fleet-query: unknown whether command {id} took effect: {mishap}");
+            eprintln!("fleet-query: ask later with: fleet-query outcome {id}");
+            return 2;
+        }
+    };
+    if status >= 300 || !wait {
+        println!("{text}");
+        return i32::from(status >= 300);
+    }
+    let until = Instant::now() + FORCE_WAIT;
+    loop {
+        let outcome = cores.get(&format!("/command/{id}")).unwrap_or_default();
+        if outcome.contains("\"in force\"") {
+            println!("{outcome}");
+            return 0;
+        }
+        if Instant::now() > until {
+            println!("{text}");
+            eprintln!("fleet-query: accepted, but not known to be in force yet");
+            return 2;
+        }
+        std::thread::sleep(Duration::from_millis(30));
+    }
+}
--- /dev/null
+++ b/crates/fleet-query/src/cores.rs
@@ -0,0 +1,39 @@
+//! Asking the cores: any of them will do, so one after another is tried.
+use fleet_common::{Mishap, Step, http_out};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const WAIT: Duration = Duration::from_secs(6);
+
+pub struct Cores(Vec<SocketAddr>);
+
+impl Cores {
+    pub fn new(list: Vec<SocketAddr>) -> Self {
+        Cores(list)
+    }
+
+    pub fn get(&self, path: &str) -> Result<String, Mishap> {
+        let mut last = Mishap::at(Step::Query, "cores", "no cores are named: --cores or COURSEBEND_CORES");
+        for core in &self.0 {
+            match http_out::json("GET", &format!("http://{core}{path}"), "", WAIT) {
+                Ok(text) => return Ok(text),
+                Err(mishap) => last = mishap,
+            }
+        }
+        Err(last)
+    }
+
+    /// Posts a command. The same command may go to several cores: its id keeps it from counting twice.
+    pub fn post(&self, body: &str) -> Result<(u16, String), Mishap> {
+        let mut last = Mishap::at(Step::Command, "cores", "no cores are named: --cores or COURSEBEND_CORES");
+        for core in &self.0 {
+            let kind = [("content-type", "application/json".to_string())];
+            match http_out::ask("POST", &format!("http://{core}/commands"), &kind, body.as_bytes(), WAIT) {
+                Ok((503, text)) => last = Mishap::at(Step::Command, core, String::from_utf8_lossy(&text)),
+                Ok((status, text)) => return Ok((status, String::from_utf8_lossy(&text).into_owned())),
+                Err(mishap) => last = mishap,
+            }
+        }
+        Err(last)
+    }
+}
--- a/crates/fleet-query/src/main.rs
+++ b/crates/fleet-query/src/main.rs
@@ -1,1 +1,120 @@
-fn main() {}
+//! The operators' tool: commands that state what should hold, queries that ask what holds now.
+mod commands;
+mod compare;
+mod cores;
+mod queries;
+
+use std::net::SocketAddr;
+
+mod flags {
+    use std::net::SocketAddr;
+    use std::path::PathBuf;
+    xflags::xflags! {
+        /// Commands and queries to a coursebend fleet. Exit codes: 0 done, 1 refused or differing,
+        /// 2 unknown or unreachable, 64 wrong usage.
+        cmd fleet-query {
+            /// Operators' addresses of cores, parted by commas (or COURSEBEND_CORES).
+            optional --cores list: String
+            /// Show the version.
+            optional --version
+            /// Show where two nodes' beliefs differ: versions, terms, duties, filters, keys.
+            cmd compare {
+                required a: SocketAddr
+                required b: SocketAddr
+                /// Compare loads and sizes too, which differ by nature.
+                optional --all
+            }
+            /// What holds now, with who confirmed it.
+            cmd holds {}
+            /// One source whole: blueprint, keys, replicas, members, duties or cores.
+            cmd source { required name: String }
+            /// What one node itself believes.
+            cmd node { required at: SocketAddr }
+            /// A node's log ring.
+            cmd log { required at: SocketAddr }
+            /// The story of a request, asked of the routers named.
+            cmd explain {
+                required request: String
+                /// Operators' addresses of routers, parted by commas.
+                required --routers list: String
+            }
+            /// What came of a command.
+            cmd outcome { required id: String }
+            /// What came of a once-request.
+            cmd claim { required tenant: String required key: String }
+            /// Replace the blueprint with a file's.
+            cmd apply {
+                required path: PathBuf
+                optional --id id: String
+                /// The version it replaces; asked for when not given.
+                optional --expect version: u64
+                /// Wait until it is in force everywhere.
+                optional --wait
+            }
+            /// Name a model's weights.
+            cmd weights {
+                required model: String
+                required weights: String
+                optional --id id: String
+                optional --expect version: u64
+                optional --wait
+            }
+            /// Add a tenant's key.
+            cmd key-add {
+                required key: String
+                required tenant: String
+                optional --id id: String
+                optional --expect version: u64
+                optional --wait
+            }
+            /// Withdraw a key for good.
+            cmd key-withdraw {
+                required key: String
+                optional --id id: String
+                optional --expect version: u64
+                optional --wait
+            }
+        }
+    }
+}
+
+fn addresses(list: &str) -> Vec<SocketAddr> {
+    let read: Result<Vec<SocketAddr>, _> =
+        list.split(',').filter(|p| !p.is_empty()).map(|p| p.trim().parse()).collect();
+    read.unwrap_or_else(|_| {
+        eprintln!("fleet-query: {list} is not a list of IPs and ports");
+        std::process::exit(64)
+    })
+}
+
+fn main() {
+    use flags::FleetQueryCmd as Cmd;
+    let args: Vec<_> = std::env::args_os().skip(1).collect();
+    if args.iter().any(|arg| arg == "--version") {
+        return println!("fleet-query {}", env!("CARGO_PKG_VERSION"));
+    }
+    let flags = flags::FleetQuery::from_env_or_exit();
+    let list = flags.cores.or_else(|| std::env::var("COURSEBEND_CORES").ok()).unwrap_or_default();
+    let cores = cores::Cores::new(addresses(&list));
+    let code = match flags.subcommand {
+        Cmd::Compare(c) => compare::run(c.a, c.b, c.all),
+        Cmd::Holds(_) => queries::show(cores.get("/holds")),
+        Cmd::Source(s) => queries::show(cores.get(&format!("/source/{}", s.name))),
+        Cmd::Node(n) => queries::show(queries::ask(n.at, "/self")),
+        Cmd::Log(l) => queries::show(queries::ask(l.at, "/log")),
+        Cmd::Explain(e) => queries::explain(&addresses(&e.routers), &e.request),
+        Cmd::Outcome(o) => queries::show(cores.get(&format!("/command/{}", o.id))),
+        Cmd::Claim(c) => queries::show(cores.get(&format!("/claim/{}/{}", c.tenant, c.key))),
+        Cmd::Apply(a) => commands::apply(&cores, &a.path, a.id, a.expect, a.wait),
+        Cmd::Weights(w) => {
+            let fields = [("model", w.model), ("weights", w.weights)];
+            commands::run(&cores, "weights", &fields, w.id, w.expect, w.wait)
+        }
+        Cmd::KeyAdd(k) => {
+            let fields = [("key", k.key), ("tenant", k.tenant)];
+            commands::run(&cores, "key_add", &fields, k.id, k.expect, k.wait)
+        }
+        Cmd::KeyWithdraw(k) => commands::run(&cores, "key_withdraw", &[("key", k.key)], k.id, k.expect, k.wait),
+    };
+    std::process::exit(code);
+}
--- /dev/null
+++ b/crates/fleet-query/src/queries.rs
@@ -0,0 +1,32 @@
+//! Queries: what holds now.
+use fleet_common::{Mishap, http_out};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+pub fn ask(at: SocketAddr, path: &str) -> Result<String, Mishap> {
+    http_out::json("GET", &format!("http://{at}{path}"), "", Duration::from_secs(3))
+}
+
+pub fn show(answer: Result<String, Mishap>) -> i32 {
+    match answer {
+        Ok(text) => {
+            println!("{text}");
+            0
+        }
+        Err(mishap) => {
+            eprintln!("fleet-query: {mishap}");
+            2
+        }
+    }
+}
+
+pub fn explain(routers: &[SocketAddr], request: &str) -> i32 {
+    for router in routers {
+        if let Ok(story) = ask(*router, &format!("/explain/{request}")) {
+            println!("{story}");
+            return 0;
+        }
+    }
+    eprintln!("fleet-query: none of {} routers remembers {request}", routers.len());
+    2
+}
--- a/crates/prefix-index/src/main.rs
+++ b/crates/prefix-index/src/main.rs
@@ -1,1 +1,67 @@
-fn main() {}
+//! An index node: holds duties for replicas, keeps their tables from their events, sends out only
+//! bit filters, audits hand-over tries, and gives its replicas orders under a fence.
+mod answers;
+mod duties;
+mod known;
+mod orders;
+mod pushing;
+mod watch;
+
+use fleet_common::node::{Identity, Link, follow};
+use fleet_common::settings::{EXIT_LISTEN, Settings};
+use fleet_common::{frame, hash, http_in, ring};
+use known::Shared;
+use std::sync::Arc;
+
+mod flags {
+    use std::path::PathBuf;
+    xflags::xflags! {
+        /// An index node: knows which replica holds which prefix.
+        cmd prefix-index {
+            /// Settings file (JSON).
+            optional --settings path: PathBuf
+            /// A setting that goes over the file's, as name=value.
+            repeated --set pair: String
+            /// Only check the settings.
+            optional --check
+            /// Show the version.
+            optional --version
+        }
+    }
+}
+
+const NAMES: &[&str] = &["name", "district", "listen", "http", "seeds"];
+
+fn main() {
+    let flags = flags::PrefixIndex::from_env_or_exit();
+    if flags.version {
+        return println!("prefix-index {}", env!("CARGO_PKG_VERSION"));
+    }
+    ring::start("prefix-index");
+    let mut settings = Settings::read(flags.settings.as_deref(), &flags.set, NAMES);
+    let name = settings.text("name");
+    let district = settings.text("district");
+    let (listen, http) = (settings.address("listen"), settings.address("http"));
+    let seeds = settings.addresses("seeds");
+    settings.or_exit(flags.check);
+    let bind = |at| {
+        std::net::TcpListener::bind(at).unwrap_or_else(|e| {
+            eprintln!("prefix-index: cannot listen on {at}: {e}");
+            std::process::exit(EXIT_LISTEN)
+        })
+    };
+    let (frames, pages) = (bind(listen), bind(http));
+    let at = frames.local_addr().map(|a| a.to_string()).unwrap_or_default();
+    let identity = Identity { name: name.clone(), kind: "index", incarnation: hash::unique(), at, district };
+    let shared = Arc::new(Shared::new(identity.clone(), seeds.clone()));
+    let for_frames = shared.clone();
+    frame::serve(frames, move |ask| Some(answers::answer(&for_frames, ask)));
+    let for_pages = shared.clone();
+    if http_in::serve(pages, move |incoming| answers::page(&for_pages, incoming)).is_err() {
+        std::process::exit(EXIT_LISTEN);
+    }
+    duties::start(shared.clone());
+    pushing::start(shared.clone());
+    orders::start(shared.clone());
+    follow(Link::new(identity, seeds), move |sent, pulled| shared.take(sent, pulled))
+}
--- a/crates/prefix-table/src/event.rs
+++ b/crates/prefix-table/src/event.rs
@@ -22,6 +22,8 @@
 pub struct Batch {
     pub incarnation: String,
     pub weights: String,
+    /// Requests running and waiting.
+    pub load: u64,
     pub next: u64,
     pub events: Vec<Numbered>,
 }
--- a/crates/prefix-table/src/table.rs
+++ b/crates/prefix-table/src/table.rs
@@ -64,7 +64,7 @@
     /// use prefix_table::{event::{Batch, Event, Numbered}, table::{Shape, Table}};
     /// let mut table = Table::new(Shape { bits: 256, hashes: 2 }, Default::default());
     /// let stored = Event::BlockStored { block_hashes: vec!["7".into()], parent_block_hash: None, block_size: 4 };
-    /// let batch = Batch { incarnation: "1".into(), weights: "w".into(), next: 1, events: vec![Numbered { seq: 0, event: stored }] };
+    /// let batch = Batch { incarnation: "1".into(), weights: "w".into(), load: 0, next: 1, events: vec![Numbered { seq: 0, event: stored }] };
     /// assert_eq!(table.apply(Default::default(), &batch), 1);
     /// assert_eq!(table.apply(Default::default(), &batch), 0);
     /// assert!(table.filter().has(7));
--- a/crates/request-router/src/main.rs
+++ b/crates/request-router/src/main.rs
@@ -1,1 +1,73 @@
-fn main() {}
+//! The proxy of an edge machine: takes callers' requests and ferries them to model replicas.
+mod claims;
+mod explain;
+mod feed;
+mod ferry;
+mod filters;
+mod mirrors;
+mod pages;
+mod passage;
+mod placing;
+mod reporting;
+mod shared;
+mod telling;
+mod to_app;
+mod upstream;
+
+use fleet_common::settings::{EXIT_LISTEN, Settings};
+use fleet_common::{frame, http_in, ring};
+use shared::Shared;
+use std::sync::Arc;
+
+mod flags {
+    use std::path::PathBuf;
+    xflags::xflags! {
+        /// The proxy that callers talk to.
+        cmd request-router {
+            /// Settings file (JSON).
+            optional --settings path: PathBuf
+            /// A setting that goes over the file's, as name=value.
+            repeated --set pair: String
+            /// Only check the settings.
+            optional --check
+            /// Show the version.
+            optional --version
+        }
+    }
+}
+
+const NAMES: &[&str] = &["name", "district", "listen", "http", "frames", "agent", "drainMs"];
+
+fn main() {
+    let flags = flags::RequestRouter::from_env_or_exit();
+    if flags.version {
+        return println!("request-router {}", env!("CARGO_PKG_VERSION"));
+    }
+    ring::start("request-router");
+    let mut settings = Settings::read(flags.settings.as_deref(), &flags.set, NAMES);
+    let name = settings.text("name");
+    let district = settings.text("district");
+    let (listen, http, frames) = (settings.address("listen"), settings.address("http"), settings.address("frames"));
+    let agent = settings.address("agent");
+    settings.or_exit(flags.check);
+    let bind = |at| {
+        std::net::TcpListener::bind(at).unwrap_or_else(|e| {
+            eprintln!("request-router: cannot listen on {at}: {e}");
+            std::process::exit(EXIT_LISTEN)
+        })
+    };
+    let (callers, pages_at, pushes) = (bind(listen), bind(http), bind(frames));
+    let shared = Arc::new(Shared::new(name, district, agent));
+    let for_pushes = shared.clone();
+    frame::serve(pushes, move |ask| Some(mirrors::answer(&for_pushes, ask)));
+    let for_pages = shared.clone();
+    let for_callers = shared.clone();
+    let served = http_in::serve(pages_at, move |incoming| pages::answer(&for_pages, incoming))
+        .and_then(|_| http_in::serve(callers, move |incoming| filters::run(&for_callers, incoming)));
+    if let Err(e) = served {
+        eprintln!("request-router: {e}");
+        std::process::exit(EXIT_LISTEN);
+    }
+    reporting::start(shared.clone());
+    feed::follow(&shared)
+}
--- /dev/null
+++ b/crates/request-router/src/mirrors.rs
@@ -0,0 +1,71 @@
+//! Mirrors of the replicas' filters: taken when the index pushes, pulled anew when stale.
+use crate::shared::{Shared, count};
+use fleet_common::ask::{Answer, Ask, Filter};
+use fleet_common::frame::Caller;
+use fleet_common::ring;
+use prefix_table::filter::Mirror;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Takes a filter unless a later fence or version is held, or the core knows a later fence.
+fn take(shared: &Shared, filter: Filter) -> bool {
+    let fence = shared.fleet.read().duties.get(filter.replica.as_str()).map_or(0, |duty| duty.fence);
+    let Some(mirror) = Mirror::from_filter(filter) else { return false };
+    if mirror.fence < fence {
+        return false;
+    }
+    shared.mirrors.change(|mirrors| {
+        let newer = mirrors.get(&mirror.replica).is_none_or(|held| held.older_than(&mirror));
+        if newer {
+            mirrors.insert(mirror.replica.clone(), Arc::new(mirror));
+        }
+        newer
+    })
+}
+
+/// What colleagues may ask of a router: to take filters and news.
+pub fn answer(shared: &Shared, ask: Ask) -> Answer {
+    match ask {
+        Ask::FilterPush(filter) => {
+            count(&shared.counters.filter_pushes);
+            if take(shared, filter) { Answer::Done } else { Answer::Refused("an older filter".into()) }
+        }
+        Ask::Seats(seats) => {
+            let at = Instant::now();
+            shared.news.change(|news| {
+                for told in seats.into_items() {
+                    let replica = told.replica.to_string();
+                    if news.get(&replica).is_none_or(|(held, _)| held.fence <= told.fence) {
+                        news.insert(replica, (told, at));
+                    }
+                }
+            });
+            Answer::Done
+        }
+        _ => Answer::Refused("not a router's to answer".into()),
+    }
+}
+
+/// Counts a false hit on a replica's mirror; at alpha the mirror is stale and a fresh one is pulled.
+pub fn false_hit(shared: &Shared, replica: &str) {
+    count(&shared.counters.false_hits);
+    let alpha = shared.fleet.read().blueprint.as_ref().map_or(5, |b| b.index.alpha);
+    let stale = shared
+        .mirrors
+        .change(|mirrors| mirrors.get_mut(replica).is_some_and(|mirror| Arc::make_mut(mirror).false_hit(alpha)));
+    if stale {
+        pull(shared, replica);
+    }
+}
+
+/// Pulls a fresh filter from the holder of a replica's duty.
+pub fn pull(shared: &Shared, replica: &str) {
+    let fleet = shared.fleet.read();
+    let Some(at) = fleet.holder(replica).and_then(|at| at.parse().ok()) else { return };
+    count(&shared.counters.filter_pulls);
+    match Caller::new(at, Duration::from_millis(1000)).ask(&Ask::FilterPull(replica.into())) {
+        Ok(Answer::Filter(filter)) => _ = take(shared, filter),
+        Ok(_) => {}
+        Err(mishap) => ring::note(&mishap.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/request-router/src/passage.rs
@@ -0,0 +1,96 @@
+//! A request on its way through the filters, and what a filter may say.
+use crate::explain::Explain;
+use fleet_common::http_in::{Extra, Incoming};
+use fleet_common::json::quote;
+use std::time::Instant;
+use way_choice::place::{Reason, Seat};
+use way_choice::source::Source;
+
+/// What the caller asked for, as parsed.
+#[derive(Clone, Debug, Default)]
+pub struct Wanted {
+    pub model: String,
+    pub prompt: String,
+    pub stream: bool,
+    pub body: Vec<u8>,
+}
+
+/// Where one try goes.
+#[derive(Clone, Debug)]
+pub struct Try {
+    pub seat: Seat,
+    pub reason: Reason,
+    pub source: Option<Source>,
+    pub blocks: Vec<u64>,
+}
+
+pub struct Passage {
+    pub id: String,
+    pub path: String,
+    pub incoming: Option<Incoming>,
+    pub wanted: Wanted,
+    pub print: String,
+    pub tenant: String,
+    pub wall: String,
+    pub kind: String,
+    pub urgency: u64,
+    pub until: Instant,
+    pub session: String,
+    pub kept: Option<String>,
+    pub once: Option<String>,
+    pub to_app: bool,
+    pub let_in: bool,
+    pub claimed: bool,
+    pub tried: Vec<String>,
+    pub explain: Explain,
+}
+
+/// An answer given without ferrying.
+pub struct Reply {
+    pub status: u16,
+    pub pointer: String,
+    pub what: String,
+    /// `not run` unless the filter knows otherwise.
+    pub outcome: &'static str,
+    pub retry_after: Option<u64>,
+}
+
+impl Reply {
+    pub fn new(status: u16, pointer: &str, what: impl ToString) -> Self {
+        let (pointer, what) = (pointer.to_string(), what.to_string());
+        Reply { status, pointer, what, outcome: "not run", retry_after: None }
+    }
+
+    /// With the time after which to come back, spread so that not all come at once.
+    pub fn later(status: u16, what: impl ToString) -> Self {
+        let spread = fleet_common::hash::unique() % 3;
+        Reply { retry_after: Some(1 + spread), ..Reply::new(status, "", what) }
+    }
+
+    pub fn unknown(mut self) -> Self {
+        self.outcome = "unknown";
+        self
+    }
+
+    pub fn send(self, incoming: Incoming, id: &str) {
+        let body = format!(
+            "{{\"error\":{{\"pointer\":{},\"what\":{}}},\"request\":{},\"outcome\":{}}}",
+            quote(&self.pointer),
+            quote(&self.what),
+            quote(id),
+            quote(self.outcome)
+        );
+        let mut extra: Extra = vec![("X-Request-Id", id.to_string()), ("X-Outcome", self.outcome.to_string())];
+        if let Some(after) = self.retry_after {
+            extra.push(("Retry-After", after.to_string()));
+        }
+        incoming.json(self.status, &body, extra);
+    }
+}
+
+/// What a filter says: go on, answer this, or it has answered already.
+pub enum Flow {
+    Next,
+    Reply(Reply),
+    Answered,
+}
--- /dev/null
+++ b/crates/request-router/src/reporting.rs
@@ -0,0 +1,62 @@
+//! Reporting each hand-over try to the index, which audits it: nobody else tells of a false hit.
+use crate::mirrors;
+use crate::shared::{Shared, count};
+use fleet_common::ask::{Answer, Ask, Handover, audit};
+use fleet_common::frame::Caller;
+use fleet_common::ring;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A hand-over try as the ferry saw it.
+pub struct Tried {
+    pub request: String,
+    pub source: String,
+    pub block: u64,
+    pub filter_version: u64,
+    /// What the hand-over was to save, and what reading all of it anew would take.
+    pub saved_us: u64,
+    pub anew_us: u64,
+    pub first_piece_ms: u64,
+}
+
+impl Tried {
+    /// The second sign: the first piece came no sooner than if most of the prompt was read anew.
+    fn looks_missed(&self) -> bool {
+        self.first_piece_ms * 1000 > self.anew_us.saturating_sub(self.saved_us / 2)
+    }
+}
+
+pub fn start(shared: Arc<Shared>) {
+    std::thread::spawn(move || {
+        let mut callers: HashMap<SocketAddr, Caller> = HashMap::new();
+        while let Ok(tried) = shared.tried.1.recv() {
+            let holder = shared.fleet.read().holder(&tried.source).and_then(|at| at.parse::<SocketAddr>().ok());
+            if tried.looks_missed() {
+                count(&shared.counters.slow_handovers);
+            }
+            let Some(at) = holder else { continue };
+            let caller = callers.entry(at).or_insert_with(|| Caller::new(at, Duration::from_millis(1000)));
+            let ask = Ask::Handover(Handover {
+                request: tried.request.as_str().into(),
+                router: shared.name.as_str().into(),
+                source: tried.source.as_str().into(),
+                block: tried.block,
+                filter_version: tried.filter_version,
+                expected_ms: tried.anew_us.saturating_sub(tried.saved_us) / 1000,
+                first_piece_ms: tried.first_piece_ms,
+            });
+            match caller.ask(&ask) {
+                Ok(Answer::Audit(verdict)) => {
+                    count(&shared.counters.handovers_audited);
+                    if [audit::COLLISION, audit::STALE].contains(&verdict) {
+                        mirrors::false_hit(&shared, &tried.source);
+                    }
+                }
+                Ok(_) => {}
+                Err(mishap) => ring::note(&mishap.to_string()),
+            }
+        }
+    });
+}
--- /dev/null
+++ b/crates/run-fleet/src/child.rs
@@ -0,0 +1,103 @@
+//! One process of the fleet.
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+
+/// How a process is started, and the process while it runs.
+pub struct Process {
+    pub name: String,
+    pub program: &'static str,
+    pub args: Vec<String>,
+    /// Where it shows its pages.
+    pub http: SocketAddr,
+    child: Option<Child>,
+    log: PathBuf,
+}
+
+/// The folder in which the project's programs lie.
+/// ```
+/// assert!(run_fleet::child::programs().is_dir());
+/// ```
+pub fn programs() -> PathBuf {
+    let own = std::env::current_exe().unwrap_or_default();
+    let folder = own.parent().map(PathBuf::from).unwrap_or_default();
+    let mut up = folder.as_path();
+    while !up.join("control-core").exists() {
+        match up.parent() {
+            Some(parent) => up = parent,
+            None => return folder,
+        }
+    }
+    up.to_path_buf()
+}
+
+impl Process {
+    /// Prepares a process; it is not started yet.
+    /// ```
+    /// let process = run_fleet::child::Process::new("core-1", "control-core", vec![], "127.0.0.1:1".parse().unwrap(), "/tmp".into());
+    /// assert!(!process.runs());
+    /// ```
+    pub fn new(name: &str, program: &'static str, args: Vec<String>, http: SocketAddr, logs: PathBuf) -> Self {
+        Process { name: name.into(), program, args, http, child: None, log: logs.join(format!("{name}.log")) }
+    }
+
+    /// Starts it.
+    /// ```no_run
+    /// # let mut process = run_fleet::child::Process::new("x", "control-core", vec![], "127.0.0.1:1".parse().unwrap(), "/tmp".into());
+    /// process.start();
+    /// ```
+    pub fn start(&mut self) {
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log);
+        let mut command = Command::new(programs().join(self.program));
+        command.args(&self.args).stdin(Stdio::null()).stdout(Stdio::null());
+        command.stderr(log.map(Stdio::from).unwrap_or_else(|_| Stdio::null()));
+        self.child = command.spawn().map_err(|e| eprintln!("run-fleet: {} cannot start: {e}", self.name)).ok();
+    }
+
+    /// Whether it was started and not killed by us.
+    /// ```
+    /// # let process = run_fleet::child::Process::new("x", "control-core", vec![], "127.0.0.1:1".parse().unwrap(), "/tmp".into());
+    /// assert!(!process.runs());
+    /// ```
+    pub fn runs(&self) -> bool {
+        self.child.is_some()
+    }
+
+    /// Sends a signal, by the process's own id.
+    /// ```
+    /// # let process = run_fleet::child::Process::new("x", "control-core", vec![], "127.0.0.1:1".parse().unwrap(), "/tmp".into());
+    /// process.signal(libc::SIGSTOP);
+    /// ```
+    pub fn signal(&self, signal: i32) {
+        if let Some(child) = &self.child {
+            unsafe { libc::kill(child.id() as i32, signal) };
+        }
+    }
+
+    /// Kills it outright.
+    /// ```
+    /// # let mut process = run_fleet::child::Process::new("x", "control-core", vec![], "127.0.0.1:1".parse().unwrap(), "/tmp".into());
+    /// process.kill();
+    /// ```
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Waits for it to end by itself; gives its exit code.
+    /// ```
+    /// # let mut process = run_fleet::child::Process::new("x", "control-core", vec![], "127.0.0.1:1".parse().unwrap(), "/tmp".into());
+    /// assert_eq!(process.wait(), None);
+    /// ```
+    pub fn wait(&mut self) -> Option<i32> {
+        self.child.take().and_then(|mut child| child.wait().ok()?.code())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/run-fleet/src/lib.rs
@@ -0,0 +1,8 @@
+//! A fleet on loopback: the project's own programs and stand-ins as processes, for trying out and for
+//! drills. Of all the project's programs only this one starts others.
+
+pub mod child;
+pub mod fleet;
+mod layout;
+pub mod ports;
+pub mod shape;
--- /dev/null
+++ b/crates/way-choice/src/fresh.rs
@@ -0,0 +1,42 @@
+//! Freshness: a router works only within a term of its last confirmed pull, by the monotonic clock.
+use fleet_common::ask::TERM;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+/// When the last confirmed pull was sent. Shared by all workers without a lock.
+pub struct Fresh {
+    begun: Instant,
+    last_us: AtomicU64,
+}
+
+impl Default for Fresh {
+    fn default() -> Self {
+        Fresh { begun: Instant::now(), last_us: AtomicU64::new(0) }
+    }
+}
+
+impl Fresh {
+    /// Notes a confirmed pull that was sent `age` before `asked`. Never goes backwards.
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// let fresh = way_choice::fresh::Fresh::default();
+    /// let now = Instant::now();
+    /// fresh.confirm(now + Duration::from_secs(5), Duration::ZERO);
+    /// assert!(fresh.holds(now + Duration::from_secs(7)));
+    /// assert!(!fresh.holds(now + Duration::from_secs(9)));
+    /// ```
+    pub fn confirm(&self, asked: Instant, age: Duration) {
+        let at = asked.saturating_duration_since(self.begun).saturating_sub(age);
+        self.last_us.fetch_max(at.as_micros() as u64, Ordering::AcqRel);
+    }
+
+    /// Whether the term still holds.
+    /// ```
+    /// let fresh = way_choice::fresh::Fresh::default();
+    /// assert!(!fresh.holds(std::time::Instant::now()), "nothing is confirmed yet");
+    /// ```
+    pub fn holds(&self, now: Instant) -> bool {
+        let last = self.last_us.load(Ordering::Acquire);
+        last > 0 && now.saturating_duration_since(self.begun) < Duration::from_micros(last) + TERM
+    }
+}
--- /dev/null
+++ b/crates/way-choice/src/let_in.rs
@@ -0,0 +1,83 @@
+//! Letting in: a bounded number in flight; less urgent kinds and tenants over their share go first.
+use std::collections::BTreeMap;
+
+/// What is in flight, by tenant.
+#[derive(Clone, Debug, Default)]
+pub struct InFlight {
+    total: u64,
+    tenants: BTreeMap<String, u64>,
+}
+
+/// What is asked to be let in.
+pub struct Wish<'a> {
+    pub tenant: &'a str,
+    /// 1 to 9, 9 most urgent.
+    pub urgency: u64,
+    /// The tenant's share and the sum of all shares.
+    pub share: (u64, u64),
+    /// The most in flight here.
+    pub most: u64,
+}
+
+/// Why one was not let in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Over {
+    Full,
+    Urgency,
+    Share,
+}
+
+impl InFlight {
+    /// Lets one in, or says why not. Half of the room is anybody's; beyond it a tenant may hold at
+    /// most one and a half times its share, and each kind only what its urgency allows.
+    /// ```
+    /// use way_choice::let_in::{InFlight, Wish};
+    /// let mut flight = InFlight::default();
+    /// assert!(flight.let_in(&Wish { tenant: "t", urgency: 5, share: (1, 2), most: 4 }).is_ok());
+    /// assert_eq!(flight.total(), 1);
+    /// ```
+    pub fn let_in(&mut self, wish: &Wish) -> Result<(), Over> {
+        let held = self.tenants.get(wish.tenant).copied().unwrap_or(0);
+        if self.total >= wish.most {
+            return Err(Over::Full);
+        }
+        if self.total * 2 >= wish.most {
+            if self.total * 18 >= wish.most * (9 + wish.urgency) {
+                return Err(Over::Urgency);
+            }
+            let (share, sum) = wish.share;
+            if held * 2 * sum.max(1) >= (wish.most * share * 3).max(2 * sum) {
+                return Err(Over::Share);
+            }
+        }
+        self.total += 1;
+        *self.tenants.entry(wish.tenant.to_string()).or_default() += 1;
+        Ok(())
+    }
+
+    /// One has ended.
+    /// ```
+    /// # use way_choice::let_in::{InFlight, Wish};
+    /// let mut flight = InFlight::default();
+    /// let _ = flight.let_in(&Wish { tenant: "t", urgency: 5, share: (1, 1), most: 4 });
+    /// flight.let_out("t");
+    /// assert_eq!(flight.total(), 0);
+    /// ```
+    pub fn let_out(&mut self, tenant: &str) {
+        self.total = self.total.saturating_sub(1);
+        if let Some(held) = self.tenants.get_mut(tenant) {
+            *held -= 1;
+            if *held == 0 {
+                self.tenants.remove(tenant);
+            }
+        }
+    }
+
+    /// All in flight.
+    /// ```
+    /// assert_eq!(way_choice::let_in::InFlight::default().total(), 0);
+    /// ```
+    pub fn total(&self) -> u64 {
+        self.total
+    }
+}
--- a/crates/way-choice/src/lib.rs
+++ b/crates/way-choice/src/lib.rs
@@ -1,1 +1,7 @@
+//! How a router decides: freshness, letting in, placing, choosing a source, retrying. No I/O here.
 
+pub mod fresh;
+pub mod let_in;
+pub mod place;
+pub mod source;
+pub mod tokens;
