--- /dev/null
+++ b/crates/run-fleet/tests/world/mod.rs
@@ -0,0 +1,80 @@
+//! What the drills share: a small fleet, single calls, and the replicas' own records.
+#![allow(dead_code)]
+use fleet_common::http_out;
+use run_fleet::fleet::{Fleet, Size};
+use run_fleet::shape::rahguzar;
+use sonic_rs::{JsonContainerTrait, JsonValueTrait, Value};
+use stand_in::caller::Job;
+use stand_in::checks::{Result, call};
+use std::time::Duration;
+
+pub const LONG: Duration = Duration::from_secs(40);
+
+pub fn fleet(name: &str) -> Fleet {
+    let folder = std::env::temp_dir().join(format!("coursebend-drill-{}-{name}", std::process::id()));
+    let fleet = Fleet::start(rahguzar(), Size { edges: 3, replicas: 6 }, folder);
+    fleet.set_up().unwrap_or_else(|what| panic!("{name}: {what}"));
+    fleet
+}
+
+pub fn text(bytes: usize) -> String {
+    "the lane behind the bazaar is closed today, ".chars().cycle().take(bytes).collect()
+}
+
+pub fn job(fleet: &Fleet, edge: usize, tenant: &str, prompt: &str, tokens: u64) -> Job {
+    Job::plain(&fleet.edges[edge].to_string(), &format!("key-{tenant}"), prompt, tokens)
+}
+
+pub fn good(result: &Result) -> bool {
+    result.status == 200 && result.whole && result.wrong.is_none()
+}
+
+pub fn calls_until(wait: Duration, job: &Job, good: impl Fn(&Result) -> bool) -> bool {
+    Fleet::until(wait, || good(&call(job)))
+}
+
+/// Every run a replica has on record, as (replica, run).
+pub fn runs(fleet: &Fleet) -> Vec<(String, Value)> {
+    let mut all = Vec::new();
+    for (id, _) in &fleet.replicas {
+        let page: Value = sonic_rs::from_str(&fleet.page(id, "/runs")).unwrap_or_default();
+        let rows = page.get("runs").and_then(|r| r.as_array().map(|a| a.to_vec())).unwrap_or_default();
+        all.extend(rows.into_iter().map(|run| (id.clone(), run)));
+    }
+    all
+}
+
+pub fn field<'a>(run: &'a Value, name: &str) -> &'a str {
+    run.get(name).and_then(|v| v.as_str()).unwrap_or_default()
+}
+
+/// Orders a replica took or refused: (taken, index, fence), in the order in which they came.
+pub fn orders(fleet: &Fleet, replica: &str) -> Vec<(bool, String, u64)> {
+    let page: Value = sonic_rs::from_str(&fleet.page(replica, "/runs")).unwrap_or_default();
+    let rows = page.get("orders").and_then(|r| r.as_array().map(|a| a.to_vec())).unwrap_or_default();
+    rows.iter()
+        .filter_map(|row| {
+            let parts: Vec<&str> = row.as_str()?.split(' ').collect();
+            Some((parts[0] == "taken", parts[1].to_string(), parts[2].parse().ok()?))
+        })
+        .collect()
+}
+
+pub fn post(fleet: &Fleet, process: &str, path: &str) {
+    let at = fleet.processes.iter().find(|p| p.name == process).map(|p| p.http).unwrap();
+    http_out::json("POST", &format!("http://{at}{path}"), "", Duration::from_secs(5)).unwrap();
+}
+
+/// A raw HTTP request; gives status, the Retry-After header if any, and the body.
+pub fn raw(at: std::net::SocketAddr, key: &str, body: &[u8], extra: &[(&str, String)]) -> (u16, Option<String>, String) {
+    let mut headers = extra.to_vec();
+    if !key.is_empty() {
+        headers.push(("authorization", format!("Bearer {key}")));
+    }
+    let url = format!("http://{at}/v1/completions");
+    let mut opened = http_out::open("POST", &url, &headers, body, Duration::from_secs(20)).unwrap();
+    let mut text = String::new();
+    let _ = std::io::Read::read_to_string(&mut opened.body, &mut text);
+    let after = opened.headers.iter().find(|(n, _)| n == "retry-after").map(|(_, v)| v.clone());
+    (opened.status, after, text)
+}
--- a/crates/stand-in/src/caller.rs
+++ b/crates/stand-in/src/caller.rs
@@ -78,7 +78,28 @@
     })
 }
 
-pub fn run(flags: &Flags) {
+impl Job {
+    /// A plain streamed call of the model `m1`.
+    /// ```
+    /// assert!(stand_in::caller::Job::plain("127.0.0.1:1", "key", "prompt", 4).stream);
+    /// ```
+    pub fn plain(edge: &str, key: &str, prompt: &str, tokens: u64) -> Self {
+        Job {
+            edge: edge.into(),
+            key: key.into(),
+            tenant: String::new(),
+            model: "m1".into(),
+            kind: "",
+            session: format!("s-{prompt:.20}"),
+            prompt: prompt.into(),
+            tokens,
+            stream: true,
+            once: None,
+        }
+    }
+}
+
+pub(crate) fn run(flags: &Flags) {
     let figures = Arc::new(Mutex::new(Figures::default()));
     let (sender, receiver) = bounded::<Job>(1024);
     let workers: Vec<_> = (0..96)
--- a/crates/stand-in/src/checks.rs
+++ b/crates/stand-in/src/checks.rs
@@ -32,6 +32,12 @@
     )
 }
 
+/// Makes a call and checks its answer.
+/// ```
+/// use stand_in::{caller::Job, checks::call};
+/// let result = call(&Job::plain("127.0.0.1:1", "key", "prompt", 4));
+/// assert!(result.cut, "nobody is there");
+/// ```
 pub fn call(job: &Job) -> Result {
     let mut headers = vec![
         ("content-type", "application/json".to_string()),
@@ -134,7 +140,7 @@
 
 /// Figures of many calls.
 #[derive(Default)]
-pub struct Figures {
+pub(crate) struct Figures {
     calls: u64,
     whole: u64,
     cut: u64,
@@ -162,9 +168,19 @@
     )
 }
 
+impl Result {
+    /// A header of the answer, by its lower-case name.
+    /// ```
+    /// assert_eq!(stand_in::checks::Result::default().header("x-place"), None);
+    /// ```
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+}
+
 impl Figures {
-    pub fn take(&mut self, job: &Job, result: &Result) {
-        let header = |name: &str| result.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.clone());
+    pub(crate) fn take(&mut self, job: &Job, result: &Result) {
+        let header = |name: &str| result.header(name).map(str::to_string);
         self.calls += 1;
         self.whole += u64::from(result.whole);
         self.cut += u64::from(result.cut);
@@ -187,7 +203,7 @@
         }
     }
 
-    pub fn words(&self) -> String {
+    pub(crate) fn words(&self) -> String {
         format!(
             "{{\"calls\":{},\"whole\":{},\"cut\":{},\"wrong\":{},\"firstWrong\":{},\"noRetryAfter\":{},\"sourced\":{},\"statuses\":{},\"reasons\":{},\"weights\":{},\"tenants\":{},\"firstPiece\":{},\"longestGap\":{}}}",
             self.calls,
