--- a/crates/run-fleet/src/fleet.rs
+++ b/crates/run-fleet/src/fleet.rs
@@ -36,7 +36,7 @@
     pub fn start(shape: Shape, size: Size, folder: PathBuf) -> Self {
         let _ = std::fs::remove_dir_all(&folder);
         let _ = std::fs::create_dir_all(&folder);
-        let mut ports = Ports::find(16 + size.edges * 8 + size.replicas);
+        let mut ports = Ports;
         let cores: Vec<[SocketAddr; 3]> = (0..4).map(|_| [ports.next(), ports.next(), ports.next()]).collect();
         let each: Vec<String> =
             cores.iter().enumerate().map(|(at, [c, n, h])| format!("{}@{c}/{n}/{h}", at + 1)).collect();
--- a/crates/run-fleet/src/ports.rs
+++ b/crates/run-fleet/src/ports.rs
@@ -1,27 +1,32 @@
-//! Free ports on loopback.
-use std::collections::VecDeque;
+//! Free ports on loopback, from below those that the system gives to outgoing streams: a port found
+//! free there stays free until its program starts, and again while that program is down.
 use std::net::{SocketAddr, TcpListener};
+use std::sync::Mutex;
 
-/// Ports that were free when taken; each is given out once.
-pub struct Ports(VecDeque<SocketAddr>);
+const LEAST: u16 = 12_000;
+const MOST: u16 = 30_000;
+static NEXT: Mutex<Option<u16>> = Mutex::new(None);
 
-impl Ports {
-    /// Finds so many free ports at once, so that none is found twice.
-    /// ```
-    /// let mut ports = run_fleet::ports::Ports::find(2);
-    /// assert_ne!(ports.next(), ports.next());
-    /// ```
-    pub fn find(count: usize) -> Self {
-        let held: Vec<TcpListener> = (0..count).filter_map(|_| TcpListener::bind("127.0.0.1:0").ok()).collect();
-        Ports(held.iter().filter_map(|l| l.local_addr().ok()).collect())
-    }
+/// Gives out free ports, each once in this process's life.
+pub struct Ports;
 
+impl Ports {
     /// The next free port.
     /// ```
-    /// assert!(run_fleet::ports::Ports::find(1).next().ip().is_loopback());
+    /// assert_ne!(run_fleet::ports::Ports.next(), run_fleet::ports::Ports.next());
     /// ```
     #[allow(clippy::should_implement_trait)]
     pub fn next(&mut self) -> SocketAddr {
-        self.0.pop_front().unwrap_or_else(|| panic!("no more free ports were found"))
+        let mut next = NEXT.lock().unwrap_or_else(|held| held.into_inner());
+        let start = || LEAST + (fleet_common::hash::unique() % u64::from(MOST - LEAST)) as u16;
+        let mut port = next.unwrap_or_else(start);
+        loop {
+            port = if port >= MOST { LEAST } else { port + 1 };
+            let at = SocketAddr::from(([127, 0, 0, 1], port));
+            if TcpListener::bind(at).is_ok() {
+                *next = Some(port);
+                return at;
+            }
+        }
     }
 }
--- a/crates/run-fleet/tests/serving.rs
+++ b/crates/run-fleet/tests/serving.rs
@@ -27,13 +27,16 @@
 
     // The same session has the same place from every edge, and a named place is kept.
     let prompt = text(2000);
-    let places: Vec<String> =
-        (0..3).map(|edge| call(&job(&fleet, edge, "canal", &prompt, 4)).header("x-place").unwrap().to_string()).collect();
+    let places: Vec<String> = (0..3)
+        .map(|edge| call(&job(&fleet, edge, "canal", &prompt, 4)).header("x-place").unwrap().to_string())
+        .collect();
     assert!(places.windows(2).all(|pair| pair[0] == pair[1]), "{places:?}");
 
     let result = call(&job(&fleet, 0, "canal", &prompt, 4));
     let id = result.header("x-request-id").unwrap();
-    let routers: Vec<String> = (1..=3).map(|n| fleet.processes.iter().find(|p| p.name == format!("edge-{n}")).unwrap().http.to_string()).collect();
+    let routers: Vec<String> = (1..=3)
+        .map(|n| fleet.processes.iter().find(|p| p.name == format!("edge-{n}")).unwrap().http.to_string())
+        .collect();
     let story = fleet.query(&["explain", id, "--routers", &routers.join(",")]);
     let story = String::from_utf8_lossy(&story.stdout).into_owned();
     assert!(story.contains("placed on") && story.contains("\"outcome\":\"whole\""), "{story}");
--- a/crates/run-fleet/tests/world/mod.rs
+++ b/crates/run-fleet/tests/world/mod.rs
@@ -66,7 +66,12 @@
 }
 
 /// A raw HTTP request; gives status, the Retry-After header if any, and the body.
-pub fn raw(at: std::net::SocketAddr, key: &str, body: &[u8], extra: &[(&str, String)]) -> (u16, Option<String>, String) {
+pub fn raw(
+    at: std::net::SocketAddr,
+    key: &str,
+    body: &[u8],
+    extra: &[(&str, String)],
+) -> (u16, Option<String>, String) {
     let mut headers = extra.to_vec();
     if !key.is_empty() {
         headers.push(("authorization", format!("Bearer {key}")));
