Orderly leaving, settings re-read, a changeable core list; proposers no longer duel

Cause of the duel: a prepare may be held back for a whole tail's term (1.05 s); a voter that had promised took the silence of 0.9 s for a lost proposer and proposed the old members under a higher ballot, each time just before. Seen: 8 views in 10 s and a new core list never taken. Ruled out: list comparison, beats from the unlisted core (both proposals named it). Now nobody proposes within 1.5 s of hearing a prepare. Also: libraries' trace lines had filled the ring (sled alone some 30 a write); only warnings are kept.

--- a/crates/control-chain/src/agreeing.rs
+++ b/crates/control-chain/src/agreeing.rs
@@ -10,7 +10,8 @@
 const TURN: Duration = Duration::from_millis(250);
 /// A view just installed is not yet heard of from everyone.
 const GRACE: Duration = Duration::from_millis(250);
-const AGAIN: Duration = Duration::from_millis(900);
+/// A prepare may be held back for a whole tail's term; nobody interferes before that is over.
+const AGAIN: Duration = Duration::from_millis(1500);
 
 /// A try to have a next view agreed.
 pub(crate) struct Proposal {
@@ -47,7 +48,7 @@
     /// The view that would suit what is heard now, if it is another than the one that holds.
     fn wish(&self) -> Option<View> {
         let view = &self.meta.view;
-        let cores = self.wanted_cores.clone().unwrap_or_else(|| view.cores.items().to_vec());
+        let cores = self.wanted_cores.clone().map(|(_, cores)| cores).unwrap_or_else(|| view.cores.items().to_vec());
         let listed = |m: &Member| cores.iter().any(|c| c.id == m.id);
         let alive: Vec<Member> = cores
             .iter()
@@ -121,7 +122,10 @@
         let again = AGAIN + TURN * self.me.id as u32;
         let due = match &self.proposal {
             Some(proposal) => self.now.saturating_sub(proposal.begun) > again,
-            None => self.now.saturating_sub(since) >= turn + GRACE,
+            None => {
+                let other = self.prepare_heard.is_some_and(|at| self.now.saturating_sub(at) < AGAIN);
+                !other && self.now.saturating_sub(since) >= turn + GRACE
+            }
         };
         if due {
             self.propose(wish);
@@ -166,6 +170,7 @@
         if prepare.ballot <= self.meta.promised {
             return;
         }
+        self.prepare_heard = Some(self.now);
         if self.now < self.granted_until {
             if self.held_prepare.as_ref().is_none_or(|(_, held)| held.ballot < prepare.ballot) {
                 self.held_prepare = Some((from, prepare));
--- a/crates/control-chain/src/answering.rs
+++ b/crates/control-chain/src/answering.rs
@@ -3,7 +3,8 @@
 use crate::command::{Command, Envelope, Node, Outcome};
 use crate::core::{Core, Output};
 use crate::message::Chain;
-use fleet_common::ask::{Answer, Ask, CORES, Pull, Pulled, SOURCES, TERM, Vector, Versioned};
+use crate::view::CoreAt;
+use fleet_common::ask::{Answer, Ask, CORES, CoresWish, Pull, Pulled, SOURCES, TERM, Vector, Versioned};
 use fleet_common::node::vector;
 use std::time::Duration;
 
@@ -60,7 +61,8 @@
                 self.answer_json(token, text);
             }
             Ask::Pull(_) | Ask::Query(_) => self.elsewhere(token, tail),
-            Ask::Command(_) if !self.is_head() || self.sick => self.elsewhere(token, head),
+            Ask::Command(_) | Ask::Cores(_) if !self.is_head() || self.sick => self.elsewhere(token, head),
+            Ask::Cores(wish) => self.on_cores(token, wish),
             Ask::Command(bytes) => match Envelope::unpack(bytes.as_slice()) {
                 Some(envelope) => self.take_command(Some(token), &envelope),
                 None => self.answer(token, Answer::Refused("command cannot be read".into())),
@@ -69,6 +71,30 @@
         }
     }
 
+    /// A new list of control machines: wanted from now on, answered once a view has it.
+    fn on_cores(&mut self, token: u64, wish: CoresWish) {
+        let refuse = |code: u16, version: u64, detail: &str| {
+            format!("{{\"code\":{code},\"source\":\"cores\",\"version\":{version},\"detail\":\"{detail}\"}}")
+        };
+        let n = self.meta.view.n;
+        let cores: Option<Vec<CoreAt>> = wish.cores.as_str().split(',').map(CoreAt::read).collect();
+        match cores {
+            _ if wish.expect != n => self.answer_json(token, refuse(409, n, "another view holds")),
+            Some(cores) if cores.len() < 3 => {
+                self.answer_json(token, refuse(400, n, "at least three cores are wanted"))
+            }
+            Some(cores) if cores == self.meta.view.cores.items() => {
+                self.answer_json(token, refuse(202, n, "nothing to change"));
+            }
+            Some(cores) => {
+                if let Some((older, _)) = self.wanted_cores.replace((token, cores)) {
+                    self.answer_json(older, refuse(409, n, "another list came after"));
+                }
+            }
+            None => self.answer_json(token, refuse(400, n, "a list of id@chain/node/http is wanted")),
+        }
+    }
+
     /// Commands that were on their way when this core stopped being head: nobody can say yet.
     pub(crate) fn give_up_waiting(&mut self) {
         let waiting = std::mem::take(&mut self.waiting);
--- a/crates/control-chain/src/core.rs
+++ b/crates/control-chain/src/core.rs
@@ -46,7 +46,8 @@
     pub(crate) proposal: Option<Proposal>,
     pub(crate) ballot_round: u64,
     pub(crate) trouble_since: Option<Duration>,
-    pub(crate) wanted_cores: Option<Vec<CoreAt>>,
+    pub(crate) prepare_heard: Option<Duration>,
+    pub(crate) wanted_cores: Option<(u64, Vec<CoreAt>)>,
     pub(crate) parked: Vec<Parked>,
     pub(crate) seen: BTreeMap<String, Seen>,
     pub(crate) since: BTreeMap<usize, (u64, Duration)>,
@@ -118,6 +119,7 @@
             proposal: None,
             ballot_round: 0,
             trouble_since: None,
+            prepare_heard: None,
             wanted_cores: None,
             parked: Vec::new(),
             seen: BTreeMap::new(),
@@ -200,6 +202,11 @@
             Input::Heard(sent) => self.on_heard(sent),
             Input::Synced(ticket, true) => self.on_synced(ticket),
             Input::Synced(_, false) => self.on_disk_failed(),
+            Input::Leave => {
+                self.sick = true;
+                self.note("warned: leaving the chain".into());
+                self.beat_all(true);
+            }
             Input::Asked(token, ask) => self.on_asked(token, ask),
         }
         std::mem::take(&mut self.out)
--- a/crates/control-chain/src/installing.rs
+++ b/crates/control-chain/src/installing.rs
@@ -3,6 +3,7 @@
 use crate::state::State;
 use crate::steps::After;
 use crate::view::View;
+use fleet_common::ask::Answer;
 
 impl Core {
     pub(crate) fn install(&mut self, view: View) {
@@ -52,11 +53,22 @@
         self.proposal = None;
         self.held_prepare = None;
         self.trouble_since = None;
+        self.prepare_heard = None;
         self.grants.clear();
         self.tail_since = self.now;
         self.sent_on = self.synced;
-        if self.wanted_cores.as_deref() == Some(self.meta.view.cores.items()) {
-            self.wanted_cores = None;
+        if let Some((token, wanted)) = self.wanted_cores.take() {
+            if wanted == self.meta.view.cores.items() {
+                let n = self.meta.view.n;
+                self.answer_json(
+                    token,
+                    format!("{{\"code\":202,\"source\":\"cores\",\"version\":{n},\"detail\":\"list replaced\"}}"),
+                );
+            } else if self.is_head() {
+                self.wanted_cores = Some((token, wanted));
+            } else {
+                self.answer(token, Answer::Refused("unknown".into()));
+            }
         }
         if self.place().is_none() || !self.is_head() {
             self.give_up_waiting();
--- a/crates/control-chain/src/steps.rs
+++ b/crates/control-chain/src/steps.rs
@@ -23,6 +23,8 @@
     Heard(Sent),
     /// All records of tickets up to this one are synced, or the disk failed.
     Synced(u64, bool),
+    /// This machine is to stop: leave the chain first.
+    Leave,
     /// Someone asks; the token names whom to answer.
     Asked(u64, Ask),
 }
--- a/crates/control-chain/src/view.rs
+++ b/crates/control-chain/src/view.rs
@@ -23,6 +23,23 @@
     }
 }
 
+impl CoreAt {
+    /// Reads `id@chain/node/http`, each an IP and port.
+    /// ```
+    /// use control_chain::view::CoreAt;
+    /// assert_eq!(CoreAt::read("2@127.0.0.1:1/127.0.0.1:2/127.0.0.1:3").unwrap().id, 2);
+    /// assert!(CoreAt::read("2@127.0.0.1:1").is_none());
+    /// ```
+    pub fn read(text: &str) -> Option<Self> {
+        let (id, rest) = text.trim().split_once('@')?;
+        let parts: Vec<&str> = rest.split('/').collect();
+        let [chain, node, http] = parts.as_slice() else { return None };
+        let good = |at: &str| at.parse::<std::net::SocketAddr>().is_ok();
+        (good(chain) && good(node) && good(http)).then_some(())?;
+        Some(CoreAt { id: id.parse().ok()?, chain: (*chain).into(), node: (*node).into(), http: (*http).into() })
+    }
+}
+
 impl View {
     /// A view nobody is in yet: where an emptied core starts.
     /// ```
--- a/crates/control-core/src/drive.rs
+++ b/crates/control-core/src/drive.rs
@@ -18,6 +18,7 @@
     Heard(Sent),
     Synced(u64, bool),
     Asked(Ask, Sender<Answer>),
+    Leave,
 }
 
 /// The way in to a running core.
@@ -31,6 +32,22 @@
         let _ = self.inbox.send(Inbox::Heard(sent));
     }
 
+    /// Has this core leave the chain.
+    pub fn leave(&self) {
+        let _ = self.inbox.send(Inbox::Leave);
+    }
+
+    /// Whether this core is in the chain of the view it knows.
+    pub fn in_chain(&self) -> bool {
+        match self.ask(Ask::Query("self".into())) {
+            Answer::Json(text) => {
+                let words = String::from_utf8_lossy(text.as_slice()).into_owned();
+                !words.contains("\"place\":\"spare\"") && !words.contains("\"place\":\"outside\"")
+            }
+            _ => false,
+        }
+    }
+
     pub fn ask(&self, ask: Ask) -> Answer {
         let (sender, receiver) = bounded(1);
         let _ = self.inbox.send(Inbox::Asked(ask, sender));
@@ -108,6 +125,7 @@
                     asking.insert(token, sender);
                     Input::Asked(token, ask)
                 }
+                Ok(Inbox::Leave) => Input::Leave,
                 Err(RecvTimeoutError::Timeout) => Input::Tick,
                 Err(RecvTimeoutError::Disconnected) => return,
             };
--- a/crates/control-core/src/listing.rs
+++ b/crates/control-core/src/listing.rs
@@ -3,7 +3,7 @@
 use control_chain::command::{Command, Envelope, Replica};
 use fleet_common::ask::{Answer, Ask};
 use fleet_common::json::{self, Fault};
-use fleet_common::{Mishap, Step, http_out, ring};
+use fleet_common::{Mishap, Rcu, Step, http_out, ring};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -37,7 +37,7 @@
     }
 }
 
-pub fn follow(driver: Arc<Driver>, platform: String) {
+pub fn follow(driver: Arc<Driver>, platform: Arc<Rcu<Option<String>>>) {
     std::thread::spawn(move || {
         let mut sent: Option<(Vec<Replica>, Instant)> = None;
         let mut troubled = false;
@@ -47,6 +47,7 @@
                 sent = None;
                 continue;
             }
+            let Some(platform) = platform.read().as_ref().clone() else { continue };
             let url = format!("http://{platform}/replicas");
             let listing = http_out::json("GET", &url, "", Duration::from_secs(1))
                 .and_then(|text| read(text.as_bytes()).map_err(|e| Mishap::at(Step::Decode, &platform, e)));
--- a/crates/control-core/src/main.rs
+++ b/crates/control-core/src/main.rs
@@ -8,10 +8,14 @@
 
 use control_chain::core::Core;
 use fleet_common::settings::{EXIT_DISK, EXIT_LISTEN};
-use fleet_common::{frame, hash, http_in, ring};
+use fleet_common::signals::{self, Word};
+use fleet_common::{Mishap, Rcu, Step, frame, hash, http_in, ring};
 use std::net::TcpListener;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+/// How long a warned core waits for the others to go on without it.
+const LEAVE_BOUND: Duration = Duration::from_secs(4);
 
 mod flags {
     use std::path::PathBuf;
@@ -68,9 +72,9 @@
     let inbox = driver.clone();
     frame::serve(node, move |ask: fleet_common::ask::Ask| Some(inbox.ask(ask)));
     let driver = Arc::new(driver);
-    if let Some(platform) = settings.platform.clone() {
-        listing::follow(driver.clone(), platform);
-    }
+    let platform = Arc::new(Rcu::new(settings.platform.clone()));
+    heed(driver.clone(), platform.clone(), flags);
+    listing::follow(driver.clone(), platform);
     let served = http_in::serve(http, move |incoming| operators::answer(&driver, incoming));
     if let Err(e) = served {
         eprintln!("control-core: {e}");
@@ -80,3 +84,21 @@
         std::thread::park();
     }
 }
+
+/// On a warning: out of the chain first, then the end. On changed settings: the platform's address.
+fn heed(driver: Arc<drive::Driver>, platform: Arc<Rcu<Option<String>>>, flags: flags::ControlCore) {
+    signals::heed(move |word| match word {
+        Word::Warning => {
+            driver.leave();
+            let until = Instant::now() + LEAVE_BOUND;
+            while driver.in_chain() && Instant::now() < until {
+                std::thread::sleep(Duration::from_millis(50));
+            }
+            std::process::exit(0);
+        }
+        Word::Settings => match settings::reread(flags.settings.as_deref(), &flags.set) {
+            Ok(changed) => platform.change(|held| *held = changed),
+            Err(faults) => ring::mishap(&Mishap::at(Step::Settings, "own settings", faults)),
+        },
+    });
+}
--- a/crates/control-core/src/operators.rs
+++ b/crates/control-core/src/operators.rs
@@ -1,9 +1,9 @@
 //! What operators ask over HTTP: commands at /commands, queries everywhere else.
 use crate::drive::Driver;
 use control_chain::command::Envelope;
-use fleet_common::ask::{Answer, Ask};
+use fleet_common::ask::{Answer, Ask, CoresWish};
 use fleet_common::http_in::Incoming;
-use fleet_common::json::{Fault, quote};
+use fleet_common::json::{self, Fault, quote};
 use fleet_common::ring;
 use std::time::Duration;
 
@@ -19,6 +19,7 @@
     let path = incoming.path.trim_matches('/').to_string();
     match (incoming.method.as_str(), path.as_str()) {
         ("POST", "commands") => command(driver, incoming),
+        ("POST", "cores") => cores(driver, incoming),
         ("GET", "health") => incoming.json(200, "{\"up\":true}", vec![]),
         ("GET", "log") => incoming.whole(200, "text/plain", ring::lines().join("\n").as_bytes(), vec![]),
         ("GET", "self") => query(driver, incoming, "self"),
@@ -56,6 +57,28 @@
     }
 }
 
+/// A new list of control machines.
+fn cores(driver: &Driver, incoming: Incoming) {
+    let read = || -> Result<CoresWish, Fault> {
+        let root = json::root(&incoming.body)?;
+        root.only(&["expect", "cores"])?;
+        let rows = root.need("cores")?;
+        let each: Result<Vec<String>, Fault> = rows.items()?.iter().map(|row| row.text()).collect();
+        Ok(CoresWish { expect: root.need("expect")?.number(1, u64::MAX)?, cores: each?.join(",").into() })
+    };
+    match read() {
+        Ok(wish) => match driver.ask_fleet(Ask::Cores(wish), WAIT) {
+            Ok(Answer::Json(text)) => {
+                let text = String::from_utf8_lossy(text.as_slice()).into_owned();
+                let code = if text.starts_with("{\"code\":202") { 202 } else { 409 };
+                incoming.json(code, &text, vec![]);
+            }
+            other => refuse(incoming, 503, &Fault { pointer: String::new(), what: format!("unknown: {other:?}") }),
+        },
+        Err(fault) => refuse(incoming, 400, &fault),
+    }
+}
+
 fn query(driver: &Driver, incoming: Incoming, path: &str) {
     match driver.ask_fleet(Ask::Query(path.into()), WAIT) {
         Ok(Answer::Json(text)) => {
--- a/crates/control-core/src/settings.rs
+++ b/crates/control-core/src/settings.rs
@@ -18,25 +18,13 @@
     }
 }
 
-/// `cores` is a list of `id@chain/node/http`, each an IP and port.
-fn read_core(text: &str) -> Option<CoreAt> {
-    let (id, rest) = text.trim().split_once('@')?;
-    let parts: Vec<&str> = rest.split('/').collect();
-    let [chain, node, http] = parts.as_slice() else {
-        return None;
-    };
-    let good = |at: &str| at.parse::<std::net::SocketAddr>().is_ok();
-    (good(chain) && good(node) && good(http)).then_some(())?;
-    Some(CoreAt { id: id.parse().ok()?, chain: (*chain).into(), node: (*node).into(), http: (*http).into() })
-}
-
 pub fn read(file: Option<&Path>, pairs: &[String], only_check: bool) -> CoreSettings {
     let mut settings = Settings::read(file, pairs, NAMES);
     let id = settings.number("id", 0, 1, 200) as u8;
     let data = PathBuf::from(settings.text("data"));
     let mut cores = Vec::new();
     for part in settings.text("cores").split(',') {
-        match read_core(part) {
+        match CoreAt::read(part) {
             Some(core) => cores.push(core),
             None => settings.add_fault(format!("/cores: {part} is not id@chain/node/http")),
         }
@@ -48,3 +36,10 @@
     settings.or_exit(only_check);
     CoreSettings { id, data, cores, platform }
 }
+
+/// Reads the settings again; gives the platform's address, the one thing that may change while running.
+pub fn reread(file: Option<&Path>, pairs: &[String]) -> Result<Option<String>, String> {
+    let mut settings = Settings::read(file, pairs, NAMES);
+    let platform = Some(settings.text_or("platform", "")).filter(|p| !p.is_empty());
+    if settings.faults().is_empty() { Ok(platform) } else { Err(settings.faults().join("; ")) }
+}
--- a/crates/fleet-common/src/ask.rs
+++ b/crates/fleet-common/src/ask.rs
@@ -50,6 +50,9 @@
         pub doubtful: List<u64>,
     }
 
+    /// A list of control machines to hold after view `expect`: `id@chain/node/http`, parted by commas.
+    pub struct CoresWish { pub expect: u64, pub cores: Text }
+
     /// Everything that may be asked.
     pub enum Ask {
         1 = Pull(Pull),
@@ -61,6 +64,7 @@
         7 = TablePull(Text),
         8 = TablePush(TableCopy),
         9 = Seats(List<SeatNews>),
+        10 = Cores(CoresWish),
     }
 
     /// Everything that may be answered.
--- a/crates/fleet-common/src/lib.rs
+++ b/crates/fleet-common/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod rcu;
 pub mod ring;
 pub mod settings;
+pub mod signals;
 
 pub use mishap::{Mishap, Step};
 pub use packed::{Bytes, List, Text};
--- a/crates/fleet-common/src/node.rs
+++ b/crates/fleet-common/src/node.rs
@@ -1,8 +1,9 @@
 //! A node's link to the core: long pulls under a term, from three seeds onwards.
 use crate::ask::{Answer, Ask, CORES, Pull, Pulled, SOURCES, TERM, Vector};
 use crate::frame::Caller;
-use crate::{Mishap, Step, ring};
+use crate::{Mishap, Rcu, Step, ring};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 const ASK_WAIT: Duration = Duration::from_millis(1500);
@@ -25,10 +26,13 @@
     std::array::from_fn(|at| items.get(at).copied().unwrap_or(0))
 }
 
+/// Seed addresses, which a changed settings file may replace.
+pub type Seeds = Arc<Rcu<Vec<SocketAddr>>>;
+
 /// The link: knows the cores and which of them answered last.
 pub struct Link {
     identity: Identity,
-    seeds: Vec<SocketAddr>,
+    seeds: Seeds,
     cores: Vec<SocketAddr>,
     turn: usize,
     caller: Option<Caller>,
@@ -39,9 +43,10 @@
     /// ```
     /// use fleet_common::node::{Identity, Link};
     /// let me = Identity { name: "e1".into(), kind: "edge", incarnation: 1, at: "".into(), district: "a".into() };
-    /// let _link = Link::new(me, vec!["127.0.0.1:1".parse().unwrap()]);
+    /// let seeds = std::sync::Arc::new(fleet_common::Rcu::new(vec!["127.0.0.1:1".parse().unwrap()]));
+    /// let _link = Link::new(me, seeds);
     /// ```
-    pub fn new(identity: Identity, seeds: Vec<SocketAddr>) -> Self {
+    pub fn new(identity: Identity, seeds: Seeds) -> Self {
         Link { identity, seeds, cores: Vec::new(), turn: 0, caller: None }
     }
 
@@ -49,7 +54,7 @@
     /// ```
     /// # use fleet_common::node::{Identity, Link};
     /// # let me = Identity { name: "e1".into(), kind: "edge", incarnation: 1, at: "".into(), district: "a".into() };
-    /// let mut link = Link::new(me, vec![]);
+    /// let mut link = Link::new(me, Default::default());
     /// link.learn_cores(br#"["127.0.0.1:9"]"#);
     /// ```
     pub fn learn_cores(&mut self, value: &[u8]) {
@@ -59,7 +64,7 @@
     }
 
     fn next_core(&mut self) -> Option<SocketAddr> {
-        let all: Vec<_> = self.cores.iter().chain(&self.seeds).copied().collect();
+        let all: Vec<_> = self.cores.iter().chain(self.seeds.read().iter()).copied().collect();
         self.turn += 1;
         all.get(self.turn % all.len().max(1)).copied()
     }
@@ -68,7 +73,7 @@
     /// ```
     /// # use fleet_common::{ask::Ask, node::{Identity, Link}};
     /// # let me = Identity { name: "e1".into(), kind: "edge", incarnation: 1, at: "".into(), district: "a".into() };
-    /// assert!(Link::new(me, vec![]).ask(&Ask::Query("holds".into())).is_err());
+    /// assert!(Link::new(me, Default::default()).ask(&Ask::Query("holds".into())).is_err());
     /// ```
     pub fn ask(&mut self, ask: &Ask) -> Result<Answer, Mishap> {
         for _ in 0..4 {
@@ -99,7 +104,7 @@
     /// ```
     /// # use fleet_common::node::{Identity, Link};
     /// # let me = Identity { name: "e1".into(), kind: "edge", incarnation: 1, at: "".into(), district: "a".into() };
-    /// assert!(Link::new(me, vec![]).pull([0; 6], [0; 6], true, 10).is_err());
+    /// assert!(Link::new(me, Default::default()).pull([0; 6], [0; 6], true, 10).is_err());
     /// ```
     pub fn pull(
         &mut self,
@@ -139,7 +144,7 @@
 /// ```no_run
 /// # use fleet_common::node::{Identity, Link, follow};
 /// # let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
-/// follow(Link::new(me, vec![]), |_sent, _pulled| [0; 6]);
+/// follow(Link::new(me, Default::default()), |_sent, _pulled| [0; 6]);
 /// ```
 pub fn follow(mut link: Link, mut apply: impl FnMut(Instant, Pulled) -> Vector) {
     let mut have: Vector = [0; SOURCES.len()];
--- a/crates/fleet-common/src/rcu.rs
+++ b/crates/fleet-common/src/rcu.rs
@@ -8,6 +8,12 @@
     writers: Mutex<()>,
 }
 
+impl<T: Default> Default for Rcu<T> {
+    fn default() -> Self {
+        Rcu::new(T::default())
+    }
+}
+
 impl<T> Rcu<T> {
     /// Starts with a first version.
     /// ```
--- a/crates/fleet-common/src/ring.rs
+++ b/crates/fleet-common/src/ring.rs
@@ -43,6 +43,8 @@
 pub fn start(program: &str) {
     ring().lock().unwrap_or_else(|held| held.into_inner()).program = program.to_string();
     let _ = logforth::starter_log::builder().dispatch(|d| d.append(IntoRing)).try_apply();
+    // Libraries tell every step they take; only their warnings are worth a line of the ring.
+    log::set_max_level(log::LevelFilter::Warn);
 }
 
 /// Keeps a line in the ring.
--- a/crates/fleet-query/src/commands.rs
+++ b/crates/fleet-query/src/commands.rs
@@ -65,3 +65,24 @@
         std::thread::sleep(Duration::from_millis(30));
     }
 }
+
+/// Replaces the list of control machines.
+pub fn cores(cores: &Cores, list: &str, expect: Option<u64>) -> i32 {
+    let holds = || sonic_rs::get(&cores.get("/holds").ok()?, ["sources", "cores", "version"]).ok()?.as_u64();
+    let Some(expect) = expect.or_else(holds) else {
+        eprintln!("fleet-query: no core can say which view holds");
+        return 2;
+    };
+    let each: Vec<String> = list.split(',').map(quote).collect();
+    let body = format!("{{\"expect\":{expect},\"cores\":[{}]}}", each.join(","));
+    match cores.post_to("/cores", &body) {
+        Ok((status, text)) => {
+            println!("{text}");
+            i32::from(status >= 300)
+        }
+        Err(mishap) => {
+            eprintln!("fleet-query: unknown whether the list took hold (ask: fleet-query holds): {mishap}");
+            2
+        }
+    }
+}
--- a/crates/fleet-query/src/cores.rs
+++ b/crates/fleet-query/src/cores.rs
@@ -25,10 +25,14 @@
 
     /// Posts a command. The same command may go to several cores: its id keeps it from counting twice.
     pub fn post(&self, body: &str) -> Result<(u16, String), Mishap> {
+        self.post_to("/commands", body)
+    }
+
+    pub fn post_to(&self, path: &str, body: &str) -> Result<(u16, String), Mishap> {
         let mut last = Mishap::at(Step::Command, "cores", "no cores are named: --cores or COURSEBEND_CORES");
         for core in &self.0 {
             let kind = [("content-type", "application/json".to_string())];
-            match http_out::ask("POST", &format!("http://{core}/commands"), &kind, body.as_bytes(), WAIT) {
+            match http_out::ask("POST", &format!("http://{core}{path}"), &kind, body.as_bytes(), WAIT) {
                 Ok((503, text)) => last = Mishap::at(Step::Command, core, String::from_utf8_lossy(&text)),
                 Ok((status, text)) => return Ok((status, String::from_utf8_lossy(&text).into_owned())),
                 Err(mishap) => last = mishap,
--- a/crates/fleet-query/src/main.rs
+++ b/crates/fleet-query/src/main.rs
@@ -51,6 +51,12 @@
                 /// Wait until it is in force everywhere.
                 optional --wait
             }
+            /// Replace the list of control machines: id@chain/node/http, parted by commas.
+            cmd cores {
+                required list: String
+                /// The view it follows; asked for when not given.
+                optional --expect view: u64
+            }
             /// Name a model's weights.
             cmd weights {
                 required model: String
@@ -106,6 +112,7 @@
         Cmd::Outcome(o) => queries::show(cores.get(&format!("/command/{}", o.id))),
         Cmd::Claim(c) => queries::show(cores.get(&format!("/claim/{}/{}", c.tenant, c.key))),
         Cmd::Apply(a) => commands::apply(&cores, &a.path, a.id, a.expect, a.wait),
+        Cmd::Cores(c) => commands::cores(&cores, &c.list, c.expect),
         Cmd::Weights(w) => {
             let fields = [("model", w.model), ("weights", w.weights)];
             commands::run(&cores, "weights", &fields, w.id, w.expect, w.wait)
--- a/crates/prefix-index/src/answers.rs
+++ b/crates/prefix-index/src/answers.rs
@@ -1,10 +1,11 @@
 //! What an index node answers: filters, audits and copies of tables to colleagues; pages to people.
-use crate::known::{Shared, lock};
+use crate::known::{Shared, lock, shape};
 use crate::pushing;
 use fleet_common::ask::{Answer, Ask, audit};
 use fleet_common::http_in::Incoming;
 use fleet_common::json::quote;
 use fleet_common::ring;
+use prefix_table::table::Table;
 
 pub fn answer(shared: &Shared, ask: Ask) -> Answer {
     match ask {
@@ -31,6 +32,16 @@
             }
             None => Answer::Refused("no such table here".into()),
         },
+        Ask::TablePush(copy) => {
+            let replica = copy.replica.to_string();
+            if shared.holds(&replica).is_some() {
+                return Answer::Refused("held here already".into());
+            }
+            let table = Table::from_copy(shape(&shared.fleet.read()), shared.now(), &copy);
+            let kept = shared.put(&replica, table, copy.fence);
+            lock(&kept).first_loss = Some(std::time::Instant::now());
+            Answer::Done
+        }
         _ => Answer::Refused("not an index node's to answer".into()),
     }
 }
--- a/crates/prefix-index/src/duties.rs
+++ b/crates/prefix-index/src/duties.rs
@@ -9,6 +9,7 @@
 use prefix_table::table::Table;
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 const EVERY: Duration = Duration::from_millis(150);
@@ -113,9 +114,28 @@
 pub fn start(shared: Arc<Shared>) {
     std::thread::spawn(move || {
         let mut watched = HashSet::new();
-        loop {
+        while !shared.leaving.load(Ordering::Relaxed) {
             round(&shared, &mut watched);
             std::thread::sleep(EVERY);
         }
     });
 }
+
+/// Leaves: each table goes to the node that will hold its duty next, then the duties, then the term.
+pub fn leave(shared: &Arc<Shared>) {
+    shared.leaving.store(true, Ordering::Relaxed);
+    let fleet = shared.fleet.read();
+    for (replica, kept) in shared.all_kept() {
+        let Some(fence) = fleet.fence(&replica, &shared.me) else { continue };
+        let next = fleet.order(&replica).into_iter().find(|node| **node != shared.me.name);
+        let at = next.and_then(|node| fleet.members.get(node)).and_then(|m| m.at.parse().ok());
+        if let Some(at) = at {
+            let copy = lock(&kept).table.copy(&replica, fence);
+            let pushed = Caller::new(at, Duration::from_millis(1500)).ask::<Ask, Answer>(&Ask::TablePush(copy));
+            ring::note(&format!("{replica}'s table handed over: {}", pushed.is_ok()));
+        }
+        command(shared, Command::DutyGive { replica, node: shared.me.name.clone(), fence });
+    }
+    let (node, incarnation) = (shared.me.name.clone(), shared.me.incarnation);
+    command(shared, Command::Lapse { node, incarnation });
+}
--- a/crates/prefix-index/src/known.rs
+++ b/crates/prefix-index/src/known.rs
@@ -3,7 +3,7 @@
 use control_chain::fleet::Fleet;
 use fleet_common::Rcu;
 use fleet_common::ask::{Pulled, Vector};
-use fleet_common::node::{Identity, Link};
+use fleet_common::node::{Identity, Link, Seeds};
 use prefix_table::table::{Shape, Table};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -28,6 +28,7 @@
     pub fresh: Fresh,
     tables: Mutex<HashMap<String, Arc<Mutex<Kept>>>>,
     pub link: Mutex<Link>,
+    pub leaving: std::sync::atomic::AtomicBool,
 }
 
 /// The shape the blueprint gives tables.
@@ -37,13 +38,14 @@
 }
 
 impl Shared {
-    pub fn new(me: Identity, seeds: Vec<std::net::SocketAddr>) -> Self {
+    pub fn new(me: Identity, seeds: Seeds) -> Self {
         Shared {
             link: Mutex::new(Link::new(me.clone(), seeds)),
             me,
             begun: Instant::now(),
             fleet: Rcu::new(Fleet::default()),
             fresh: Fresh::default(),
+            leaving: false.into(),
             tables: Mutex::new(HashMap::new()),
         }
     }
--- a/crates/prefix-index/src/main.rs
+++ b/crates/prefix-index/src/main.rs
@@ -7,9 +7,10 @@
 mod pushing;
 mod watch;
 
-use fleet_common::node::{Identity, Link, follow};
+use fleet_common::node::{Identity, Link, Seeds, follow};
 use fleet_common::settings::{EXIT_LISTEN, Settings};
-use fleet_common::{frame, hash, http_in, ring};
+use fleet_common::signals::{self, Word};
+use fleet_common::{Mishap, Rcu, Step, frame, hash, http_in, ring};
 use known::Shared;
 use std::sync::Arc;
 
@@ -42,7 +43,7 @@
     let name = settings.text("name");
     let district = settings.text("district");
     let (listen, http) = (settings.address("listen"), settings.address("http"));
-    let seeds = settings.addresses("seeds");
+    let seeds: Seeds = Arc::new(Rcu::new(settings.addresses("seeds")));
     settings.or_exit(flags.check);
     let bind = |at| {
         std::net::TcpListener::bind(at).unwrap_or_else(|e| {
@@ -54,6 +55,7 @@
     let at = frames.local_addr().map(|a| a.to_string()).unwrap_or_default();
     let identity = Identity { name: name.clone(), kind: "index", incarnation: hash::unique(), at, district };
     let shared = Arc::new(Shared::new(identity.clone(), seeds.clone()));
+    heed(shared.clone(), seeds.clone(), flags);
     let for_frames = shared.clone();
     frame::serve(frames, move |ask| Some(answers::answer(&for_frames, ask)));
     let for_pages = shared.clone();
@@ -65,3 +67,21 @@
     orders::start(shared.clone());
     follow(Link::new(identity, seeds), move |sent, pulled| shared.take(sent, pulled))
 }
+
+/// On a warning: hand tables and duties over, leave, end. On changed settings: the seeds.
+fn heed(shared: Arc<Shared>, seeds: Seeds, flags: flags::PrefixIndex) {
+    signals::heed(move |word| match word {
+        Word::Warning => {
+            duties::leave(&shared);
+            std::process::exit(0);
+        }
+        Word::Settings => {
+            let mut settings = Settings::read(flags.settings.as_deref(), &flags.set, NAMES);
+            let changed = settings.addresses("seeds");
+            match settings.faults() {
+                [] => seeds.change(|held| *held = changed),
+                faults => ring::mishap(&Mishap::at(Step::Settings, "own settings", faults.join("; "))),
+            }
+        }
+    });
+}
--- a/crates/request-router/src/main.rs
+++ b/crates/request-router/src/main.rs
@@ -15,9 +15,12 @@
 mod upstream;
 
 use fleet_common::settings::{EXIT_LISTEN, Settings};
-use fleet_common::{frame, http_in, ring};
+use fleet_common::signals::{self, Word};
+use fleet_common::{Mishap, Step, frame, http_in, ring};
 use shared::Shared;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
 
 mod flags {
     use std::path::PathBuf;
@@ -49,6 +52,7 @@
     let district = settings.text("district");
     let (listen, http, frames) = (settings.address("listen"), settings.address("http"), settings.address("frames"));
     let agent = settings.address("agent");
+    let drain_ms = settings.number("drainMs", 8000, 0, 600_000);
     settings.or_exit(flags.check);
     let bind = |at| {
         std::net::TcpListener::bind(at).unwrap_or_else(|e| {
@@ -58,6 +62,8 @@
     };
     let (callers, pages_at, pushes) = (bind(listen), bind(http), bind(frames));
     let shared = Arc::new(Shared::new(name, district, agent));
+    shared.drain_ms.store(drain_ms, Ordering::Relaxed);
+    heed(shared.clone(), flags);
     let for_pushes = shared.clone();
     frame::serve(pushes, move |ask| Some(mirrors::answer(&for_pushes, ask)));
     let for_pages = shared.clone();
@@ -71,3 +77,27 @@
     reporting::start(shared.clone());
     feed::follow(&shared)
 }
+
+/// On a warning: take nothing new, let streams finish, cut what is left at the bound. On changed
+/// settings: that bound.
+fn heed(shared: Arc<Shared>, flags: flags::RequestRouter) {
+    signals::heed(move |word| match word {
+        Word::Warning => {
+            shared.draining.store(true, Ordering::Relaxed);
+            ring::note("warned: draining");
+            let until = Instant::now() + Duration::from_millis(shared.drain_ms.load(Ordering::Relaxed));
+            while shared.in_flight().total() > 0 && Instant::now() < until {
+                std::thread::sleep(Duration::from_millis(20));
+            }
+            std::process::exit(0);
+        }
+        Word::Settings => {
+            let mut settings = Settings::read(flags.settings.as_deref(), &flags.set, NAMES);
+            let drain_ms = settings.number("drainMs", 8000, 0, 600_000);
+            match settings.faults() {
+                [] => shared.drain_ms.store(drain_ms, Ordering::Relaxed),
+                faults => ring::mishap(&Mishap::at(Step::Settings, "own settings", faults.join("; "))),
+            }
+        }
+    });
+}
--- a/crates/router-agent/src/main.rs
+++ b/crates/router-agent/src/main.rs
@@ -1,10 +1,12 @@
 //! The control link of an edge machine: pulls from the core for its router and feeds it over loopback.
 mod held;
 
+use control_chain::command::{Command, Envelope};
 use fleet_common::ask::{Answer, Ask, TERM};
-use fleet_common::node::{Identity, Link};
+use fleet_common::node::{Identity, Link, Seeds};
 use fleet_common::settings::{EXIT_LISTEN, Settings};
-use fleet_common::{frame, hash, http_in, ring};
+use fleet_common::signals::{self, Word};
+use fleet_common::{Mishap, Rcu, Step, frame, hash, http_in, ring};
 use held::Held;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -26,12 +28,14 @@
     }
 }
 
+/// How long a warned agent goes on feeding a router that drains.
+const LINGER: Duration = Duration::from_secs(20);
 const NAMES: &[&str] = &["name", "district", "listen", "http", "router", "seeds"];
 
 /// Links for commands of the router, opened as needed.
 struct Links {
     identity: Identity,
-    seeds: Vec<std::net::SocketAddr>,
+    seeds: Seeds,
     idle: Mutex<Vec<Link>>,
 }
 
@@ -65,7 +69,7 @@
     let name = settings.text("name");
     let district = settings.text("district");
     let (listen, http, router) = (settings.address("listen"), settings.address("http"), settings.address("router"));
-    let seeds = settings.addresses("seeds");
+    let seeds: Seeds = Arc::new(Rcu::new(settings.addresses("seeds")));
     settings.or_exit(flags.check);
     let identity = Identity { name, kind: "edge", incarnation: hash::unique(), at: router.to_string(), district };
     let bind = |at| {
@@ -77,6 +81,7 @@
     let (frames, pages) = (bind(listen), bind(http));
     let held = Arc::new(Held::default());
     let links = Arc::new(Links { identity: identity.clone(), seeds: seeds.clone(), idle: Mutex::new(Vec::new()) });
+    heed(held.clone(), links.clone(), seeds.clone(), flags);
     let for_router = held.clone();
     frame::serve(frames, move |ask: Ask| {
         Some(match ask {
@@ -122,3 +127,30 @@
         }
     }
 }
+
+/// On a warning: feed the router for as long as it asks, then say good-bye to the core. On changed
+/// settings: the seeds.
+fn heed(held: Arc<Held>, links: Arc<Links>, seeds: Seeds, flags: flags::RouterAgent) {
+    signals::heed(move |word| match word {
+        Word::Warning => {
+            let until = std::time::Instant::now() + LINGER;
+            while held.router_may_hold(TERM) && std::time::Instant::now() < until {
+                std::thread::sleep(Duration::from_millis(50));
+            }
+            let me = &links.identity;
+            let bye = Command::Lapse { node: me.name.clone(), incarnation: me.incarnation };
+            if !held.router_may_hold(TERM) {
+                links.ask(&Ask::Command(Envelope::bare(bye).pack().into()), held.cores());
+            }
+            std::process::exit(0);
+        }
+        Word::Settings => {
+            let mut settings = Settings::read(flags.settings.as_deref(), &flags.set, NAMES);
+            let changed = settings.addresses("seeds");
+            match settings.faults() {
+                [] => seeds.change(|held| *held = changed),
+                faults => ring::mishap(&Mishap::at(Step::Settings, "own settings", faults.join("; "))),
+            }
+        }
+    });
+}
