--- a/crates/control-core/src/disk.rs
+++ b/crates/control-core/src/disk.rs
@@ -25,6 +25,7 @@
     mark: File,
     upto: u64,
     folder: PathBuf,
+    pub spare_bytes: u64,
 }
 
 fn fault(e: impl std::fmt::Display) -> String {
@@ -76,7 +77,7 @@
     let mark = if used { Some(options().map_err(fault)?) } else { None };
     if let Some(mut mark) = mark {
         let upto = read_mark(&mut mark).ok_or("the state on disk is damaged: its mark cannot be read")?;
-        let store = SledStore { db, files, mark, upto, folder: folder.into() };
+        let store = SledStore { db, files, mark, upto, folder: folder.into(), spare_bytes: SPARE_BYTES };
         let found = store.load()?;
         return Ok((store, found));
     }
@@ -89,7 +90,7 @@
     let mut mark = options().map_err(fault)?;
     write_mark(&mut mark, 0).map_err(fault)?;
     sync_folder(folder).map_err(fault)?;
-    let store = SledStore { db, files, mark, upto: 0, folder: folder.into() };
+    let store = SledStore { db, files, mark, upto: 0, folder: folder.into(), spare_bytes: SPARE_BYTES };
     Ok((store, Found { meta: Some(meta), ..Found::default() }))
 }
 
@@ -136,7 +137,7 @@
 
 impl Store for SledStore {
     fn keep(&mut self, records: &[Record]) -> io::Result<()> {
-        if self.free_bytes() < SPARE_BYTES {
+        if self.free_bytes() < self.spare_bytes {
             return Err(io::ErrorKind::StorageFull.into());
         }
         let mut batch = sled::Batch::default();
--- a/crates/control-core/src/main.rs
+++ b/crates/control-core/src/main.rs
@@ -1,5 +1,7 @@
 //! A core machine: keeps the control state in a chain with its colleagues.
 mod disk;
+#[cfg(test)]
+mod disk_test;
 mod drive;
 mod links;
 mod listing;
