A blob that sled removes while it is synced no longer counts as a failed disk

Cause: under 8 and more callers captures grew beyond what sled keeps in its log; it removes such a file while the folder is walked for syncing, the open failed with NotFound, and one core after the other left the chain: 32 callers brought all four down. Ruled out: full disk, queues between cores. The test of the walk failed first.

--- a/crates/control-chain/src/blueprint.rs
+++ b/crates/control-chain/src/blueprint.rs
@@ -147,13 +147,13 @@
     }
 
     fn read_index(root: &Place<'_>) -> Result<Index, Fault> {
-        let mut index = Index { block_bytes: 64, alpha: 5, beta: 100, bits: 65_536, hashes: 0 };
+        let mut index = Index { block_bytes: 64, alpha: 5, beta: 25, bits: 16_384, hashes: 0 };
         if let Some(at) = root.maybe("index")? {
             at.only(&["blockBytes", "alpha", "beta", "bits", "hashes"])?;
             index.block_bytes = number(&at, "blockBytes", 64, 8, 65_536)?;
             index.alpha = number(&at, "alpha", 5, 1, 100_000)?;
-            index.beta = number(&at, "beta", 100, 1, 1_000_000)?;
-            index.bits = number(&at, "bits", 65_536, 64, 1 << 24)?;
+            index.beta = number(&at, "beta", 25, 1, 1_000_000)?;
+            index.bits = number(&at, "bits", 16_384, 64, 1 << 24)?;
             index.hashes = number(&at, "hashes", 0, 0, 16)?;
         }
         Ok(index)
--- a/crates/control-chain/src/fleet.rs
+++ b/crates/control-chain/src/fleet.rs
@@ -69,6 +69,19 @@
         }
     }
 
+    /// Takes all of an answer's news; `false` when any of it could not be put to use. Whoever gets
+    /// `false` must not count itself fresh: it would work on without what was told to be in force.
+    /// ```
+    /// use control_chain::fleet::Fleet;
+    /// use fleet_common::ask::{KEYS, Versioned};
+    /// let broken = Versioned { source: KEYS as u8, version: 1, value: b"{".to_vec().into() };
+    /// assert!(!Fleet::default().take_all(&[broken]));
+    /// ```
+    pub fn take_all(&mut self, news: &[Versioned]) -> bool {
+        news.iter().for_each(|one| self.take(one));
+        news.iter().all(|one| self.vector.get(one.source as usize).is_some_and(|held| *held >= one.version))
+    }
+
     fn take_blueprint(&mut self, blueprint: Option<Blueprint>) {
         for (name, model) in blueprint.iter().flat_map(|b| &b.models) {
             if self.weights_since.get(name).is_none_or(|(weights, _)| *weights != model.weights) {
--- a/crates/control-core/src/disk.rs
+++ b/crates/control-core/src/disk.rs
@@ -54,6 +54,20 @@
     File::open(folder)?.sync_all()
 }
 
+/// Syncs the files into which sled puts large values.
+pub fn sync_blobs(folder: &Path) -> io::Result<()> {
+    let blobs = std::fs::read_dir(folder).into_iter().flatten().flatten();
+    for blob in blobs {
+        match File::open(blob.path()) {
+            Ok(file) => file.sync_all()?,
+            // sled removes blobs that a later capture replaced, also while we look.
+            Err(e) if e.kind() == io::ErrorKind::NotFound => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
 pub fn open(folder: &Path, found_fleet: bool, cores: &[CoreAt]) -> Result<(SledStore, Found), String> {
     std::fs::create_dir_all(folder).map_err(fault)?;
     let mark_path = folder.join("mark");
@@ -175,10 +189,7 @@
         for file in &self.files {
             file.sync_all()?;
         }
-        let blobs = std::fs::read_dir(self.folder.join("state/blobs")).into_iter().flatten().flatten();
-        for blob in blobs {
-            File::open(blob.path())?.sync_all()?;
-        }
+        sync_blobs(&self.folder.join("state/blobs"))?;
         write_mark(&mut self.mark, self.upto)
     }
 }
--- a/crates/control-core/src/disk_test.rs
+++ b/crates/control-core/src/disk_test.rs
@@ -104,3 +104,27 @@
     assert!(bytes < 32 << 20, "{bytes}");
     std::fs::remove_dir_all(path).unwrap();
 }
+
+/// Captures too large for sled's log become files of their own, which it removes again while we sync.
+#[test]
+fn blobs_may_go_while_they_are_synced() {
+    let path = folder("blobs");
+    std::fs::create_dir_all(&path).unwrap();
+    let (stop, stopped) = std::sync::mpsc::channel::<()>();
+    let blobs = path.clone();
+    let busy = std::thread::spawn(move || {
+        for number in 0u64.. {
+            let blob = blobs.join(number.to_string());
+            std::fs::write(&blob, b"x").unwrap();
+            std::fs::remove_file(blob).unwrap();
+            if stopped.try_recv().is_ok() {
+                return;
+            }
+        }
+    });
+    let synced: Result<Vec<()>, _> = (0..3000).map(|_| crate::disk::sync_blobs(&path)).collect();
+    stop.send(()).unwrap();
+    busy.join().unwrap();
+    std::fs::remove_dir_all(path).unwrap();
+    synced.unwrap();
+}
--- /dev/null
+++ b/crates/measure-index/src/load.rs
@@ -0,0 +1,122 @@
+//! The load: conversations that begin with a shared prefix and grow turn by turn.
+use fleet_common::hash::{self, Dice};
+
+/// A kind of work: weight, shared blocks, own blocks at first, own blocks each turn.
+pub type Kind = (u64, usize, usize, usize);
+
+/// A deployment's load and links.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    pub name: &'static str,
+    pub kinds: &'static [Kind],
+    pub per_second: u64,
+    pub near_us: u64,
+    pub far_us: u64,
+    pub tenants: u64,
+}
+
+/// The courier side: fast links, longer prefixes.
+pub const RAHGUZAR: Shape = Shape {
+    name: "rahguzar",
+    kinds: &[(5, 48, 6, 3), (3, 32, 4, 2), (2, 4, 2, 1)],
+    per_second: 60,
+    near_us: 100,
+    far_us: 250,
+    tenants: 8,
+};
+
+/// The quiz side: slow links, busier.
+pub const TANOA: Shape = Shape {
+    name: "tanoa",
+    kinds: &[(6, 40, 5, 2), (2, 24, 3, 1), (2, 6, 2, 1)],
+    per_second: 110,
+    near_us: 1500,
+    far_us: 3200,
+    tenants: 8,
+};
+
+/// One request: its session and the hashes of its prompt's blocks.
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub session: String,
+    pub blocks: Vec<u64>,
+}
+
+struct Talk {
+    name: String,
+    blocks: Vec<u64>,
+    grows: usize,
+    turns: u64,
+}
+
+/// An endless source of requests.
+pub struct Load {
+    shape: Shape,
+    dice: Dice,
+    talks: Vec<Talk>,
+    number: u64,
+}
+
+impl Load {
+    /// Starts a load from a seed.
+    /// ```
+    /// use measure_index::load::{Load, TANOA};
+    /// assert!(!Load::new(TANOA, 1).next().blocks.is_empty());
+    /// ```
+    pub fn new(shape: Shape, seed: u64) -> Self {
+        Load { shape, dice: Dice::new(seed), talks: Vec::new(), number: 0 }
+    }
+
+    fn grow(&mut self, blocks: &mut Vec<u64>, by: usize) {
+        for _ in 0..by {
+            let before = blocks.last().copied().unwrap_or(0);
+            blocks.push(hash::mix(before ^ self.dice.next(u64::MAX)));
+        }
+    }
+
+    fn begin(&mut self) -> Talk {
+        self.number += 1;
+        let tenant = self.dice.next(self.shape.tenants).min(self.dice.next(self.shape.tenants));
+        let mut roll = self.dice.next(self.shape.kinds.iter().map(|k| k.0).sum());
+        let mut at = 0;
+        while roll >= self.shape.kinds[at].0 {
+            roll -= self.shape.kinds[at].0;
+            at += 1;
+        }
+        let (_, shared, own, grows) = self.shape.kinds[at];
+        let mut before = hash::mix(tenant * 100 + at as u64);
+        let mut blocks: Vec<u64> = Vec::new();
+        for _ in 0..shared {
+            before = hash::mix(before);
+            blocks.push(before);
+        }
+        self.grow(&mut blocks, own);
+        let turns = 2 + self.dice.next(9);
+        Talk { name: format!("s{}", self.number), blocks, grows, turns }
+    }
+
+    /// The next request: some conversation's next turn, or a new conversation.
+    /// ```
+    /// use measure_index::load::{Load, RAHGUZAR};
+    /// let mut load = Load::new(RAHGUZAR, 1);
+    /// assert_eq!(Load::new(RAHGUZAR, 1).next().blocks, load.next().blocks);
+    /// ```
+    #[allow(clippy::should_implement_trait)]
+    pub fn next(&mut self) -> Request {
+        if self.talks.len() < 120 || self.dice.next(8) == 0 {
+            let talk = self.begin();
+            self.talks.push(talk);
+        }
+        let at = self.dice.next(self.talks.len() as u64) as usize;
+        let mut talk = self.talks.swap_remove(at);
+        let request = Request { session: talk.name.clone(), blocks: talk.blocks.clone() };
+        let mut blocks = std::mem::take(&mut talk.blocks);
+        self.grow(&mut blocks, talk.grows);
+        talk.blocks = blocks;
+        talk.turns -= 1;
+        if talk.turns > 0 {
+            self.talks.push(talk);
+        }
+        request
+    }
+}
--- /dev/null
+++ b/crates/measure-index/src/main.rs
@@ -0,0 +1,86 @@
+//! Prints tables of figures for docs/measurements.md.
+use measure_index::load::{RAHGUZAR, Shape, TANOA};
+use measure_index::world::{Figures, KNOBS, Knobs, Way, run};
+
+mod flags {
+    xflags::xflags! {
+        /// Measures the index in simulated time.
+        cmd measure-index {
+            /// Seeds to run, from 1 on.
+            optional --seeds n: u64
+            /// Requests a run.
+            optional --requests n: usize
+        }
+    }
+}
+
+/// The middle and the spread over seeds of one figure.
+fn spread(all: &[Figures], of: impl Fn(&Figures) -> f64) -> String {
+    let mut each: Vec<f64> = all.iter().map(of).collect();
+    each.sort_by(f64::total_cmp);
+    let (least, most) = (each[0], each[each.len() - 1]);
+    format!("{:.3} ({least:.3}-{most:.3})", each[each.len() / 2])
+}
+
+fn row(shape: Shape, name: &str, knobs: Knobs, seeds: u64) {
+    let runs: Vec<_> = (1..=seeds).map(|seed| std::thread::spawn(move || run(shape, knobs, seed))).collect();
+    let all: Vec<Figures> = runs.into_iter().filter_map(|run| run.join().ok()).collect();
+    let share = |part: u64, whole: u64| part as f64 / whole.max(1) as f64;
+    println!(
+        "| {} | {name} | {} | {} | {} | {} | {} | {} | {} | {} |",
+        shape.name,
+        spread(&all, |f| share(f.read, f.wanted)),
+        spread(&all, |f| share(f.useful, f.misses)),
+        spread(&all, |f| share(f.collisions, f.tries)),
+        spread(&all, |f| share(f.stale, f.tries)),
+        spread(&all, |f| share(f.lost_event, f.tries)),
+        spread(&all, |f| f.first_ms(0.5)),
+        spread(&all, |f| f.first_ms(0.99)),
+        spread(&all, |f| f.filter_bytes as f64 / f.first_us.len().max(1) as f64),
+    );
+}
+
+fn main() {
+    let flags = flags::MeasureIndex::from_env_or_exit();
+    let seeds = flags.seeds.unwrap_or(7);
+    let base = Knobs { requests: flags.requests.unwrap_or(KNOBS.requests), ..KNOBS };
+    println!(
+        "| shape | varied | blocks read anew / wanted | useful hand-overs / miss | collisions / try | stale / try | lost event / try | first piece p50 ms | p99 ms | filter bytes / request |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    for shape in [RAHGUZAR, TANOA] {
+        for (name, way) in [
+            ("spread", Way::Spread),
+            ("affinity", Way::Affinity),
+            ("hand-over", Way::Handover),
+            ("all known", Way::Knowing),
+        ] {
+            row(shape, name, Knobs { way, ..base }, seeds);
+        }
+        for alpha in [1, 2, 5, 20] {
+            row(shape, &format!("alpha {alpha}"), Knobs { alpha, ..base }, seeds);
+        }
+        for beta in [5, 10, 50, 100, 200] {
+            row(shape, &format!("beta {beta}"), Knobs { beta, ..base }, seeds);
+        }
+        for bits in [4096, 8192, 32_768, 65_536] {
+            row(shape, &format!("m {bits}"), Knobs { bits, ..base }, seeds);
+        }
+        for (bits, beta) in [(65_536, 100), (8192, 10)] {
+            row(shape, &format!("m {bits} beta {beta}"), Knobs { bits, beta, ..base }, seeds);
+        }
+        for alpha in [1, 5, 20] {
+            let small = Knobs { bits: 4096, cache: 800, alpha, ..base };
+            row(shape, &format!("m 4096 cache 800 alpha {alpha}"), small, seeds);
+        }
+        for hashes in [1, 2, 4, 8] {
+            row(shape, &format!("m 8192 k {hashes}"), Knobs { bits: 8192, hashes, ..base }, seeds);
+        }
+        for lost in [10, 100] {
+            row(shape, &format!("events lost {}%", lost as f64 / 10.0), Knobs { lost, ..base }, seeds);
+        }
+        for cache in [400, 800, 4000] {
+            row(shape, &format!("cache {cache}"), Knobs { cache, ..base }, seeds);
+        }
+    }
+}
--- /dev/null
+++ b/crates/measure-index/src/replica.rs
@@ -0,0 +1,126 @@
+//! A simulated replica whose cache is known exactly, with the index's table of it.
+use crate::world::Knobs;
+use fleet_common::ask::Filter;
+use prefix_table::event::{Batch, Event, Numbered};
+use prefix_table::filter::Mirror;
+use prefix_table::table::{self, Table};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+use way_choice::place::Seat;
+use way_choice::source::Mirrors;
+
+const EVENT_DELAY: Duration = Duration::from_millis(60);
+
+pub(crate) struct Replica {
+    pub(crate) seat: Seat,
+    pub(crate) cache: VecDeque<u64>,
+    pub(crate) held: BTreeMap<u64, u64>,
+    pub(crate) clock: u64,
+    pub(crate) seq: u64,
+    pub(crate) busy: Vec<Duration>,
+    pub(crate) events: VecDeque<(Duration, Numbered)>,
+    pub(crate) table: Table,
+}
+
+impl Replica {
+    pub(crate) fn leading(&self, blocks: &[u64]) -> usize {
+        blocks.iter().take_while(|b| self.held.contains_key(b)).count()
+    }
+
+    pub(crate) fn emit(&mut self, now: Duration, event: Event, lose: bool) {
+        if !lose {
+            self.events.push_back((now + EVENT_DELAY, Numbered { seq: self.seq, event }));
+        }
+        self.seq += 1;
+    }
+
+    /// Uses blocks; forgets the least lately used beyond the cache's size.
+    pub(crate) fn keep(&mut self, now: Duration, blocks: &[u64], size: usize, lose: impl Fn(u64) -> bool) {
+        let mut stored = Vec::new();
+        for block in blocks.iter().rev() {
+            self.clock += 1;
+            if self.held.insert(*block, self.clock).is_none() {
+                stored.push(block.to_string());
+            }
+            self.cache.push_back(*block);
+        }
+        if !stored.is_empty() {
+            let event = Event::BlockStored { block_hashes: stored, parent_block_hash: None, block_size: 64 };
+            self.emit(now, event, lose(self.seq));
+        }
+        let mut gone = Vec::new();
+        let mut uses: BTreeMap<u64, u64> = BTreeMap::new();
+        if self.cache.len() > size * 8 || self.held.len() > size {
+            self.cache.iter().for_each(|b| *uses.entry(*b).or_default() += 1);
+        }
+        while self.held.len() > size {
+            let Some(block) = self.cache.pop_front() else { break };
+            let left = uses.get_mut(&block).map_or(0, |n| {
+                *n -= 1;
+                *n
+            });
+            if left == 0 && self.held.remove(&block).is_some() {
+                gone.push(block.to_string());
+            }
+        }
+        if !gone.is_empty() {
+            self.emit(now, Event::BlockRemoved { block_hashes: gone }, lose(self.seq));
+        }
+    }
+}
+
+pub(crate) fn new_replica(at: usize, knobs: Knobs) -> Replica {
+    let seat = Seat {
+        id: format!("r{}", at + 1),
+        at: String::new(),
+        district: ["a", "b", "c", "d"][at % 4].into(),
+        model: "m".into(),
+        weights: "w".into(),
+        leaving: false,
+        down: false,
+        load: 0,
+    };
+    let shape = table::Shape { bits: knobs.bits, hashes: knobs.hashes };
+    Replica {
+        seat,
+        cache: VecDeque::new(),
+        held: BTreeMap::new(),
+        clock: 0,
+        seq: 0,
+        busy: Vec::new(),
+        events: VecDeque::new(),
+        table: Table::new(shape, Duration::ZERO),
+    }
+}
+
+pub(crate) fn mirror(replica: &str, table: &mut Table) -> Mirror {
+    let (bits, version) = table.send();
+    let (words, m, k) = bits.into_parts();
+    let filter = Filter {
+        replica: replica.into(),
+        index: "i".into(),
+        fence: 1,
+        version,
+        weights: "w".into(),
+        m,
+        k,
+        items: 0,
+        bits: words.into(),
+    };
+    Mirror::from_filter(filter).unwrap_or_else(|| unreachable!("a filter just made is well formed"))
+}
+
+/// Mirrors that say just what is held of these blocks.
+pub(crate) fn all_known(replicas: &[Replica], blocks: &[u64]) -> Mirrors {
+    let shape = table::Shape { bits: 1 << 14, hashes: 8 };
+    let known = |replica: &Replica| {
+        let held: Vec<String> = blocks[..replica.leading(blocks)].iter().map(u64::to_string).collect();
+        let event = Event::BlockStored { block_hashes: held, parent_block_hash: None, block_size: 64 };
+        let events = vec![Numbered { seq: 0, event }];
+        let mut table = Table::new(shape, Duration::ZERO);
+        table.apply(Duration::ZERO, &Batch { incarnation: "1".into(), weights: "w".into(), load: 0, next: 1, events });
+        (replica.seat.id.clone(), Arc::new(mirror(&replica.seat.id, &mut table)))
+    };
+    replicas.iter().map(known).collect()
+}
--- /dev/null
+++ b/crates/measure-index/src/world.rs
@@ -0,0 +1,216 @@
+//! Replicas, index and routers in simulated time.
+use crate::load::{Load, Request, Shape};
+use crate::replica::{Replica, all_known, mirror, new_replica};
+use control_chain::blueprint::{Links, Model};
+use fleet_common::ask::audit;
+use fleet_common::hash::Dice;
+use prefix_table::event::Batch;
+use std::sync::Arc;
+use std::time::Duration;
+use way_choice::place::{Seat, Wish, place};
+use way_choice::source::{Mirrors, choose};
+
+/// How prefixes are looked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// The least loaded replica, no hand-over.
+    Spread,
+    /// The session's place, no hand-over.
+    Affinity,
+    /// The session's place, with hand-over.
+    Handover,
+    /// As `Handover`, but knowing all caches as they are: the most that any filters could bring.
+    Knowing,
+}
+
+/// What is varied.
+#[derive(Clone, Copy, Debug)]
+pub struct Knobs {
+    pub way: Way,
+    pub alpha: u64,
+    pub beta: u64,
+    pub bits: u32,
+    pub hashes: u8,
+    pub cache: usize,
+    /// Events lost, in thousandths.
+    pub lost: u64,
+    pub requests: usize,
+}
+
+/// The defaults of a blueprint, with a cache that is too small for everything.
+pub const KNOBS: Knobs =
+    Knobs { way: Way::Handover, alpha: 5, beta: 25, bits: 16_384, hashes: 0, cache: 1500, lost: 0, requests: 12_000 };
+
+const REPLICAS: usize = 18;
+const EDGES: usize = 9;
+const PREFILL_US: u64 = 4000;
+const SETUP_US: u64 = 2000;
+const PIECES_US: u64 = 60_000;
+
+/// What came out.
+#[derive(Clone, Debug, Default)]
+pub struct Figures {
+    pub wanted: u64,
+    pub own: u64,
+    pub handed: u64,
+    pub read: u64,
+    pub misses: u64,
+    pub tries: u64,
+    pub useful: u64,
+    pub collisions: u64,
+    pub stale: u64,
+    pub lost_event: u64,
+    pub pushes: u64,
+    pub pulls: u64,
+    pub filter_bytes: u64,
+    pub first_us: Vec<u64>,
+}
+
+/// Runs a load and gives its figures.
+/// ```
+/// use measure_index::{load::RAHGUZAR, world::{KNOBS, Knobs, run}};
+/// let figures = run(RAHGUZAR, Knobs { requests: 200, ..KNOBS }, 1);
+/// assert_eq!(figures.wanted, figures.own + figures.handed + figures.read);
+/// ```
+pub fn run(shape: Shape, knobs: Knobs, seed: u64) -> Figures {
+    let mut load = Load::new(shape, seed);
+    let mut dice = Dice::new(seed ^ 0x6d65);
+    let links = Links { near_us_per_block: shape.near_us, far_us_per_block: shape.far_us, setup_us: SETUP_US };
+    let model = Model { weights: "w".into(), prefill_us_per_block: PREFILL_US };
+    let mut replicas: Vec<Replica> = (0..REPLICAS).map(|at| new_replica(at, knobs)).collect();
+    let mut edges: Vec<Mirrors> = vec![Mirrors::new(); EDGES];
+    let mut figures = Figures::default();
+    let gap = Duration::from_micros(1_000_000 / shape.per_second);
+    let mut now = Duration::ZERO;
+    for _ in 0..knobs.requests {
+        now += gap;
+        for replica in &mut replicas {
+            replica.busy.retain(|until| *until > now);
+            replica.seat.load = replica.busy.len() as u64;
+            hear(replica, now, knobs, &mut edges, &mut figures);
+        }
+        let request = load.next();
+        let edge = dice.next(EDGES as u64) as usize;
+        serve(now, &request, &mut replicas, &mut edges[edge], (knobs, &links, &model, seed), &mut figures);
+    }
+    figures
+}
+
+/// The index hears what is due of a replica's events, and pushes its filter after beta of them.
+fn hear(replica: &mut Replica, now: Duration, knobs: Knobs, edges: &mut [Mirrors], figures: &mut Figures) {
+    let mut events = Vec::new();
+    while replica.events.front().is_some_and(|(due, _)| *due <= now) {
+        events.extend(replica.events.pop_front().map(|(_, numbered)| numbered));
+    }
+    if !events.is_empty() {
+        let next = events.last().map_or(0, |e| e.seq + 1);
+        let batch = Batch { incarnation: "1".into(), weights: "w".into(), load: 0, next, events };
+        replica.table.apply(now, &batch);
+    }
+    replica.table.age(now);
+    if replica.table.facts().2 >= knobs.beta {
+        figures.pushes += 1;
+        let mirror = mirror(&replica.seat.id, &mut replica.table);
+        figures.filter_bytes += u64::from(knobs.bits / 8) * edges.len() as u64;
+        for mirrors in edges {
+            mirrors.insert(replica.seat.id.clone(), Arc::new(mirror.clone()));
+        }
+    }
+}
+
+type Rest<'a> = (Knobs, &'a Links, &'a Model, u64);
+
+fn serve(
+    now: Duration,
+    request: &Request,
+    replicas: &mut [Replica],
+    mirrors: &mut Mirrors,
+    rest: Rest,
+    figures: &mut Figures,
+) {
+    let (knobs, links, model, seed) = rest;
+    let seats: Vec<Seat> = replicas.iter().map(|r| r.seat.clone()).collect();
+    let wish = Wish {
+        session: &request.session,
+        model: "m",
+        weights: "w",
+        old_weights_too: false,
+        kept: None,
+        tried: &[],
+        per_replica: 8,
+    };
+    let chosen = match knobs.way {
+        Way::Spread => seats.iter().min_by_key(|s| (s.load, fleet_common::hash::weight(&request.session, &s.id))),
+        _ => place(&seats, &wish).map(|(seat, _)| seat),
+    };
+    let Some(seat) = chosen else { return };
+    let at = seats.iter().position(|s| s.id == seat.id).unwrap_or(0);
+    let own = replicas[at].leading(&request.blocks);
+    let total = request.blocks.len();
+    figures.wanted += total as u64;
+    figures.own += own as u64;
+    let (mut handed, mut cost_us) = (0, 0);
+    if own < total {
+        figures.misses += 1;
+        let source = match knobs.way {
+            Way::Handover => choose(&seats, mirrors, seat, &request.blocks, links, model),
+            Way::Knowing => choose(&seats, &all_known(replicas, &request.blocks), seat, &request.blocks, links, model),
+            _ => None,
+        };
+        if let Some(source) = source {
+            figures.tries += 1;
+            let from = seats.iter().position(|s| s.id == source.replica).unwrap_or(0);
+            let near = seats[from].district == seat.district;
+            let held = replicas[from].leading(&request.blocks);
+            handed = held.saturating_sub(own);
+            if handed > 0 {
+                figures.useful += 1;
+                let each = if near { links.near_us_per_block } else { links.far_us_per_block };
+                cost_us = SETUP_US + each * handed as u64;
+            } else {
+                cost_us = 1000;
+            }
+            let named = request.blocks[source.blocks - 1];
+            let verdict = replicas[from].table.audit(named);
+            match verdict {
+                audit::HELD if held < source.blocks => figures.lost_event += 1,
+                audit::COLLISION => figures.collisions += 1,
+                audit::STALE => figures.stale += 1,
+                _ => {}
+            }
+            if [audit::COLLISION, audit::STALE].contains(&verdict) {
+                let stale = mirrors.get_mut(&source.replica).is_some_and(|m| Arc::make_mut(m).false_hit(knobs.alpha));
+                if stale {
+                    figures.pulls += 1;
+                    figures.filter_bytes += u64::from(knobs.bits / 8);
+                    let fresh = mirror(&source.replica, &mut replicas[from].table);
+                    mirrors.insert(source.replica.clone(), Arc::new(fresh));
+                }
+            }
+        }
+    }
+    let anew = (total - own - handed) as u64;
+    figures.handed += handed as u64;
+    figures.read += anew;
+    let first_us = cost_us + anew * PREFILL_US;
+    figures.first_us.push(first_us);
+    let replica = &mut replicas[at];
+    replica.busy.push(now + Duration::from_micros(first_us + PIECES_US));
+    replica.keep(now, &request.blocks, knobs.cache, |seq| {
+        knobs.lost > 0 && fleet_common::hash::mix(seed ^ seq ^ (at as u64) << 40) % 1000 < knobs.lost
+    });
+}
+
+impl Figures {
+    /// A point of the distribution of the time to the first piece, in milliseconds.
+    /// ```
+    /// let figures = measure_index::world::Figures { first_us: vec![1000, 3000], ..Default::default() };
+    /// assert_eq!(figures.first_ms(1.0), 3.0);
+    /// ```
+    pub fn first_ms(&self, share: f64) -> f64 {
+        let mut all = self.first_us.clone();
+        all.sort_unstable();
+        let at = ((all.len().max(1) - 1) as f64 * share) as usize;
+        all.get(at).map_or(0.0, |us| *us as f64 / 1000.0)
+    }
+}
--- a/crates/prefix-index/src/known.rs
+++ b/crates/prefix-index/src/known.rs
@@ -34,7 +34,7 @@
 /// The shape the blueprint gives tables.
 pub fn shape(fleet: &Fleet) -> Shape {
     let index = fleet.blueprint.as_ref().map(|b| &b.index);
-    Shape { bits: index.map_or(65_536, |i| i.bits as u32), hashes: index.map_or(0, |i| i.hashes as u8) }
+    Shape { bits: index.map_or(16_384, |i| i.bits as u32), hashes: index.map_or(0, |i| i.hashes as u8) }
 }
 
 impl Shared {
@@ -55,15 +55,16 @@
     }
 
     pub fn take(&self, sent: Instant, pulled: Pulled) -> Vector {
-        let vector = if pulled.changed.items().is_empty() {
-            self.fleet.read().vector
+        let news = pulled.changed.items();
+        let (vector, taken) = if news.is_empty() {
+            (self.fleet.read().vector, true)
         } else {
             self.fleet.change(|fleet| {
-                pulled.changed.items().iter().for_each(|news| fleet.take(news));
-                fleet.vector
+                let taken = fleet.take_all(news);
+                (fleet.vector, taken)
             })
         };
-        if pulled.member != 0 {
+        if pulled.member != 0 && taken {
             self.fresh.confirm(sent, Duration::ZERO);
         }
         vector
--- a/crates/prefix-index/src/pushing.rs
+++ b/crates/prefix-index/src/pushing.rs
@@ -75,7 +75,7 @@
             let newcomers: Vec<String> = edges.iter().filter(|e| !known.contains(e)).cloned().collect();
             routers.senders.retain(|at, _| edges.contains(at));
             known = edges.clone();
-            let beta = shared.fleet.read().blueprint.as_ref().map_or(100, |b| b.index.beta);
+            let beta = shared.fleet.read().blueprint.as_ref().map_or(25, |b| b.index.beta);
             let mut seats = Vec::new();
             for (replica, kept) in shared.all_kept() {
                 let Some(fence) = shared.holds(&replica) else { continue };
--- a/crates/request-router/src/feed.rs
+++ b/crates/request-router/src/feed.rs
@@ -22,14 +22,13 @@
     });
     let asked = Instant::now();
     let Answer::Pulled(pulled) = caller.ask(&ask)? else { return Ok(false) };
-    if !pulled.changed.items().is_empty() {
-        shared.fleet.change(|fleet| pulled.changed.items().iter().for_each(|news| fleet.take(news)));
-    }
-    if pulled.member != 0 {
+    let news = pulled.changed.items();
+    let taken = news.is_empty() || shared.fleet.change(|fleet| fleet.take_all(news));
+    if pulled.member != 0 && taken {
         // What came with the confirmation is in use by now, so the freshness may count.
         shared.fresh.confirm(asked, Duration::from_millis(pulled.age_ms));
     }
-    Ok(pulled.member != 0)
+    Ok(pulled.member != 0 && taken)
 }
 
 pub fn follow(shared: &Shared) -> ! {
--- a/crates/run-fleet/src/lib.rs
+++ b/crates/run-fleet/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod child;
 pub mod fleet;
 mod layout;
+pub mod measure;
 pub mod ports;
 pub mod shape;
--- a/crates/run-fleet/src/main.rs
+++ b/crates/run-fleet/src/main.rs
@@ -16,6 +16,8 @@
             optional --seed n: u64
             /// Where processes keep data and logs.
             optional --folder path: PathBuf
+            /// Bring faults about and measure instead of letting callers loose.
+            optional --measure
             /// Keep the fleet running until interrupted.
             optional --stay
             /// Show the version.
@@ -35,8 +37,12 @@
         size.replicas,
         folder.display()
     );
-    let fleet = Fleet::start(shape, size, folder);
+    let mut fleet = Fleet::start(shape, size, folder);
     fleet.set_up()?;
+    if flags.measure {
+        run_fleet::measure::all(&mut fleet);
+        return Ok(());
+    }
     let pages: Vec<String> = fleet.processes.iter().map(|p| format!("{}={}", p.name, p.http)).collect();
     println!("  pages: {}", pages.join(" "));
     println!("  callers reach: {:?}", fleet.edges);
--- a/crates/way-choice/src/place.rs
+++ b/crates/way-choice/src/place.rs
@@ -73,10 +73,8 @@
 /// ```
 pub fn place<'a>(seats: &'a [Seat], wish: &Wish) -> Option<(&'a Seat, Reason)> {
     let open = |s: &&Seat| s.model == wish.model && !s.leaving && !s.down && !wish.tried.contains(&s.id);
-    let mut fit: Vec<&Seat> = seats.iter().filter(open).filter(|s| s.weights == wish.weights).collect();
-    if fit.is_empty() && wish.old_weights_too {
-        fit = seats.iter().filter(open).filter(|s| !s.weights.is_empty()).collect();
-    }
+    let runs = |s: &&Seat| s.weights == wish.weights || (wish.old_weights_too && !s.weights.is_empty());
+    let mut fit: Vec<&Seat> = seats.iter().filter(open).filter(runs).collect();
     if fit.is_empty() {
         return None;
     }
