Agents tell of what their routers use at once; paths are compared by hash

Cause: an agent's next pull, sent with the old confirmed vector, was parked up to 0.5 s, so a blueprint counted as in force only at the pull after. And each way was compared with all before it, read anew. Now a pull is short while the router has yet to confirm.

--- a/crates/control-chain/src/blueprint.rs
+++ b/crates/control-chain/src/blueprint.rs
@@ -110,13 +110,14 @@
             Ok(Kind { urgency, budget_ms: number(at, "budgetMs", 30_000, 50, 600_000)? })
         })?;
         let mut ways: Vec<Way> = Vec::new();
+        let mut paths = std::collections::HashSet::new();
         for at in root.need("ways")?.items()? {
             at.only(&["path", "to"])?;
             let (path, to) = (at.need("path")?, at.need("to")?);
             if !path.text()?.starts_with('/') {
                 return Err(path.fault("a path that begins with / is wanted"));
             }
-            if ways.iter().any(|way| Ok(&way.path) == path.text().as_ref()) {
+            if !paths.insert(path.text()?) {
                 return Err(path.fault("the same path twice"));
             }
             if !["model", "app"].contains(&to.text()?.as_str()) {
--- a/crates/router-agent/src/main.rs
+++ b/crates/router-agent/src/main.rs
@@ -111,8 +111,14 @@
         if !holding {
             held.forget_term();
         }
-        let wait_ms = if holding { 500 } else { 100 };
-        match link.pull(held.vector(), held.confirmed(), holding, wait_ms) {
+        let (have, confirmed) = (held.vector(), held.confirmed());
+        let wait_ms = match (holding, confirmed == have) {
+            (true, true) => 500,
+            // The router is about to confirm: the core is told soon, not after a long pull.
+            (true, false) => 15,
+            (false, _) => 100,
+        };
+        match link.pull(have, confirmed, holding, wait_ms) {
             Ok((sent, pulled)) => {
                 let member = pulled.member != 0;
                 held.take(sent, holding, pulled);
