Freshness simulated end to end; two ways to run under a withdrawn key mended

The agent's side of a term is now a step machine (relay) and is simulated with the chain, three edges, freezes, cuts, restarts. Ruled out: the router's stamp (counted from its ask), parked pulls answered by an old tail.

--- a/crates/control-chain/src/answering.rs
+++ b/crates/control-chain/src/answering.rs
@@ -25,6 +25,7 @@
     pub incarnation: u64,
     pub confirmed: Vector,
     pub holding: bool,
+    pub granted: Option<Duration>,
     pub join_asked: Option<Duration>,
 }
 
@@ -124,6 +125,7 @@
             incarnation: pull.incarnation,
             confirmed: vector(pull.confirmed.items()),
             holding: pull.holding != 0,
+            granted: before.as_ref().and_then(|s| s.granted),
             join_asked: before.and_then(|s| s.join_asked),
         };
         if self.state.members.get(&name) != Some(&member) {
@@ -166,6 +168,7 @@
             // From here on the node may hold a term, whatever it said when it asked.
             if let Some(seen) = self.seen.get_mut(parked.pull.node.as_str()) {
                 seen.holding = true;
+                seen.granted = Some(now);
             }
             let have = vector(parked.pull.have.items());
             let changed: Vec<Versioned> = (0..SOURCES.len())
@@ -227,13 +230,21 @@
             return false;
         }
         let outlasted = self.now.saturating_sub((*at).max(self.tail_since)) > TERM + LAPSE_MARGIN;
-        let all = self.state.members.iter().all(|(name, member)| {
-            self.seen.get(name).is_some_and(|s| {
-                s.at >= self.tail_since
-                    && s.incarnation == member.incarnation
-                    && (s.confirmed[source] >= version || !s.holding)
-            })
-        });
+        // One that lapsed while it still held a term is no member, but may go on until the term ends.
+        let lasts = |at: Duration| self.now < at + TERM + LAPSE_MARGIN;
+        let strangers = lasts(self.lapses_known)
+            || self.lapses.iter().filter(|(_, at)| lasts(**at)).any(|(name, _)| {
+                let granted = self.seen.get(name).and_then(|s| s.granted).is_some_and(lasts);
+                !self.state.members.contains_key(name) && (lasts(self.tail_since) || granted)
+            });
+        let all = !strangers
+            && self.state.members.iter().all(|(name, member)| {
+                self.seen.get(name).is_some_and(|s| {
+                    s.at >= self.tail_since
+                        && s.incarnation == member.incarnation
+                        && (s.confirmed[source] >= version || !s.holding)
+                })
+            });
         outlasted || all
     }
 }
--- a/crates/control-chain/src/appending.rs
+++ b/crates/control-chain/src/appending.rs
@@ -1,5 +1,5 @@
 //! The chain itself: entries go from the head to the tail, each synced before it goes on.
-use crate::command::Envelope;
+use crate::command::{Command, Envelope, Outcome};
 use crate::core::{Core, Record};
 use crate::message::{Ack, Append, Capture, Chain};
 use crate::state::State;
@@ -41,13 +41,22 @@
         }
     }
 
+    /// Applies a command, and remembers lapses: a lapse may have been on its way for long, and its
+    /// node may have been given another term meanwhile.
+    fn apply(&mut self, envelope: &Envelope) -> Outcome {
+        if let Command::Lapse { node, .. } = &envelope.command {
+            self.lapses.insert(node.clone(), self.now);
+        }
+        self.state.apply(envelope)
+    }
+
     /// The head takes a command: applies it, keeps it, and answers once the whole chain has it.
     pub(crate) fn take_command(&mut self, token: Option<u64>, envelope: &Envelope) {
         let known = self.state.outcomes.get(&envelope.id).cloned();
         let (seq, outcome) = match known {
             Some((seq, outcome)) => (seq, outcome),
             None => {
-                let outcome = self.state.apply(envelope);
+                let outcome = self.apply(envelope);
                 let bytes: Bytes = envelope.pack().into();
                 self.last += 1;
                 self.log.push_back((self.last, bytes.clone()));
@@ -94,6 +103,7 @@
             return;
         };
         self.state = state;
+        self.lapses_known = self.now;
         self.log.clear();
         self.last = capture.seq;
         // It is passed on only once it is synced here, like any entry.
@@ -138,7 +148,7 @@
             self.log.iter().skip(skip).take_while(|(s, _)| *s <= self.synced).map(|(_, e)| e.clone()).collect();
         for entry in due {
             match Envelope::unpack(entry.as_slice()) {
-                Some(envelope) => _ = self.state.apply(&envelope),
+                Some(envelope) => _ = self.apply(&envelope),
                 None => self.state.seq += 1,
             }
         }
--- a/crates/control-chain/src/core.rs
+++ b/crates/control-chain/src/core.rs
@@ -52,6 +52,9 @@
     pub(crate) seen: BTreeMap<String, Seen>,
     pub(crate) since: BTreeMap<usize, (u64, Duration)>,
     pub(crate) tail_since: Duration,
+    /// Lapses applied here, and since when all of them are known.
+    pub(crate) lapses: BTreeMap<String, Duration>,
+    pub(crate) lapses_known: Duration,
     pub(crate) lapse_asked: Duration,
     pub(crate) last_beat: Option<Duration>,
     pub(crate) capturing: bool,
@@ -125,6 +128,8 @@
             seen: BTreeMap::new(),
             since: BTreeMap::new(),
             tail_since: now,
+            lapses: BTreeMap::new(),
+            lapses_known: now,
             lapse_asked: now,
             last_beat: None,
             capturing: false,
--- a/crates/control-chain/src/lib.rs
+++ b/crates/control-chain/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod core;
 pub mod fleet;
 pub mod message;
+pub mod relay;
 pub mod rules;
 pub mod state;
 pub mod view;
--- /dev/null
+++ b/crates/control-chain/src/relay.rs
@@ -0,0 +1,160 @@
+//! What an agent holds for its router: whole versions, and when the last confirmed pull was sent. The
+//! router's term is the agent's to pass on, never to lengthen.
+use fleet_common::ask::{CORES, Pulled, SOURCES, TERM, Vector, Versioned};
+use std::time::Duration;
+
+/// Beyond a term, until a silent router certainly holds none.
+pub const MARGIN: Duration = Duration::from_millis(300);
+
+/// How the next pull is to be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Plan {
+    pub have: Vector,
+    pub confirmed: Vector,
+    pub holding: bool,
+    pub wait_ms: u32,
+}
+
+/// The agent's side of a router's term.
+#[derive(Clone, Debug, Default)]
+pub struct Relay {
+    sources: [Option<Versioned>; SOURCES.len()],
+    confirmed_at: Option<Duration>,
+    router_has: Vector,
+    router_fed: Option<Duration>,
+}
+
+impl Relay {
+    /// Starts beside a router that may still hold a term which an agent before this one passed on.
+    /// ```
+    /// use std::time::Duration;
+    /// let relay = control_chain::relay::Relay::starting(Duration::from_secs(9));
+    /// assert!(relay.router_may_hold(Duration::from_secs(12)));
+    /// ```
+    pub fn starting(now: Duration) -> Self {
+        Relay { router_fed: Some(now), ..Relay::default() }
+    }
+
+    /// The versions held.
+    /// ```
+    /// assert_eq!(control_chain::relay::Relay::default().vector(), [0; 6]);
+    /// ```
+    pub fn vector(&self) -> Vector {
+        std::array::from_fn(|at| self.sources[at].as_ref().map_or(0, |v| v.version))
+    }
+
+    /// What the router said it uses.
+    /// ```
+    /// assert_eq!(control_chain::relay::Relay::default().confirmed(), [0; 6]);
+    /// ```
+    pub fn confirmed(&self) -> Vector {
+        self.router_has
+    }
+
+    /// The list of control machines, once known.
+    /// ```
+    /// assert_eq!(control_chain::relay::Relay::default().cores(), None);
+    /// ```
+    pub fn cores(&self) -> Option<Vec<u8>> {
+        self.sources[CORES].as_ref().map(|v| v.value.as_slice().to_vec())
+    }
+
+    /// How old the last confirmed pull is, if any may be passed on.
+    /// ```
+    /// assert_eq!(control_chain::relay::Relay::default().age(std::time::Duration::ZERO), None);
+    /// ```
+    pub fn age(&self, now: Duration) -> Option<Duration> {
+        self.confirmed_at.map(|at| now.saturating_sub(at))
+    }
+
+    /// Whether the router may still be working under a term passed on from here.
+    /// ```
+    /// assert!(!control_chain::relay::Relay::default().router_may_hold(std::time::Duration::ZERO));
+    /// ```
+    pub fn router_may_hold(&self, now: Duration) -> bool {
+        self.router_fed.is_some_and(|at| now.saturating_sub(at) < TERM + MARGIN)
+    }
+
+    /// Plans the next pull. One that says the router holds no term takes back what could be passed on:
+    /// the core may count on it from then.
+    /// ```
+    /// let plan = control_chain::relay::Relay::default().plan(std::time::Duration::ZERO);
+    /// assert!(!plan.holding);
+    /// ```
+    pub fn plan(&mut self, now: Duration) -> Plan {
+        let holding = self.router_may_hold(now);
+        if !holding {
+            self.confirmed_at = None;
+        }
+        let (have, confirmed) = (self.vector(), self.router_has);
+        let wait_ms = match (holding, confirmed == have) {
+            (true, true) => 500,
+            // The router is about to confirm: the core is told soon, not after a long pull.
+            (true, false) => 15,
+            (false, _) => 100,
+        };
+        Plan { have, confirmed, holding, wait_ms }
+    }
+
+    /// Takes what a pull brought: whole versions only, and never an older one. Only a pull that said
+    /// the router holds a term may extend it.
+    /// ```
+    /// use control_chain::relay::Relay;
+    /// use fleet_common::ask::Pulled;
+    /// let mut relay = Relay::default();
+    /// relay.pulled(std::time::Duration::ZERO, false, Pulled { member: 1, age_ms: 0, changed: vec![].into() });
+    /// assert_eq!(relay.age(std::time::Duration::ZERO), None);
+    /// ```
+    pub fn pulled(&mut self, sent: Duration, holding: bool, pulled: Pulled) {
+        if pulled.member == 0 {
+            return;
+        }
+        for news in pulled.changed.into_items() {
+            if let Some(slot) = self.sources.get_mut(news.source as usize)
+                && slot.as_ref().is_none_or(|held| held.version < news.version)
+            {
+                *slot = Some(news);
+            }
+        }
+        if holding {
+            self.confirmed_at = self.confirmed_at.max(Some(sent));
+        }
+    }
+
+    /// The router asks: from now on it may hold a term.
+    /// ```
+    /// let mut relay = control_chain::relay::Relay::default();
+    /// relay.asked(std::time::Duration::ZERO, [0; 6]);
+    /// assert!(relay.router_may_hold(std::time::Duration::ZERO));
+    /// ```
+    pub fn asked(&mut self, now: Duration, have: Vector) {
+        self.router_has = have;
+        self.router_fed = Some(now);
+    }
+
+    /// Whether something newer than `have` is held.
+    /// ```
+    /// assert!(!control_chain::relay::Relay::default().lacks([0; 6]));
+    /// ```
+    pub fn lacks(&self, have: Vector) -> bool {
+        let holds = self.vector();
+        (0..SOURCES.len()).any(|at| have[at] < holds[at])
+    }
+
+    /// The answer to the router: what it lacks, and how old the confirmation is that comes with it.
+    /// ```
+    /// let mut relay = control_chain::relay::Relay::default();
+    /// assert_eq!(relay.answer(std::time::Duration::ZERO, [0; 6]).member, 0);
+    /// ```
+    pub fn answer(&mut self, now: Duration, have: Vector) -> Pulled {
+        let newer = self.sources.iter().flatten().filter(|v| have[v.source as usize] < v.version);
+        let changed: Vec<Versioned> = newer.cloned().collect();
+        match self.age(now) {
+            None => Pulled { member: 0, age_ms: 0, changed: changed.into() },
+            Some(age) => {
+                self.router_fed = Some(now);
+                Pulled { member: 1, age_ms: age.as_millis() as u64 + 1, changed: changed.into() }
+            }
+        }
+    }
+}
--- a/crates/control-chain/src/ruling.rs
+++ b/crates/control-chain/src/ruling.rs
@@ -104,7 +104,9 @@
             return no(403, "no term is held");
         };
         let incarnation = taker.incarnation;
+        let mut after_lapse = false;
         if let Some(duty) = self.duties.get(replica) {
+            after_lapse = !duty.owner.is_empty();
             let alive = self.members.get(&duty.owner).is_some_and(|m| m.incarnation == duty.incarnation);
             if duty.owner == node && alive {
                 return Ok("nothing to change".into());
@@ -114,7 +116,7 @@
             }
         }
         self.fence += 1;
-        let duty = Duty { owner: node.to_string(), incarnation, fence: self.fence };
+        let duty = Duty { owner: node.to_string(), incarnation, fence: self.fence, after_lapse };
         self.duties.insert(replica.to_string(), duty);
         Ok(format!("fence {}", self.fence))
     }
--- a/crates/control-chain/src/state.rs
+++ b/crates/control-chain/src/state.rs
@@ -24,6 +24,9 @@
     pub owner: String,
     pub incarnation: u64,
     pub fence: u64,
+    /// The holder before did not give it up: it may not know yet that it lost it.
+    #[serde(default)]
+    pub after_lapse: bool,
 }
 
 /// A once-claim.
--- /dev/null
+++ b/crates/control-chain/tests/sim/edges.rs
@@ -0,0 +1,161 @@
+//! Edges in the simulated world: an agent that pulls from whichever core answers, and a router that
+//! pulls from its agent. Both may freeze; the agent may be cut off or restarted.
+use super::{World, ms};
+use control_chain::fleet::Fleet;
+use control_chain::relay::{Plan, Relay};
+use fleet_common::ask::{Answer, Ask, Pull, Pulled, Vector};
+use fleet_common::hash::key_print;
+use std::time::{Duration, Instant};
+use way_choice::fresh::Fresh;
+
+/// A guard switched off, to show that the check would find it missing.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Off {
+    Nothing,
+    /// The term is counted from when the answer came.
+    FromAnswer,
+    /// The router does not look at its term.
+    NoTerm,
+    /// The agent says that its router holds no term although it may.
+    SaysNone,
+}
+
+pub struct Edge {
+    name: String,
+    incarnation: u64,
+    relay: Relay,
+    asking: Option<(u64, Duration, Plan)>,
+    next_core: u8,
+    again: Duration,
+    pub agent_frozen: Duration,
+    pub cut_until: Duration,
+    pub fleet: Fleet,
+    fresh: Fresh,
+    begun: Instant,
+    router_asks: Option<(Duration, Vector)>,
+    coming: Option<(Duration, Duration, Pulled)>,
+    pub router_frozen: Duration,
+    off: Off,
+}
+
+impl Edge {
+    pub fn new(name: &str, off: Off) -> Self {
+        Edge {
+            name: name.into(),
+            incarnation: 1,
+            relay: Relay::default(),
+            asking: None,
+            next_core: 1,
+            again: ms(0),
+            agent_frozen: ms(0),
+            cut_until: ms(0),
+            fleet: Fleet::default(),
+            fresh: Fresh::default(),
+            begun: Instant::now(),
+            router_asks: None,
+            coming: None,
+            router_frozen: ms(0),
+            off,
+        }
+    }
+
+    pub fn restart_agent(&mut self, now: Duration) {
+        self.incarnation += 1;
+        self.relay = Relay::starting(now);
+        self.asking = None;
+        self.coming = None;
+    }
+
+    /// Whether the router would run a request under this key now.
+    pub fn would_run(&self, now: Duration, key: &str) -> bool {
+        let fresh = self.off == Off::NoTerm || self.fresh.holds(self.begun + now);
+        now >= self.router_frozen && fresh && self.fleet.tenant(&key_print(key)).is_ok()
+    }
+
+    pub fn step(&mut self, world: &mut World) {
+        if world.now >= self.agent_frozen {
+            self.agent(world);
+        }
+        if world.now >= self.router_frozen {
+            self.router(world);
+        }
+    }
+
+    fn agent(&mut self, world: &mut World) {
+        let now = world.now;
+        let cut = now < self.cut_until;
+        if let Some((token, sent, plan)) = self.asking {
+            match world.answers.get(&token) {
+                Some(_) if cut => {}
+                Some(Answer::Pulled(pulled)) => {
+                    let sent = if self.off == Off::FromAnswer { now } else { sent };
+                    self.relay.pulled(sent, plan.holding, pulled.clone());
+                    self.again = if pulled.member == 0 { now + ms(50) } else { now };
+                    self.asking = None;
+                }
+                Some(Answer::Elsewhere(at)) => {
+                    self.next_core = at.as_str().parse().unwrap_or(self.next_core % 4 + 1);
+                    self.again = now + ms(20);
+                    self.asking = None;
+                }
+                Some(_) => self.asking = None,
+                None => {}
+            }
+            if now - sent > ms(1500) {
+                self.next_core = self.next_core % 4 + 1;
+                self.asking = None;
+            }
+        }
+        if self.asking.is_none() && now >= self.again && !cut {
+            let plan = self.relay.plan(now);
+            let holding = plan.holding && self.off != Off::SaysNone;
+            let ask = Ask::Pull(Pull {
+                node: self.name.as_str().into(),
+                kind: "edge".into(),
+                incarnation: self.incarnation,
+                at: "".into(),
+                district: "a".into(),
+                have: plan.have.to_vec().into(),
+                confirmed: plan.confirmed.to_vec().into(),
+                holding: holding.into(),
+                wait_ms: plan.wait_ms,
+            });
+            match world.ask(self.next_core, ask) {
+                Some(token) => self.asking = Some((token, now, plan)),
+                None => {
+                    self.next_core = self.next_core % 4 + 1;
+                    self.again = now + ms(100);
+                }
+            }
+        }
+        // The router's ask is answered at once when it lacks something, else after a while.
+        if let Some((asked, have)) = self.router_asks
+            && self.coming.is_none()
+            && (self.relay.lacks(have) || now - asked >= ms(300))
+        {
+            let pulled = self.relay.answer(now, have);
+            self.coming = Some((now + ms(1 + world.dice.next(4)), asked, pulled));
+        }
+    }
+
+    fn router(&mut self, world: &mut World) {
+        let now = world.now;
+        if let Some((due, asked, pulled)) = self.coming.take_if(|(due, ..)| *due <= now) {
+            debug_assert!(due <= now);
+            self.router_asks = None;
+            let news = pulled.changed.items();
+            let taken = news.is_empty() || self.fleet.take_all(news);
+            if pulled.member != 0 && taken {
+                let asked = if self.off == Off::FromAnswer { now } else { asked };
+                self.fresh.confirm(self.begun + asked, Duration::from_millis(pulled.age_ms));
+            }
+        }
+        let lost = self.router_asks.is_some_and(|(asked, _)| now - asked > ms(1500));
+        if (self.router_asks.is_none() || lost) && now >= self.agent_frozen {
+            let have = self.fleet.vector;
+            self.relay.asked(now, have);
+            self.coming = None;
+            self.router_asks = Some((now, have));
+        }
+    }
+}
--- a/crates/control-chain/tests/sim/mod.rs
+++ b/crates/control-chain/tests/sim/mod.rs
@@ -1,6 +1,8 @@
 //! A seeded world for four cores: a network that delays, drops and cuts, disks that lose what was not
 //! synced, cores that crash, freeze and are emptied. Nothing here knows how the cores work inside.
+#![allow(dead_code)]
 pub mod disk;
+pub mod edges;
 pub mod history;
 
 use control_chain::core::{Core, Input, Output};
--- a/crates/prefix-index/src/duties.rs
+++ b/crates/prefix-index/src/duties.rs
@@ -40,7 +40,11 @@
 fn take_up(shared: &Arc<Shared>, replica: &str, fence: u64, others: &[String]) {
     let shape = shape(&shared.fleet.read());
     match shared.kept(replica) {
-        Some(kept) => lock(&kept).fence = fence,
+        Some(kept) => {
+            let mut held = lock(&kept);
+            held.fence = fence;
+            held.since = std::time::Instant::now();
+        }
         None => {
             let copy = others.iter().find_map(|node| fetch(shared, node, replica));
             let table = match &copy {
--- a/crates/prefix-index/src/known.rs
+++ b/crates/prefix-index/src/known.rs
@@ -19,6 +19,8 @@
     pub fence: u64,
     pub audits: [u64; 4],
     pub ordered: Option<(String, Instant)>,
+    /// Since when the duty is held under this fence.
+    pub since: Instant,
 }
 
 pub struct Shared {
@@ -90,7 +92,16 @@
     }
 
     pub fn put(&self, replica: &str, table: Table, fence: u64) -> Arc<Mutex<Kept>> {
-        let fresh = Kept { table, load: 0, down: false, first_loss: None, fence, audits: [0; 4], ordered: None };
+        let fresh = Kept {
+            table,
+            load: 0,
+            down: false,
+            first_loss: None,
+            fence,
+            audits: [0; 4],
+            ordered: None,
+            since: Instant::now(),
+        };
         let kept = Arc::new(Mutex::new(fresh));
         self.tables.lock().unwrap_or_else(|held| held.into_inner()).insert(replica.to_string(), kept.clone());
         kept
--- a/crates/prefix-index/src/orders.rs
+++ b/crates/prefix-index/src/orders.rs
@@ -1,6 +1,7 @@
 //! Orders to replicas: load the weights the blueprint names. In three waves, so that capacity is
 //! kept; each order carries the fence, and a replica refuses an older one.
 use crate::known::{Shared, lock};
+use fleet_common::ask::TERM;
 use fleet_common::{hash, http_out, json, ring};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -17,13 +18,19 @@
         let Some(model) = blueprint.models.get(&row.model) else { continue };
         let since = fleet.weights_since.get(&row.model).map_or(Duration::MAX, |(_, at)| at.elapsed());
         let (Some(fence), Some(kept)) = (shared.holds(&row.id), shared.kept(&row.id)) else { continue };
-        let (weights, down, ordered) = {
+        let (weights, down, ordered, since_held) = {
             let held = lock(&kept);
-            (held.table.facts().0.to_string(), held.down, held.ordered.clone())
+            (held.table.facts().0.to_string(), held.down, held.ordered.clone(), held.since.elapsed())
         };
         if weights == model.weights || down {
             continue;
         }
+        // A holder that lapsed may have been given a term after its lapse was on its way: until that
+        // has run out two might give orders.
+        let after_lapse = fleet.duties.get(&row.id).is_some_and(|duty| duty.after_lapse);
+        if after_lapse && since_held < TERM + Duration::from_millis(400) {
+            continue;
+        }
         // A replica with weights still serves while its wave waits; one without has nothing to lose.
         let wave = hash::bytes(5, row.id.as_bytes()) % WAVES;
         let early = !weights.is_empty() && since < WAVE * wave as u32;
--- a/crates/router-agent/src/main.rs
+++ b/crates/router-agent/src/main.rs
@@ -2,7 +2,7 @@
 mod held;
 
 use control_chain::command::{Command, Envelope};
-use fleet_common::ask::{Answer, Ask, TERM};
+use fleet_common::ask::{Answer, Ask};
 use fleet_common::node::{Identity, Link, Seeds};
 use fleet_common::settings::{EXIT_LISTEN, Settings};
 use fleet_common::signals::{self, Word};
@@ -107,21 +107,11 @@
 /// a term that this agent passed on.
 fn pull_for_ever(mut link: Link, held: &Held) {
     loop {
-        let holding = held.router_may_hold(TERM + Duration::from_millis(300));
-        if !holding {
-            held.forget_term();
-        }
-        let (have, confirmed) = (held.vector(), held.confirmed());
-        let wait_ms = match (holding, confirmed == have) {
-            (true, true) => 500,
-            // The router is about to confirm: the core is told soon, not after a long pull.
-            (true, false) => 15,
-            (false, _) => 100,
-        };
-        match link.pull(have, confirmed, holding, wait_ms) {
+        let plan = held.plan();
+        match link.pull(plan.have, plan.confirmed, plan.holding, plan.wait_ms) {
             Ok((sent, pulled)) => {
                 let member = pulled.member != 0;
-                held.take(sent, holding, pulled);
+                held.take(sent, plan.holding, pulled);
                 if !member {
                     std::thread::sleep(Duration::from_millis(50));
                 }
@@ -140,12 +130,12 @@
     signals::heed(move |word| match word {
         Word::Warning => {
             let until = std::time::Instant::now() + LINGER;
-            while held.router_may_hold(TERM) && std::time::Instant::now() < until {
+            while held.router_may_hold() && std::time::Instant::now() < until {
                 std::thread::sleep(Duration::from_millis(50));
             }
             let me = &links.identity;
             let bye = Command::Lapse { node: me.name.clone(), incarnation: me.incarnation };
-            if !held.router_may_hold(TERM) {
+            if !held.router_may_hold() {
                 links.ask(&Ask::Command(Envelope::bare(bye).pack().into()), held.cores());
             }
             std::process::exit(0);
