--- a/crates/stand-in/src/caller.rs
+++ b/crates/stand-in/src/caller.rs
@@ -19,6 +19,7 @@
     pub tokens: u64,
     pub stream: bool,
     pub once: Option<String>,
+    pub budget_ms: Option<u64>,
 }
 
 /// A kind of work: name, weight, blocks of shared prefix, bytes of its own, tokens.
@@ -74,6 +75,7 @@
             tokens,
             stream: dice.next(5) > 0,
             once: (dice.next(100) < once_share).then(|| format!("once-{seed}-{number}")),
+            budget_ms: None,
         }
     })
 }
@@ -95,6 +97,7 @@
             tokens,
             stream: true,
             once: None,
+            budget_ms: None,
         }
     }
 }
--- a/crates/stand-in/src/checks.rs
+++ b/crates/stand-in/src/checks.rs
@@ -45,6 +45,9 @@
         ("x-session", job.session.clone()),
         ("x-kind", job.kind.to_string()),
     ];
+    if let Some(budget_ms) = job.budget_ms {
+        headers.push(("x-budget-ms", budget_ms.to_string()));
+    }
     if let Some(once) = &job.once {
         headers.push(("idempotency-key", once.clone()));
     }
--- /dev/null
+++ b/crates/way-choice/tests/choices.rs
@@ -0,0 +1,162 @@
+//! What may never be chosen: a source of other weights or behind another wall, a place that leaves.
+use control_chain::blueprint::{Links, Model};
+use fleet_common::ask::Filter;
+use fleet_common::hash::Dice;
+use prefix_table::blocks;
+use prefix_table::counting::Counting;
+use prefix_table::filter::Mirror;
+use rstest::rstest;
+use std::sync::Arc;
+use way_choice::let_in::{InFlight, Over};
+use way_choice::place::{Reason, Seat, Wish, place};
+use way_choice::source::{Mirrors, choose};
+use way_choice::{let_in, tokens::Tokens};
+
+fn seat(id: &str) -> Seat {
+    Seat {
+        id: id.into(),
+        at: format!("{id}:1"),
+        district: "a".into(),
+        model: "m".into(),
+        weights: "w1".into(),
+        leaving: false,
+        down: false,
+        load: 0,
+    }
+}
+
+fn mirror(replica: &str, weights: &str, held: &[u64]) -> (String, Arc<Mirror>) {
+    let mut table = Counting::new(16_384, 6);
+    held.iter().for_each(|block| table.add(*block));
+    let (words, m, k) = table.filter().into_parts();
+    let filter = Filter {
+        replica: replica.into(),
+        index: "i".into(),
+        fence: 1,
+        version: 1,
+        weights: weights.into(),
+        m,
+        k,
+        items: 0,
+        bits: words.into(),
+    };
+    (replica.into(), Arc::new(Mirror::from_filter(filter).unwrap()))
+}
+
+const LINKS: Links = Links { near_us_per_block: 100, far_us_per_block: 300, setup_us: 2000 };
+
+fn model() -> Model {
+    Model { weights: "w1".into(), prefill_us_per_block: 4000 }
+}
+
+#[rstest]
+#[case("same wall and weights", "wall", "w1", "w1", true)]
+#[case("another wall", "other", "w1", "w1", false)]
+#[case("blocks made under other weights", "wall", "w0", "w1", false)]
+#[case("a replica now on other weights", "wall", "w1", "w2", false)]
+fn a_source_must_match(
+    #[case] what: &str,
+    #[case] wall: &str,
+    #[case] made: &str,
+    #[case] now: &str,
+    #[case] good: bool,
+) {
+    for seed in 0..200u64 {
+        let prompt: Vec<u8> = (0..640u64).map(|n| fleet_common::hash::mix(seed << 16 | n) as u8).collect();
+        let held = blocks::chain(blocks::salt(wall, "m", made), &prompt, 64);
+        let wanted = blocks::chain(blocks::salt("wall", "m", "w1"), &prompt, 64);
+        let mirrors: Mirrors = [mirror("r2", now, &held)].into_iter().collect();
+        let seats = [seat("r1"), seat("r2")];
+        let found = choose(&seats, &mirrors, &seats[0], &wanted, &LINKS, &model());
+        assert_eq!(found.is_some(), good, "{what}, seed {seed}");
+    }
+}
+
+#[test]
+fn a_hand_over_must_pay_and_the_best_is_taken() {
+    let chain: Vec<u64> = (1..=40).collect();
+    let mirrors: Mirrors = [mirror("r2", "w1", &chain[..20]), mirror("r3", "w1", &chain)].into_iter().collect();
+    let mut seats = [seat("r1"), seat("r2"), seat("r3")];
+    let best = |seats: &[Seat], links: &Links| choose(seats, &mirrors, &seats[0], &chain, links, &model());
+    assert_eq!(best(&seats, &LINKS).unwrap().replica, "r3");
+    seats[2].district = "b".into();
+    let slow_far = Links { far_us_per_block: 3900, ..LINKS };
+    assert_eq!(best(&seats, &slow_far).unwrap().replica, "r2", "half of it near beats all of it far");
+    let slow = Links { near_us_per_block: 4000, far_us_per_block: 9000, setup_us: 0 };
+    assert_eq!(best(&seats, &slow), None, "reading anew is as fast");
+    let mut stale = mirrors.clone();
+    stale.values_mut().for_each(|m| Arc::make_mut(m).stale = true);
+    assert_eq!(choose(&seats, &stale, &seats[0], &chain, &LINKS, &model()), None);
+}
+
+#[test]
+fn a_session_stays_unless_its_place_is_lost() {
+    let mut dice = Dice::new(3);
+    for session in 0..300 {
+        let session = format!("s{session}");
+        let mut seats: Vec<Seat> = (1..=18).map(|n| seat(&format!("r{n}"))).collect();
+        let wish = |kept| Wish {
+            session: &session,
+            model: "m",
+            weights: "w1",
+            old_weights_too: false,
+            kept,
+            tried: &[],
+            per_replica: 8,
+        };
+        let home = place(&seats, &wish(None)).unwrap().0.id.clone();
+        // Losing some other replica moves nobody.
+        let other = dice.next(18) as usize;
+        if seats[other].id != home {
+            seats[other].leaving = true;
+            assert_eq!(place(&seats, &wish(None)).unwrap().0.id, home);
+        }
+        let at = seats.iter().position(|s| s.id == home).unwrap();
+        // A busy home sends new sessions on, but one that names it stays a while longer.
+        seats[at].load = 9;
+        assert_eq!(place(&seats, &wish(None)).unwrap().1, Reason::LoadBound);
+        assert_eq!(place(&seats, &wish(Some(&home))).unwrap().1, Reason::Kept);
+        seats[at].load = 0;
+        type Loss = fn(&mut Seat);
+        let losses: [Loss; 4] =
+            [|s| s.leaving = true, |s| s.down = true, |s| s.weights = "w0".into(), |s| s.weights = String::new()];
+        for loss in losses {
+            let mut lost = seats.clone();
+            loss(&mut lost[at]);
+            let (next, reason) = place(&lost, &wish(Some(&home))).unwrap();
+            assert!(next.id != home && reason == Reason::PlaceLost);
+        }
+    }
+}
+
+#[test]
+fn the_less_urgent_and_those_over_their_share_go_first() {
+    let mut flight = InFlight::default();
+    let wish = |tenant: &'static str, urgency| let_in::Wish { tenant, urgency, share: (1, 4), most: 20 };
+    let mut taken = 0;
+    while flight.let_in(&wish("large", 9)).is_ok() {
+        taken += 1;
+    }
+    assert_eq!((taken, flight.let_in(&wish("large", 9))), (10, Err(Over::Share)), "half the room is anybody's");
+    assert_eq!(flight.let_in(&wish("small", 9)), Ok(()));
+    (0..3).for_each(|_| flight.let_in(&wish("third", 9)).unwrap());
+    assert_eq!(flight.let_in(&wish("fourth", 1)), Err(Over::Urgency));
+    assert_eq!(flight.let_in(&wish("fourth", 9)), Ok(()));
+    flight.let_out("small");
+    assert_eq!(flight.total(), 14);
+}
+
+#[test]
+fn retries_stay_within_a_tenth_of_first_tries() {
+    let mut tokens = Tokens::new(10);
+    let (mut tries, mut retries) = (0u64, 0u64);
+    for _ in 0..10_000 {
+        tokens.earn();
+        tries += 1;
+        // Everything fails: each try wants as many retries as it can get.
+        while tokens.spend() {
+            retries += 1;
+        }
+    }
+    assert!(retries <= tries / 10 + 10, "{retries} of {tries}");
+}
