--- a/crates/control-core/src/main.rs
+++ b/crates/control-core/src/main.rs
@@ -12,7 +12,6 @@
 use fleet_common::settings::{EXIT_DISK, EXIT_LISTEN};
 use fleet_common::signals::{self, Word};
 use fleet_common::{Mishap, Rcu, Step, frame, hash, http_in, ring};
-use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -46,10 +45,8 @@
     ring::start("control-core");
     let settings = settings::read(flags.settings.as_deref(), &flags.set, flags.check);
     let listen = |at: &str| {
-        TcpListener::bind(at).unwrap_or_else(|e| {
-            eprintln!("control-core: cannot listen on {at}: {e}");
-            std::process::exit(EXIT_LISTEN)
-        })
+        let at = at.parse().unwrap_or_else(|_| std::process::exit(EXIT_LISTEN));
+        fleet_common::settings::listen("control-core", at)
     };
     let own = settings.own();
     let (chain, node, http) = (listen(own.chain.as_str()), listen(own.node.as_str()), listen(own.http.as_str()));
--- a/crates/fleet-common/src/settings.rs
+++ b/crates/fleet-common/src/settings.rs
@@ -17,6 +17,18 @@
     faults: Vec<String>,
 }
 
+/// Listens on an address, or ends the process saying why it cannot.
+/// ```
+/// let listener = fleet_common::settings::listen("demo", "127.0.0.1:0".parse().unwrap());
+/// assert!(listener.local_addr().unwrap().port() > 0);
+/// ```
+pub fn listen(program: &str, at: SocketAddr) -> std::net::TcpListener {
+    std::net::TcpListener::bind(at).unwrap_or_else(|e| {
+        eprintln!("{program}: cannot listen on {at}: {e}");
+        std::process::exit(EXIT_LISTEN)
+    })
+}
+
 impl Settings {
     /// Reads an optional file and lays flags (`name=value`) over it. Only `names` are known.
     /// ```
--- a/crates/prefix-index/src/duties.rs
+++ b/crates/prefix-index/src/duties.rs
@@ -3,6 +3,7 @@
 use crate::known::{Shared, lock, shape};
 use crate::watch;
 use control_chain::command::{Command, Envelope};
+use control_chain::fleet::APP;
 use fleet_common::ask::{Answer, Ask, TableCopy};
 use fleet_common::frame::Caller;
 use fleet_common::ring;
@@ -60,7 +61,8 @@
 
 fn round(shared: &Arc<Shared>, watched: &mut HashSet<(String, u64)>) {
     let fleet = shared.fleet.read();
-    for replica in &fleet.replicas {
+    // The app service keeps no prefixes and takes no orders: nobody's duty.
+    for replica in fleet.replicas.iter().filter(|r| r.model != APP) {
         let order: Vec<String> = fleet.order(&replica.id).into_iter().cloned().collect();
         let mine = fleet.fence(&replica.id, &shared.me);
         let best = order.first().is_some_and(|node| *node == shared.me.name);
--- a/crates/prefix-index/src/main.rs
+++ b/crates/prefix-index/src/main.rs
@@ -8,7 +8,7 @@
 mod watch;
 
 use fleet_common::node::{Identity, Link, Seeds, follow};
-use fleet_common::settings::{EXIT_LISTEN, Settings};
+use fleet_common::settings::{EXIT_LISTEN, Settings, listen as listen_on};
 use fleet_common::signals::{self, Word};
 use fleet_common::{Mishap, Rcu, Step, frame, hash, http_in, ring};
 use known::Shared;
@@ -45,12 +45,7 @@
     let (listen, http) = (settings.address("listen"), settings.address("http"));
     let seeds: Seeds = Arc::new(Rcu::new(settings.addresses("seeds")));
     settings.or_exit(flags.check);
-    let bind = |at| {
-        std::net::TcpListener::bind(at).unwrap_or_else(|e| {
-            eprintln!("prefix-index: cannot listen on {at}: {e}");
-            std::process::exit(EXIT_LISTEN)
-        })
-    };
+    let bind = |at| listen_on("prefix-index", at);
     let (frames, pages) = (bind(listen), bind(http));
     let at = frames.local_addr().map(|a| a.to_string()).unwrap_or_default();
     let identity = Identity { name: name.clone(), kind: "index", incarnation: hash::unique(), at, district };
--- a/crates/request-router/src/main.rs
+++ b/crates/request-router/src/main.rs
@@ -14,7 +14,7 @@
 mod to_app;
 mod upstream;
 
-use fleet_common::settings::{EXIT_LISTEN, Settings};
+use fleet_common::settings::{EXIT_LISTEN, Settings, listen as listen_on};
 use fleet_common::signals::{self, Word};
 use fleet_common::{Mishap, Step, frame, http_in, ring};
 use shared::Shared;
@@ -54,12 +54,7 @@
     let agent = settings.address("agent");
     let drain_ms = settings.number("drainMs", 8000, 0, 600_000);
     settings.or_exit(flags.check);
-    let bind = |at| {
-        std::net::TcpListener::bind(at).unwrap_or_else(|e| {
-            eprintln!("request-router: cannot listen on {at}: {e}");
-            std::process::exit(EXIT_LISTEN)
-        })
-    };
+    let bind = |at| listen_on("request-router", at);
     let (callers, pages_at, pushes) = (bind(listen), bind(http), bind(frames));
     let shared = Arc::new(Shared::new(name, district, agent));
     shared.drain_ms.store(drain_ms, Ordering::Relaxed);
--- a/crates/router-agent/src/main.rs
+++ b/crates/router-agent/src/main.rs
@@ -4,7 +4,7 @@
 use control_chain::command::{Command, Envelope};
 use fleet_common::ask::{Answer, Ask};
 use fleet_common::node::{Identity, Link, Seeds};
-use fleet_common::settings::{EXIT_LISTEN, Settings};
+use fleet_common::settings::{EXIT_LISTEN, Settings, listen as listen_on};
 use fleet_common::signals::{self, Word};
 use fleet_common::{Mishap, Rcu, Step, frame, hash, http_in, ring};
 use held::Held;
@@ -72,12 +72,7 @@
     let seeds: Seeds = Arc::new(Rcu::new(settings.addresses("seeds")));
     settings.or_exit(flags.check);
     let identity = Identity { name, kind: "edge", incarnation: hash::unique(), at: router.to_string(), district };
-    let bind = |at| {
-        std::net::TcpListener::bind(at).unwrap_or_else(|e| {
-            eprintln!("router-agent: cannot listen on {at}: {e}");
-            std::process::exit(EXIT_LISTEN)
-        })
-    };
+    let bind = |at| listen_on("router-agent", at);
     let (frames, pages) = (bind(listen), bind(http));
     let held = Arc::new(Held::default());
     let links = Arc::new(Links { identity: identity.clone(), seeds: seeds.clone(), idle: Mutex::new(Vec::new()) });
--- a/crates/run-fleet/tests/serving.rs
+++ b/crates/run-fleet/tests/serving.rs
@@ -25,6 +25,18 @@
     }
     assert!(handed > 0, "no block was ever handed over");
 
+    // The app service has a way of its own, under the same keys.
+    let app = |key: &str| {
+        let headers = [("authorization", format!("Bearer {key}"))];
+        let url = format!("http://{}/app/stops", fleet.edges[1]);
+        fleet_common::http_out::ask("POST", &url, &headers, b"{}", LONG).unwrap()
+    };
+    let answered = || app("key-canal").0 == 200;
+    assert!(run_fleet::fleet::Fleet::until(std::time::Duration::from_secs(5), answered), "{:?}", app("key-canal"));
+    assert_eq!(app("nobody's").0, 401);
+    // The store's blocks are known too, and it is named as a source when replicas do not hold them.
+    assert!(fleet.page("edge-1", "/self").contains("\"store\":{\"index\""), "no mirror of the store");
+
     // The same session has the same place from every edge, and a named place is kept.
     let prompt = text(2000);
     let places: Vec<String> = (0..3)
