--- a/crates/control-chain/src/blueprint.rs
+++ b/crates/control-chain/src/blueprint.rs
@@ -104,6 +104,9 @@
         })?;
         let models = table(&root.need("models")?, |at| {
             at.only(&["weights", "prefillUsPerBlock"])?;
+            if at.pointer().starts_with("/models/@") || at.pointer().contains("/blueprint/models/@") {
+                return Err(at.fault("names with @ are the platform's: a store or an app, not a model"));
+            }
             let weights = at.need("weights")?.text()?;
             Ok(Model { weights, prefill_us_per_block: number(at, "prefillUsPerBlock", 4000, 1, 10_000_000)? })
         })?;
--- a/crates/fleet-common/src/http_in.rs
+++ b/crates/fleet-common/src/http_in.rs
@@ -33,32 +33,40 @@
 
 impl Incoming {
     /// A header's value, by its lower-case name.
-    /// ```ignore
+    /// ```no_run
+    /// # fn show(incoming: fleet_common::http_in::Incoming) -> std::io::Result<()> {
     /// let key = incoming.header("authorization");
+    /// # Ok(()) }
     /// ```
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
     }
 
     /// Whether the caller speaks HTTP/1.0, which has no pieces and so cannot show a cut.
-    /// ```ignore
-    /// if incoming.cannot_stream() { return incoming.json(505, "{}", vec![]); }
+    /// ```no_run
+    /// # fn show(incoming: fleet_common::http_in::Incoming) -> std::io::Result<()> {
+    /// if incoming.cannot_stream() { incoming.json(505, "{}", vec![]); }
+    /// # Ok(()) }
     /// ```
     pub fn cannot_stream(&self) -> bool {
         self.old
     }
 
     /// Answers with whole JSON.
-    /// ```ignore
+    /// ```no_run
+    /// # fn show(incoming: fleet_common::http_in::Incoming) -> std::io::Result<()> {
     /// incoming.json(200, "{\"ok\":true}", vec![]);
+    /// # Ok(()) }
     /// ```
     pub fn json(self, status: u16, body: &str, extra: Extra) {
         self.whole(status, "application/json", body.as_bytes(), extra);
     }
 
     /// Answers with a whole body of any type.
-    /// ```ignore
+    /// ```no_run
+    /// # fn show(incoming: fleet_common::http_in::Incoming) -> std::io::Result<()> {
     /// incoming.whole(200, "text/plain", b"up", vec![]);
+    /// # Ok(()) }
     /// ```
     pub fn whole(self, status: u16, kind: &str, body: &[u8], extra: Extra) {
         let mut answer = tiny_http::Response::from_data(body).with_status_code(status);
@@ -71,18 +79,22 @@
     }
 
     /// Whether the caller has gone away, seen without reading anything.
-    /// ```ignore
-    /// if incoming.caller_left() { return; }
+    /// ```no_run
+    /// # fn show(incoming: fleet_common::http_in::Incoming) -> std::io::Result<()> {
+    /// let _gone: bool = incoming.caller_left();
+    /// # Ok(()) }
     /// ```
     pub fn caller_left(&self) -> bool {
         caller_left(self.caller)
     }
 
     /// Begins an answer in pieces.
-    /// ```ignore
+    /// ```no_run
+    /// # fn show(incoming: fleet_common::http_in::Incoming) -> std::io::Result<()> {
     /// let mut pieces = incoming.pieces(200, vec![("Content-Type", "text/event-stream".into())])?;
     /// pieces.send(b"data: hello\n\n")?;
     /// pieces.end()?;
+    /// # Ok(()) }
     /// ```
     pub fn pieces(self, status: u16, extra: Extra) -> std::io::Result<Pieces> {
         let caller = self.caller;
@@ -100,8 +112,10 @@
 
 impl Pieces {
     /// Sends a piece and pushes it out.
-    /// ```ignore
+    /// ```no_run
+    /// # fn show(mut pieces: fleet_common::http_in::Pieces) -> std::io::Result<()> {
     /// pieces.send(b"data: one\n\n")?;
+    /// # Ok(()) }
     /// ```
     pub fn send(&mut self, piece: &[u8]) -> std::io::Result<()> {
         if piece.is_empty() {
@@ -115,8 +129,10 @@
     }
 
     /// Ends a whole answer. Without this call the stream is cut, and looks it.
-    /// ```ignore
+    /// ```no_run
+    /// # fn show(pieces: fleet_common::http_in::Pieces) -> std::io::Result<()> {
     /// pieces.end()?;
+    /// # Ok(()) }
     /// ```
     pub fn end(mut self) -> std::io::Result<()> {
         self.writer.write_all(b"0\r\n\r\n")?;
@@ -126,8 +142,10 @@
     }
 
     /// Whether the caller has gone away.
-    /// ```ignore
-    /// if pieces.caller_left() { break; }
+    /// ```no_run
+    /// # fn show(pieces: fleet_common::http_in::Pieces) -> std::io::Result<()> {
+    /// let _gone: bool = pieces.caller_left();
+    /// # Ok(()) }
     /// ```
     pub fn caller_left(&self) -> bool {
         caller_left(self.caller)
--- a/crates/run-fleet/src/measure.rs
+++ b/crates/run-fleet/src/measure.rs
@@ -182,6 +182,7 @@
     let (through, straight) = added_delay(fleet, 300);
     println!("  short call through a router: ms {}", spread(through));
     println!("  the same straight to a replica: ms {}", spread(straight));
+    roll_outs(fleet);
     let owner = sonic_rs::get(
         &String::from_utf8_lossy(&fleet.query(&["holds"]).stdout).into_owned(),
         ["duties", "r1", "owner"],
@@ -200,3 +201,37 @@
         );
     }
 }
+
+fn seconds(act: impl FnOnce()) -> f64 {
+    let begun = Instant::now();
+    act();
+    begun.elapsed().as_secs_f64()
+}
+
+/// Keys withdrawn and weights named: how long until they are in force or in use everywhere.
+fn roll_outs(fleet: &mut Fleet) {
+    let tenants: Vec<&str> = fleet.shape.tenants.iter().map(|t| t.0).collect();
+    let withdraw = |fleet: &Fleet, tenant: &str| {
+        seconds(|| _ = fleet.query(&["key-withdraw", &format!("key-{tenant}"), "--wait"]))
+    };
+    let up = (1..4).map(|at| withdraw(fleet, tenants[at])).collect();
+    println!("  key withdrawn, all up: seconds until in force {}", spread(up));
+    let mut cut_off = Vec::new();
+    for tenant in &tenants[4..7] {
+        fleet.process("agent-2").signal(libc::SIGSTOP);
+        cut_off.push(withdraw(fleet, tenant));
+        fleet.process("agent-2").signal(libc::SIGCONT);
+        Fleet::until(WAIT, || fleet.page("edge-2", "/self").contains("\"fresh\":true"));
+    }
+    println!("  key withdrawn, one agent frozen: seconds until in force {}", spread(cut_off));
+    let mut rolled = Vec::new();
+    for weights in ["w2", "w3", "w4"] {
+        rolled.push(seconds(|| {
+            let _ = fleet.query(&["weights", "m1", weights, "--wait"]);
+            let wanted = format!("\"weights\":\"{weights}\"");
+            let all = || fleet.replicas.iter().all(|(id, _)| fleet.page(id, "/load").contains(&wanted));
+            Fleet::until(WAIT, all);
+        }));
+    }
+    println!("  weights named: seconds until all replicas use them (loading takes 1.5) {}", spread(rolled));
+}
--- a/crates/run-fleet/tests/faults.rs
+++ b/crates/run-fleet/tests/faults.rs
@@ -183,3 +183,25 @@
     let number = |name: &str| sonic_rs::get(&words, [name]).unwrap().as_u64().unwrap();
     assert_eq!((number("wrong"), number("cut"), number("whole")), (0, 0, number("calls")), "{words}");
 }
+
+#[test]
+fn a_router_that_dies_leaves_its_claims_unknown() {
+    let mut fleet = fleet("claims");
+    let mut long = job(&fleet, 0, "canal", &text(300), 6000);
+    long.once = Some("stop-40".into());
+    let running = std::thread::spawn(move || call(&long));
+    let runs_there = |fleet: &Fleet| runs(fleet).iter().filter(|(_, run)| field(run, "once") == "stop-40").count();
+    assert!(Fleet::until(LONG, || runs_there(&fleet) == 1));
+    fleet.process("edge-1").kill();
+    fleet.process("agent-1").kill();
+    let result = running.join().unwrap();
+    assert!(result.cut && result.wrong.is_none());
+    // While its edge may still be about, the claim is claimed; once the edge's term is over, unknown.
+    let mut again = job(&fleet, 1, "canal", &text(300), 4);
+    again.once = Some("stop-40".into());
+    assert_eq!(call(&again).status, 409);
+    let unknown = || said(&fleet.query(&["claim", "canal", "stop-40"])).contains("\"unknown\"");
+    assert!(Fleet::until(LONG, unknown));
+    assert_eq!(call(&again).status, 409);
+    assert_eq!(runs_there(&fleet), 1);
+}
