Callers that stall are given up after 8 s instead of holding a worker for ever

Cause: tiny_http sets no time limits; a caller that stops in mid-body, or takes nothing of its stream, held one of 64 workers without end, past its budget and its key. The limits are now set on the stream itself. Ruled out: bodies up to 1 KiB, which the library reads on threads of its own.

--- a/crates/fleet-common/src/http_in.rs
+++ b/crates/fleet-common/src/http_in.rs
@@ -1,6 +1,7 @@
 //! Answering over HTTP/1.1, through `tiny_http`. The library's chunked writer holds pieces back and
 //! ends a body cleanly even after an error, and dropping its raw writer leaves the stream open. So
 //! pieces are framed here on the raw writer, and a cut shuts the stream itself.
+use crate::stream_of::{bound_waiting, caller_left, with_stream};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
@@ -160,39 +161,6 @@
     }
 }
 
-/// Finds our end of the caller's stream. The request or writer we hold keeps it open, so the
-/// address stands for this stream alone while we look.
-fn with_stream(caller: Option<SocketAddr>, act: impl Fn(i32) -> bool) -> bool {
-    let Some(SocketAddr::V4(caller)) = caller else {
-        return false;
-    };
-    let Ok(entries) = std::fs::read_dir("/proc/self/fd") else {
-        return false;
-    };
-    for fd in entries.flatten().filter_map(|e| e.file_name().to_str()?.parse::<i32>().ok()) {
-        let mut at: libc::sockaddr_in = unsafe { std::mem::zeroed() };
-        let mut size = std::mem::size_of::<libc::sockaddr_in>() as libc::socklen_t;
-        let found = unsafe { libc::getpeername(fd, (&raw mut at).cast(), &mut size) } == 0;
-        if found
-            && at.sin_family == libc::AF_INET as u16
-            && u16::from_be(at.sin_port) == caller.port()
-            && u32::from_be(at.sin_addr.s_addr) == u32::from(*caller.ip())
-        {
-            return act(fd);
-        }
-    }
-    false
-}
-
-/// A caller that only closed its sending side (as `attohttpc` does after each request) has not left;
-/// one whose stream is broken or closed both ways has.
-fn caller_left(caller: Option<SocketAddr>) -> bool {
-    with_stream(caller, |fd| {
-        let mut look = libc::pollfd { fd, events: libc::POLLIN, revents: 0 };
-        unsafe { libc::poll(&raw mut look, 1, 0) > 0 && look.revents & (libc::POLLERR | libc::POLLHUP) != 0 }
-    })
-}
-
 /// Serves a listener with a pool of workers; oversized requests are refused before `answer` sees them.
 /// ```
 /// use fleet_common::{http_in, http_out};
@@ -229,6 +197,7 @@
     if headers.iter().map(|(n, v)| n.len() + v.len()).sum::<usize>() > HEADERS_MAX {
         return refuse(request, 431, "headers over 16 KiB");
     }
+    with_stream(request.remote_addr().copied(), bound_waiting);
     let mut body = Vec::new();
     let read = request.as_reader().take(BODY_MAX + 1).read_to_end(&mut body);
     if body.len() as u64 > BODY_MAX {
--- a/crates/fleet-common/src/lib.rs
+++ b/crates/fleet-common/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod ring;
 pub mod settings;
 pub mod signals;
+mod stream_of;
 
 pub use mishap::{Mishap, Step};
 pub use packed::{Bytes, List, Text};
--- a/crates/fleet-common/tests/edges.rs
+++ b/crates/fleet-common/tests/edges.rs
@@ -109,3 +109,26 @@
     let mut caller = frame::Caller::new(at, Duration::from_secs(5));
     assert_eq!(caller.ask::<Text, Text>(&Text::from("still here")).unwrap().as_str(), "still here");
 }
+
+#[test]
+fn a_caller_that_stalls_is_given_up() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    let (told, heard) = bounded::<std::io::Result<()>>(1);
+    http_in::serve(listener, move |incoming| {
+        let mut pieces = incoming.pieces(200, vec![]).unwrap();
+        let piece = vec![b'x'; 1 << 20];
+        let sent = (0..200).try_for_each(|_| pieces.send(&piece));
+        told.send(sent).unwrap();
+    })
+    .unwrap();
+    // One sends half of its body and stops; one takes nothing of its answer.
+    let mut half = TcpStream::connect(at).unwrap();
+    half.set_read_timeout(Some(Duration::from_secs(30))).unwrap();
+    half.write_all(b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\nabc").unwrap();
+    let deaf = ask(at, "POST / HTTP/1.1");
+    assert!(read_until(&mut half, "cut short").starts_with("HTTP/1.1 400"));
+    let sent = heard.recv_timeout(Duration::from_secs(60)).expect("the worker is stuck");
+    assert!(sent.is_err());
+    drop(deaf);
+}
