A killed run-fleet leaves no processes behind

Cause: run-fleet ended by a signal never ran its clean-up, so its fleet stayed; several were found up, and one shared its folder with the next run, which explains a roll-out that never showed. Each process now ends with the one that started it.

--- a/crates/run-fleet/src/child.rs
+++ b/crates/run-fleet/src/child.rs
@@ -1,5 +1,6 @@
 //! One process of the fleet.
 use std::net::SocketAddr;
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 
@@ -51,6 +52,12 @@
         let mut command = Command::new(programs().join(self.program));
         command.args(&self.args).stdin(Stdio::null()).stdout(Stdio::null());
         command.stderr(log.map(Stdio::from).unwrap_or_else(|_| Stdio::null()));
+        // Whatever ends us ends the fleet: a killed run-fleet must leave nobody behind.
+        let follow = || match unsafe { libc::prctl(libc::PR_SET_PDEATHSIG, libc::SIGKILL) } {
+            0 => Ok(()),
+            _ => Err(std::io::Error::last_os_error()),
+        };
+        unsafe { command.pre_exec(follow) };
         self.child = command.spawn().map_err(|e| eprintln!("run-fleet: {} cannot start: {e}", self.name)).ok();
     }
 
