One piece each for settings read again, a core's place and the log page

Three programs wrote the same re-reading of settings with its mishap, the core a fourth; two places looked for a core's place in the text of its own words; four wrote the log page. Each is one piece now.

--- a/crates/control-core/src/drive.rs
+++ b/crates/control-core/src/drive.rs
@@ -37,17 +37,20 @@
         let _ = self.inbox.send(Inbox::Leave);
     }
 
-    /// Whether this core is in the chain of the view it knows.
-    pub fn in_chain(&self) -> bool {
+    /// This core's place in the view it knows: head, chain N, tail, spare or outside.
+    pub fn place(&self) -> Option<String> {
+        use sonic_rs::JsonValueTrait;
         match self.ask(Ask::Query("self".into())) {
-            Answer::Json(text) => {
-                let words = String::from_utf8_lossy(text.as_slice()).into_owned();
-                !words.contains("\"place\":\"spare\"") && !words.contains("\"place\":\"outside\"")
-            }
-            _ => false,
+            Answer::Json(text) => Some(sonic_rs::get(text.as_slice(), ["place"]).ok()?.as_str()?.to_string()),
+            _ => None,
         }
     }
 
+    /// Whether this core is in the chain of the view it knows.
+    pub fn in_chain(&self) -> bool {
+        self.place().is_some_and(|place| place != "spare" && place != "outside")
+    }
+
     pub fn ask(&self, ask: Ask) -> Answer {
         let (sender, receiver) = bounded(1);
         let _ = self.inbox.send(Inbox::Asked(ask, sender));
--- a/crates/control-core/src/listing.rs
+++ b/crates/control-core/src/listing.rs
@@ -30,20 +30,13 @@
     Ok(replicas)
 }
 
-fn is_head(driver: &Driver) -> bool {
-    match driver.ask(Ask::Query("self".into())) {
-        Answer::Json(text) => String::from_utf8_lossy(text.as_slice()).contains("\"place\":\"head\""),
-        _ => false,
-    }
-}
-
 pub fn follow(driver: Arc<Driver>, platform: Arc<Rcu<Option<String>>>) {
     std::thread::spawn(move || {
         let mut sent: Option<(Vec<Replica>, Instant)> = None;
         let mut troubled = false;
         loop {
             std::thread::sleep(EVERY);
-            if !is_head(&driver) {
+            if driver.place().as_deref() != Some("head") {
                 sent = None;
                 continue;
             }
--- a/crates/control-core/src/main.rs
+++ b/crates/control-core/src/main.rs
@@ -11,7 +11,7 @@
 use control_chain::core::Core;
 use fleet_common::settings::{EXIT_DISK, EXIT_LISTEN};
 use fleet_common::signals::{self, Word};
-use fleet_common::{Mishap, Rcu, Step, frame, hash, http_in, ring};
+use fleet_common::{Rcu, frame, hash, http_in, ring};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -95,9 +95,6 @@
             }
             std::process::exit(0);
         }
-        Word::Settings => match settings::reread(flags.settings.as_deref(), &flags.set) {
-            Ok(changed) => platform.change(|held| *held = changed),
-            Err(faults) => ring::mishap(&Mishap::at(Step::Settings, "own settings", faults)),
-        },
+        Word::Settings => settings::reread(flags.settings.as_deref(), &flags.set, &platform),
     });
 }
--- a/crates/control-core/src/operators.rs
+++ b/crates/control-core/src/operators.rs
@@ -4,7 +4,6 @@
 use fleet_common::ask::{Answer, Ask, CoresWish};
 use fleet_common::http_in::Incoming;
 use fleet_common::json::{self, Fault, quote};
-use fleet_common::ring;
 use std::time::Duration;
 
 const WAIT: Duration = Duration::from_secs(5);
@@ -21,7 +20,7 @@
         ("POST", "commands") => command(driver, incoming),
         ("POST", "cores") => cores(driver, incoming),
         ("GET", "health") => incoming.json(200, "{\"up\":true}", vec![]),
-        ("GET", "log") => incoming.whole(200, "text/plain", ring::lines().join("\n").as_bytes(), vec![]),
+        ("GET", "log") => incoming.log(),
         ("GET", "self") => query(driver, incoming, "self"),
         ("GET", "metrics") => metrics(driver, incoming),
         ("GET", _) => query(driver, incoming, &path),
--- a/crates/control-core/src/settings.rs
+++ b/crates/control-core/src/settings.rs
@@ -1,5 +1,6 @@
 //! This program's settings.
 use control_chain::view::CoreAt;
+use fleet_common::Rcu;
 use fleet_common::settings::Settings;
 use std::path::{Path, PathBuf};
 
@@ -32,14 +33,18 @@
     if !cores.iter().any(|c| c.id == id) {
         settings.add_fault(format!("/id: {id} is not among the cores"));
     }
-    let platform = Some(settings.text_or("platform", "")).filter(|p| !p.is_empty());
+    let platform = platform_of(&mut settings);
     settings.or_exit(only_check);
     CoreSettings { id, data, cores, platform }
 }
 
-/// Reads the settings again; gives the platform's address, the one thing that may change while running.
-pub fn reread(file: Option<&Path>, pairs: &[String]) -> Result<Option<String>, String> {
+/// Reads the settings again; only the platform's address may change while running.
+pub fn reread(file: Option<&Path>, pairs: &[String], platform: &Rcu<Option<String>>) {
     let mut settings = Settings::read(file, pairs, NAMES);
-    let platform = Some(settings.text_or("platform", "")).filter(|p| !p.is_empty());
-    if settings.faults().is_empty() { Ok(platform) } else { Err(settings.faults().join("; ")) }
+    let changed = platform_of(&mut settings);
+    settings.put_to_use(|| platform.change(|held| *held = changed));
+}
+
+fn platform_of(settings: &mut Settings) -> Option<String> {
+    Some(settings.text_or("platform", "")).filter(|p| !p.is_empty())
 }
--- a/crates/fleet-common/src/http_in.rs
+++ b/crates/fleet-common/src/http_in.rs
@@ -63,6 +63,16 @@
         self.whole(status, "application/json", body.as_bytes(), extra);
     }
 
+    /// Answers with the lines of the log ring.
+    /// ```no_run
+    /// # fn show(incoming: fleet_common::http_in::Incoming) {
+    /// incoming.log();
+    /// # }
+    /// ```
+    pub fn log(self) {
+        self.whole(200, "text/plain", crate::ring::lines().join("\n").as_bytes(), vec![]);
+    }
+
     /// Answers with a whole body of any type.
     /// ```no_run
     /// # fn show(incoming: fleet_common::http_in::Incoming) -> std::io::Result<()> {
--- a/crates/fleet-common/src/settings.rs
+++ b/crates/fleet-common/src/settings.rs
@@ -1,5 +1,5 @@
 //! Settings: a JSON file, flags over it, all faults reported together.
-use crate::json;
+use crate::{Mishap, Step, json, ring};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -168,6 +168,19 @@
         &self.faults
     }
 
+    /// Puts settings that were read again to use; faulty ones change nothing and are a mishap.
+    /// ```
+    /// # use fleet_common::settings::Settings;
+    /// let settings = Settings::read(None, &["odd=1".into()], &[]);
+    /// settings.put_to_use(|| panic!("faulty settings must change nothing"));
+    /// ```
+    pub fn put_to_use(&self, put: impl FnOnce()) {
+        match self.faults() {
+            [] => put(),
+            faults => ring::mishap(&Mishap::at(Step::Settings, "own settings", faults.join("; "))),
+        }
+    }
+
     /// Ends the process when there are faults (all shown), or when only a check was wanted.
     /// ```no_run
     /// # use fleet_common::settings::Settings;
--- a/crates/prefix-index/src/answers.rs
+++ b/crates/prefix-index/src/answers.rs
@@ -4,7 +4,6 @@
 use fleet_common::ask::{Answer, Ask, audit};
 use fleet_common::http_in::Incoming;
 use fleet_common::json::quote;
-use fleet_common::ring;
 use prefix_table::table::Table;
 
 pub fn answer(shared: &Shared, ask: Ask) -> Answer {
@@ -49,7 +48,7 @@
 pub fn page(shared: &Shared, incoming: Incoming) {
     match incoming.path.as_str() {
         "/health" => incoming.json(200, "{\"up\":true}", vec![]),
-        "/log" => incoming.whole(200, "text/plain", ring::lines().join("\n").as_bytes(), vec![]),
+        "/log" => incoming.log(),
         "/self" => incoming.json(200, &words(shared), vec![]),
         "/metrics" => incoming.whole(200, "text/plain; version=0.0.4", metrics(shared).as_bytes(), vec![]),
         _ => incoming.json(404, "{\"error\":{\"pointer\":\"\",\"what\":\"no such page\"}}", vec![]),
--- a/crates/prefix-index/src/main.rs
+++ b/crates/prefix-index/src/main.rs
@@ -10,7 +10,7 @@
 use fleet_common::node::{Identity, Link, Seeds, follow};
 use fleet_common::settings::{EXIT_LISTEN, Settings, listen as listen_on};
 use fleet_common::signals::{self, Word};
-use fleet_common::{Mishap, Rcu, Step, frame, hash, http_in, ring};
+use fleet_common::{Rcu, frame, hash, http_in, ring};
 use known::Shared;
 use std::sync::Arc;
 
@@ -73,10 +73,7 @@
         Word::Settings => {
             let mut settings = Settings::read(flags.settings.as_deref(), &flags.set, NAMES);
             let changed = settings.addresses("seeds");
-            match settings.faults() {
-                [] => seeds.change(|held| *held = changed),
-                faults => ring::mishap(&Mishap::at(Step::Settings, "own settings", faults.join("; "))),
-            }
+            settings.put_to_use(|| seeds.change(|held| *held = changed));
         }
     });
 }
--- a/crates/request-router/src/main.rs
+++ b/crates/request-router/src/main.rs
@@ -16,7 +16,7 @@
 
 use fleet_common::settings::{EXIT_LISTEN, Settings, listen as listen_on};
 use fleet_common::signals::{self, Word};
-use fleet_common::{Mishap, Step, frame, http_in, ring};
+use fleet_common::{frame, http_in, ring};
 use shared::Shared;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -89,10 +89,7 @@
         Word::Settings => {
             let mut settings = Settings::read(flags.settings.as_deref(), &flags.set, NAMES);
             let drain_ms = settings.number("drainMs", 8000, 0, 600_000);
-            match settings.faults() {
-                [] => shared.drain_ms.store(drain_ms, Ordering::Relaxed),
-                faults => ring::mishap(&Mishap::at(Step::Settings, "own settings", faults.join("; "))),
-            }
+            settings.put_to_use(|| shared.drain_ms.store(drain_ms, Ordering::Relaxed));
         }
     });
 }
--- a/crates/request-router/src/pages.rs
+++ b/crates/request-router/src/pages.rs
@@ -2,7 +2,6 @@
 use crate::shared::Shared;
 use fleet_common::http_in::Incoming;
 use fleet_common::json::quote;
-use fleet_common::ring;
 use std::sync::atomic::Ordering;
 
 pub fn answer(shared: &Shared, incoming: Incoming) {
@@ -17,7 +16,7 @@
         "/metrics" => {
             incoming.whole(200, "text/plain; version=0.0.4", shared.counters.words().as_bytes(), vec![]);
         }
-        "/log" => incoming.whole(200, "text/plain", ring::lines().join("\n").as_bytes(), vec![]),
+        "/log" => incoming.log(),
         "/requests" => {
             let ids: Vec<String> = shared.explains().latest(50).iter().map(|id| quote(id)).collect();
             incoming.json(200, &format!("[{}]", ids.join(",")), vec![]);
--- a/crates/router-agent/src/main.rs
+++ b/crates/router-agent/src/main.rs
@@ -6,7 +6,7 @@
 use fleet_common::node::{Identity, Link, Seeds};
 use fleet_common::settings::{EXIT_LISTEN, Settings, listen as listen_on};
 use fleet_common::signals::{self, Word};
-use fleet_common::{Mishap, Rcu, Step, frame, hash, http_in, ring};
+use fleet_common::{Rcu, frame, hash, http_in, ring};
 use held::Held;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -89,7 +89,7 @@
     let served = http_in::serve(pages, move |incoming| match incoming.path.as_str() {
         "/health" => incoming.json(200, "{\"up\":true}", vec![]),
         "/self" => incoming.json(200, &for_pages.words(), vec![]),
-        "/log" => incoming.whole(200, "text/plain", ring::lines().join("\n").as_bytes(), vec![]),
+        "/log" => incoming.log(),
         _ => incoming.json(404, "{\"error\":{\"pointer\":\"\",\"what\":\"no such page\"}}", vec![]),
     });
     if served.is_err() {
@@ -138,10 +138,7 @@
         Word::Settings => {
             let mut settings = Settings::read(flags.settings.as_deref(), &flags.set, NAMES);
             let changed = settings.addresses("seeds");
-            match settings.faults() {
-                [] => seeds.change(|held| *held = changed),
-                faults => ring::mishap(&Mishap::at(Step::Settings, "own settings", faults.join("; "))),
-            }
+            settings.put_to_use(|| seeds.change(|held| *held = changed));
         }
     });
 }
