Listing and once-claims: late answers and late claims can no longer undo newer ones

Cause: a thread asked the platform and put what it got over whatever held by then; a head slow or frozen between the two put an older listing, without a leaving mark, over a newer one, and a new head kept quiet for 10 s. The head's step machine now says when to ask, puts an answer only over the version it asked over, and forgets its asks with its view. Ruled out: two heads both committing; views forbid it.

Cause: a settlement that passed its own claim was refused, and the claim then stood with nobody to settle it; and the oldest claim went when 50 000 others came, so a late repeat ran twice. `not run` is kept against a late claim; claims are kept 60 minutes counted by heads' monotonic clocks, never too short; without room a new claim is refused.

--- a/crates/control-chain/src/asked.rs
+++ b/crates/control-chain/src/asked.rs
@@ -10,7 +10,7 @@
         let versions: Vec<String> =
             SOURCES.iter().zip(self.vector()).map(|(name, version)| format!("{}:{version}", quote(name))).collect();
         format!(
-            "{{\"id\":{},\"incarnation\":{},\"view\":{},\"place\":{},\"full\":{},\"sick\":{},\"seq\":{},\"synced\":{},\"committed\":{},\"term\":{},\"versions\":{{{}}}}}",
+            "{{\"id\":{},\"incarnation\":{},\"view\":{},\"place\":{},\"full\":{},\"sick\":{},\"seq\":{},\"synced\":{},\"committed\":{},\"term\":{},\"listing\":{},\"versions\":{{{}}}}}",
             self.me.id,
             quote(&self.me.incarnation.to_string()),
             quote(&self.meta.view.words()),
@@ -27,6 +27,7 @@
             self.synced,
             self.committed,
             self.holds_term(),
+            self.chores.lister.words(),
             versions.join(","),
         )
     }
--- /dev/null
+++ b/crates/control-chain/src/chores.rs
@@ -0,0 +1,57 @@
+//! What the head does unasked: it follows the platform's listing and counts the minutes by which old
+//! once-claims are told. Both by its monotonic clock alone.
+use crate::command::{Command, Envelope};
+use crate::core::Core;
+use crate::lister::{Listed, Lister, Verdict};
+use crate::steps::Output;
+use fleet_common::ask::REPLICAS;
+use std::time::Duration;
+
+/// How much time each `Minute` command stands for, at the least.
+pub const MINUTE: Duration = Duration::from_secs(60);
+
+#[derive(Default)]
+pub(crate) struct Chores {
+    pub lister: Lister,
+    minute_begun: Option<Duration>,
+}
+
+impl Core {
+    /// Another view holds: what this core had begun as head of the last one is over.
+    pub(crate) fn drop_chores(&mut self) {
+        self.chores.lister.forget();
+        self.chores.minute_begun = None;
+    }
+
+    pub(crate) fn chores_tick(&mut self) {
+        if !self.is_head() || self.sick {
+            return self.drop_chores();
+        }
+        let version = self.state.versions[REPLICAS];
+        if let Some(number) = self.chores.lister.due(self.now, version) {
+            self.out.push(Output::Poll(number));
+        }
+        let begun = *self.chores.minute_begun.get_or_insert(self.now);
+        if self.now.saturating_sub(begun) >= MINUTE {
+            self.chores.minute_begun = Some(self.now);
+            if !self.state.claims.is_empty() {
+                self.take_command(None, &Envelope::bare(Command::Minute));
+            }
+        }
+    }
+
+    pub(crate) fn on_listed(&mut self, number: u64, listed: Listed) {
+        if !self.is_head() || self.sick {
+            return;
+        }
+        let version = self.state.versions[REPLICAS];
+        match self.chores.lister.take(self.now, number, listed, &self.state.replicas, version) {
+            Some(Verdict::Put(replicas, over)) => {
+                let command = Command::Listing { replicas };
+                self.take_command(None, &Envelope { id: String::new(), expect: Some(over), command });
+            }
+            Some(Verdict::Unused(fault, true)) => self.note(format!("the platform's listing is not used: {fault}")),
+            _ => {}
+        }
+    }
+}
--- a/crates/control-chain/src/command.rs
+++ b/crates/control-chain/src/command.rs
@@ -37,17 +37,54 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
 pub enum Command {
-    Blueprint { blueprint: Blueprint },
-    KeyAdd { key: String, tenant: String },
-    KeyWithdraw { key: String },
-    Weights { model: String, weights: String },
-    Listing { replicas: Vec<Replica> },
-    Join { node: String, member: Node },
-    Lapse { node: String, incarnation: u64 },
-    DutyTake { replica: String, node: String },
-    DutyGive { replica: String, node: String, fence: u64 },
-    Claim { tenant: String, key: String, edge: String, request: String },
-    Settle { tenant: String, key: String, request: String, ran: Ran },
+    Blueprint {
+        blueprint: Blueprint,
+    },
+    KeyAdd {
+        key: String,
+        tenant: String,
+    },
+    KeyWithdraw {
+        key: String,
+    },
+    Weights {
+        model: String,
+        weights: String,
+    },
+    Listing {
+        replicas: Vec<Replica>,
+    },
+    Join {
+        node: String,
+        member: Node,
+    },
+    Lapse {
+        node: String,
+        incarnation: u64,
+    },
+    DutyTake {
+        replica: String,
+        node: String,
+    },
+    DutyGive {
+        replica: String,
+        node: String,
+        fence: u64,
+    },
+    Claim {
+        tenant: String,
+        key: String,
+        edge: String,
+        request: String,
+    },
+    Settle {
+        tenant: String,
+        key: String,
+        request: String,
+        ran: Ran,
+    },
+    /// A minute of the head's monotonic clock has passed: old claims may go.
+    Minute,
 }
 
 /// A command with its id (askable later; may be empty) and the version it expects to replace.
--- a/crates/control-chain/src/core.rs
+++ b/crates/control-chain/src/core.rs
@@ -1,6 +1,7 @@
 //! A core machine as a state machine: (now, input) gives outputs. Threads or a simulator drive it.
 use crate::agreeing::Proposal;
 use crate::answering::{Parked, Seen};
+use crate::chores::Chores;
 use crate::command::{Envelope, Outcome};
 use crate::message::{Chain, Sent};
 use crate::state::State;
@@ -58,6 +59,7 @@
     pub(crate) lapse_asked: Duration,
     pub(crate) last_beat: Option<Duration>,
     pub(crate) capturing: bool,
+    pub(crate) chores: Chores,
     pub(crate) capture_every: usize,
     pub(crate) out: Vec<Output>,
 }
@@ -133,6 +135,7 @@
             lapse_asked: now,
             last_beat: None,
             capturing: false,
+            chores: Chores::default(),
             capture_every: CAPTURE_EVERY,
             out: Vec::new(),
         })
@@ -212,6 +215,7 @@
                 self.note("warned: leaving the chain".into());
                 self.beat_all(true);
             }
+            Input::Listed(number, listed) => self.on_listed(number, listed),
             Input::Asked(token, ask) => self.on_asked(token, ask),
         }
         std::mem::take(&mut self.out)
@@ -226,24 +230,4 @@
     pub fn signed(&self, message: Chain) -> Sent {
         Sent { from: self.me.id, incarnation: self.me.incarnation, message }
     }
-
-    pub(crate) fn send(&mut self, to: u8, message: Chain) {
-        if to == self.me.id {
-            let sent = Sent { from: to, incarnation: self.me.incarnation, message };
-            self.on_heard(sent);
-        } else {
-            self.out.push(Output::Send(to, message));
-        }
-    }
-
-    pub(crate) fn keep(&mut self, records: Vec<Record>, after: After) {
-        let ticket = self.next_ticket;
-        self.next_ticket += 1;
-        self.tickets.push_back((ticket, self.now, after));
-        self.out.push(Output::Keep(ticket, records));
-    }
-
-    pub(crate) fn note(&mut self, line: String) {
-        self.out.push(Output::Note(line));
-    }
 }
--- a/crates/control-chain/src/hearing.rs
+++ b/crates/control-chain/src/hearing.rs
@@ -17,6 +17,7 @@
         }
         self.agree_tick();
         self.answer_tick();
+        self.chores_tick();
     }
 
     pub(crate) fn beat_all(&mut self, stalled: bool) {
--- a/crates/control-chain/src/installing.rs
+++ b/crates/control-chain/src/installing.rs
@@ -50,6 +50,7 @@
     }
 
     fn settle_in(&mut self) {
+        self.drop_chores();
         self.proposal = None;
         self.held_prepare = None;
         self.trouble_since = None;
--- a/crates/control-chain/src/lib.rs
+++ b/crates/control-chain/src/lib.rs
@@ -1,9 +1,12 @@
 //! The control state and the chain that keeps it: no I/O here, only steps.
 
 pub mod blueprint;
+mod chores;
+mod claiming;
 pub mod command;
 pub mod core;
 pub mod fleet;
+pub mod lister;
 pub mod message;
 pub mod relay;
 pub mod rules;
--- a/crates/control-chain/src/ruling.rs
+++ b/crates/control-chain/src/ruling.rs
@@ -1,6 +1,6 @@
 //! What each command does to the state, or why it is refused.
-use crate::command::{Command, Ran};
-use crate::state::{CLAIMS_KEPT, Claim, Duty, Key, State, claim_name};
+use crate::command::Command;
+use crate::state::{Duty, Key, State};
 use fleet_common::ask::{BLUEPRINT, DUTIES, KEYS, MEMBERS, REPLICAS};
 
 pub(crate) type Ruling = Result<String, (u16, String)>;
@@ -17,7 +17,7 @@
             Command::Listing { .. } => Some(REPLICAS),
             Command::Join { .. } | Command::Lapse { .. } => Some(MEMBERS),
             Command::DutyTake { .. } | Command::DutyGive { .. } => Some(DUTIES),
-            Command::Claim { .. } | Command::Settle { .. } => None,
+            Command::Claim { .. } | Command::Settle { .. } | Command::Minute => None,
         }
     }
 
@@ -75,8 +75,7 @@
                 }
                 self.members.remove(node);
                 // What a lapsed edge had claimed and not settled can only be called unknown.
-                let open = self.claims.values_mut().filter(|c| c.edge == *node && c.ran == Ran::Claimed);
-                open.for_each(|claim| claim.ran = Ran::Unknown);
+                self.unknown_claims_of(node);
                 done("lapsed")
             }
             Command::DutyTake { replica, node } => self.duty_take(replica, node),
@@ -88,14 +87,12 @@
                 _ => no(409, "not the holder"),
             },
             Command::Claim { tenant, key, edge, request } => self.claim(tenant, key, edge, request),
-            Command::Settle { tenant, key, request, ran } => match self.claims.get_mut(&claim_name(tenant, key)) {
-                Some(claim) if claim.request == *request && claim.ran == Ran::Claimed => {
-                    claim.ran = *ran;
-                    done("settled")
-                }
-                Some(claim) if claim.request == *request && claim.ran == *ran => same(),
-                _ => no(409, "not this request's claim, or settled otherwise"),
-            },
+            Command::Settle { tenant, key, request, ran } => self.settle(tenant, key, request, *ran),
+            Command::Minute => {
+                self.minute += 1;
+                self.forget_old_claims();
+                done("a minute counted")
+            }
         }
     }
 
@@ -120,24 +117,4 @@
         self.duties.insert(replica.to_string(), duty);
         Ok(format!("fence {}", self.fence))
     }
-
-    fn claim(&mut self, tenant: &str, key: &str, edge: &str, request: &str) -> Ruling {
-        let name = claim_name(tenant, key);
-        if let Some(claim) = self.claims.get_mut(&name) {
-            if claim.request == request && claim.ran == Ran::Claimed {
-                return Ok("claimed".into());
-            }
-            if claim.ran != Ran::NotRun {
-                return no(409, sonic_rs::to_string(claim).unwrap_or_default());
-            }
-            *claim = Claim { edge: edge.into(), request: request.into(), ran: Ran::Claimed };
-            return Ok("claimed".into());
-        }
-        self.claims.insert(name.clone(), Claim { edge: edge.into(), request: request.into(), ran: Ran::Claimed });
-        self.claim_order.push_back(name);
-        while self.claim_order.len() > CLAIMS_KEPT {
-            self.claim_order.pop_front().map(|old| self.claims.remove(&old));
-        }
-        Ok("claimed".into())
-    }
 }
--- a/crates/control-chain/src/state.rs
+++ b/crates/control-chain/src/state.rs
@@ -8,8 +8,13 @@
 
 /// How many command outcomes stay askable.
 pub const OUTCOMES_KEPT: usize = 10_000;
-/// How many once-claims are remembered. By count, not by clock: clocks jump.
-pub const CLAIMS_KEPT: usize = 50_000;
+/// How many once-claims are remembered at most: further ones are refused, none is forgotten for them.
+pub const CLAIMS_MOST: usize = 50_000;
+/// For how many counted minutes a settled once-claim is remembered. Heads count them by their
+/// monotonic clocks and begin anew when another becomes head: never too soon, whatever clocks do.
+pub const CLAIM_MINUTES: u64 = 60;
+/// How many requests that gave a claim up are remembered with it.
+pub(crate) const VOIDED_MOST: usize = 16;
 
 /// A key's print stands for a tenant until it is withdrawn.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -35,6 +40,12 @@
     pub edge: String,
     pub request: String,
     pub ran: Ran,
+    /// The counted minute of its last change.
+    #[serde(default)]
+    pub minute: u64,
+    /// Requests that said they would not run: a claim of theirs that comes late is refused.
+    #[serde(default)]
+    pub voided: Vec<String>,
 }
 
 /// All control state.
@@ -49,7 +60,8 @@
     pub duties: BTreeMap<String, Duty>,
     pub fence: u64,
     pub claims: BTreeMap<String, Claim>,
-    pub claim_order: VecDeque<String>,
+    #[serde(default)]
+    pub minute: u64,
     pub outcomes: BTreeMap<String, (u64, Outcome)>,
     pub outcome_order: VecDeque<String>,
 }
--- a/crates/control-chain/src/steps.rs
+++ b/crates/control-chain/src/steps.rs
@@ -1,4 +1,5 @@
 //! What a core reacts to and what it wants done.
+use crate::core::Core;
 use crate::message::{Beat, Chain, Sent};
 use crate::view::Meta;
 use fleet_common::Bytes;
@@ -25,6 +26,8 @@
     Synced(u64, bool),
     /// This machine is to stop: leave the chain first.
     Leave,
+    /// What came of asking the platform for its listing.
+    Listed(u64, crate::lister::Listed),
     /// Someone asks; the token names whom to answer.
     Asked(u64, Ask),
 }
@@ -35,6 +38,8 @@
     Send(u8, Chain),
     Keep(u64, Vec<Record>),
     Answer(u64, Answer),
+    /// The platform is to be asked for its listing.
+    Poll(u64),
     Note(String),
 }
 
@@ -59,3 +64,25 @@
     pub capture: Option<(u64, Vec<u8>)>,
     pub entries: Vec<(u64, Bytes)>,
 }
+
+impl Core {
+    pub(crate) fn send(&mut self, to: u8, message: Chain) {
+        if to == self.me.id {
+            let sent = Sent { from: to, incarnation: self.me.incarnation, message };
+            self.on_heard(sent);
+        } else {
+            self.out.push(Output::Send(to, message));
+        }
+    }
+
+    pub(crate) fn keep(&mut self, records: Vec<Record>, after: After) {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        self.tickets.push_back((ticket, self.now, after));
+        self.out.push(Output::Keep(ticket, records));
+    }
+
+    pub(crate) fn note(&mut self, line: String) {
+        self.out.push(Output::Note(line));
+    }
+}
--- a/crates/control-chain/tests/sim/mod.rs
+++ b/crates/control-chain/tests/sim/mod.rs
@@ -4,7 +4,9 @@
 pub mod disk;
 pub mod edges;
 pub mod history;
+pub mod platform;
 
+use control_chain::command::Replica;
 use control_chain::core::{Core, Input, Output};
 use control_chain::message::{Chain, Sent};
 use control_chain::view::{CoreAt, Member, Meta, View};
@@ -22,6 +24,7 @@
     Deliver(u8, Sent),
     Synced(u8, u64, u64),
     Tick(u8, u64),
+    Listed(u8, u64, u64, Vec<Replica>),
 }
 
 pub struct Node {
@@ -52,6 +55,10 @@
     pub answers: BTreeMap<u64, Answer>,
     next_token: u64,
     disks: Disks,
+    /// What the platform lists now, if there is one, and how long its answers may take at the most.
+    pub platform: Option<(Vec<Replica>, u64)>,
+    /// The guard switched off: an answer is put to the core as a bare command, whoever is head by then.
+    pub bare_listing: bool,
 }
 
 pub fn places() -> Vec<CoreAt> {
@@ -73,6 +80,8 @@
             answers: BTreeMap::new(),
             next_token: 0,
             disks,
+            platform: None,
+            bare_listing: false,
         };
         for id in 1..=4u8 {
             let founding =
@@ -86,7 +95,7 @@
         world
     }
 
-    fn at(&mut self, when: Duration, event: Event) {
+    pub(super) fn at(&mut self, when: Duration, event: Event) {
         self.order += 1;
         self.queue.insert((when, self.order), event);
     }
@@ -134,7 +143,7 @@
         Some(token)
     }
 
-    fn step(&mut self, id: u8, input: Input) {
+    pub(super) fn step(&mut self, id: u8, input: Input) {
         let now = self.now;
         let Some(node) = self.nodes.get_mut(&id) else { return };
         let Some(core) = node.core.as_mut() else { return };
@@ -151,6 +160,7 @@
                     self.at(when, Event::Synced(id, boot, ticket));
                 }
                 Output::Answer(token, answer) => _ = self.answers.insert(token, answer),
+                Output::Poll(number) => self.poll(id, boot, number),
                 Output::Note(_) => {}
             }
         }
@@ -184,7 +194,7 @@
 
     fn handle(&mut self, order: u64, event: Event) {
         let id = match &event {
-            Event::Deliver(id, _) | Event::Synced(id, ..) | Event::Tick(id, _) => *id,
+            Event::Deliver(id, _) | Event::Synced(id, ..) | Event::Tick(id, _) | Event::Listed(id, ..) => *id,
         };
         let node = self.nodes.get_mut(&id).unwrap();
         if node.frozen_until > self.now {
@@ -203,6 +213,7 @@
                 let good = !self.nodes[&id].disk.failed;
                 self.step(id, Input::Synced(ticket, good));
             }
+            Event::Listed(_, of, number, rows) if of == boot => self.listed(id, number, rows),
             Event::Tick(_, of) if of == boot && self.nodes[&id].core.is_some() => {
                 self.step(id, Input::Tick);
                 let next = self.now + ms(20);
@@ -229,13 +240,4 @@
             }
         }
     }
-
-    /// How many cores hold everything in a chain of three.
-    pub fn whole_chain(&self) -> bool {
-        let cores: Vec<&Core> = self.nodes.values().filter_map(|n| n.core.as_ref()).collect();
-        let top = cores.iter().map(|c| c.view().n).max().unwrap_or(0);
-        cores.len() == 4
-            && cores.iter().all(|c| c.view().n == top && c.view().chain.items().len() == 3)
-            && cores.iter().all(|c| c.holds_all_of_its_place())
-    }
 }
--- a/crates/control-core/src/drive.rs
+++ b/crates/control-core/src/drive.rs
@@ -3,6 +3,7 @@
 use crate::disk::Store;
 use crate::links::Links;
 use control_chain::core::{Core, Input, Output, Record};
+use control_chain::lister::Listed;
 use control_chain::message::Sent;
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded, unbounded};
 use fleet_common::ask::{Answer, Ask};
@@ -18,6 +19,7 @@
     Heard(Sent),
     Synced(u64, bool),
     Asked(Ask, Sender<Answer>),
+    Listed(u64, Listed),
     Leave,
 }
 
@@ -32,6 +34,11 @@
         let _ = self.inbox.send(Inbox::Heard(sent));
     }
 
+    /// What the platform listed when it was asked under this number.
+    pub fn listed(&self, number: u64, listed: Listed) {
+        let _ = self.inbox.send(Inbox::Listed(number, listed));
+    }
+
     /// Has this core leave the chain.
     pub fn leave(&self) {
         let _ = self.inbox.send(Inbox::Leave);
@@ -107,7 +114,7 @@
     }
 }
 
-pub fn start(mut core: Core, store: impl Store + 'static) -> Driver {
+pub fn start(mut core: Core, store: impl Store + 'static, polls: Sender<u64>) -> Driver {
     let (inbox, receiver) = unbounded();
     let (jobs, job_receiver) = unbounded();
     let for_disk = inbox.clone();
@@ -128,6 +135,7 @@
                     asking.insert(token, sender);
                     Input::Asked(token, ask)
                 }
+                Ok(Inbox::Listed(number, listed)) => Input::Listed(number, listed),
                 Ok(Inbox::Leave) => Input::Leave,
                 Err(RecvTimeoutError::Timeout) => Input::Tick,
                 Err(RecvTimeoutError::Disconnected) => return,
@@ -151,6 +159,7 @@
                             let _ = sender.try_send(answer);
                         }
                     }
+                    Output::Poll(number) => _ = polls.try_send(number),
                     Output::Note(line) => ring::note(&line),
                 }
             }
--- a/crates/control-core/src/listing.rs
+++ b/crates/control-core/src/listing.rs
@@ -1,14 +1,13 @@
-//! The platform's listing of replicas: the head asks for it and puts changes through the chain.
+//! The platform's listing of replicas: asked for when the head says so, read strictly, handed back.
 use crate::drive::Driver;
-use control_chain::command::{Command, Envelope, Replica};
-use fleet_common::ask::{Answer, Ask};
+use control_chain::command::Replica;
+use crossbeam::channel::Receiver;
 use fleet_common::json::{self, Fault};
-use fleet_common::{Mishap, Rcu, Step, http_out, ring};
+use fleet_common::{Rcu, http_out};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-const EVERY: Duration = Duration::from_millis(250);
-const ANEW: Duration = Duration::from_secs(10);
+const WAIT: Duration = Duration::from_secs(1);
 
 fn read(text: &[u8]) -> Result<Vec<Replica>, Fault> {
     let root = json::root(text)?;
@@ -26,42 +25,18 @@
             leaving: row.need("leaving")?.truth()?,
         });
     }
-    replicas.sort_by(|a, b| a.id.cmp(&b.id));
     Ok(replicas)
 }
 
-pub fn follow(driver: Arc<Driver>, platform: Arc<Rcu<Option<String>>>) {
+/// Asks the platform whenever the core wants to know. Without a platform nothing is answered.
+pub fn follow(driver: Arc<Driver>, platform: Arc<Rcu<Option<String>>>, polls: Receiver<u64>) {
     std::thread::spawn(move || {
-        let mut sent: Option<(Vec<Replica>, Instant)> = None;
-        let mut troubled = false;
-        loop {
-            std::thread::sleep(EVERY);
-            if driver.place().as_deref() != Some("head") {
-                sent = None;
-                continue;
-            }
+        for number in polls {
             let Some(platform) = platform.read().as_ref().clone() else { continue };
-            let url = format!("http://{platform}/replicas");
-            let listing = http_out::json("GET", &url, "", Duration::from_secs(1))
-                .and_then(|text| read(text.as_bytes()).map_err(|e| Mishap::at(Step::Decode, &platform, e)));
-            let replicas = match listing {
-                Ok(replicas) => replicas,
-                Err(mishap) => {
-                    if !troubled {
-                        ring::mishap(&mishap);
-                    }
-                    troubled = true;
-                    continue;
-                }
-            };
-            troubled = false;
-            if sent.as_ref().is_some_and(|(last, at)| *last == replicas && at.elapsed() < ANEW) {
-                continue;
-            }
-            let command = Envelope::bare(Command::Listing { replicas: replicas.clone() });
-            if let Answer::Json(_) = driver.ask(Ask::Command(command.pack().into())) {
-                sent = Some((replicas, Instant::now()));
-            }
+            let listed = http_out::json("GET", &format!("http://{platform}/replicas"), "", WAIT)
+                .map_err(|mishap| mishap.to_string())
+                .and_then(|text| read(text.as_bytes()).map_err(|fault| format!("{platform}: {fault}")));
+            driver.listed(number, listed);
         }
     });
 }
--- a/crates/control-core/src/main.rs
+++ b/crates/control-core/src/main.rs
@@ -62,7 +62,8 @@
         eprintln!("control-core: disk state is damaged: {e}; refusing to start");
         std::process::exit(EXIT_DISK)
     });
-    let driver = drive::start(core, disk);
+    let (polls, polled) = crossbeam::channel::bounded(4);
+    let driver = drive::start(core, disk, polls);
     let inbox = driver.clone();
     frame::serve(chain, move |sent: control_chain::message::Sent| {
         inbox.heard(sent);
@@ -73,7 +74,7 @@
     let driver = Arc::new(driver);
     let platform = Arc::new(Rcu::new(settings.platform.clone()));
     heed(driver.clone(), platform.clone(), flags);
-    listing::follow(driver.clone(), platform);
+    listing::follow(driver.clone(), platform, polled);
     let served = http_in::serve(http, move |incoming| operators::answer(&driver, incoming));
     if let Err(e) = served {
         eprintln!("control-core: {e}");
