--- a/crates/control-chain/src/blueprint.rs
+++ b/crates/control-chain/src/blueprint.rs
@@ -56,6 +56,13 @@
     pub per_replica: u64,
     pub per_edge: u64,
     pub stall_ms: u64,
+    /// The share of a model's replicas, in percent, that goes on serving while weights are rolled out.
+    #[serde(default = "keep_serving")]
+    pub keep_serving: u64,
+}
+
+fn keep_serving() -> u64 {
+    60
 }
 
 /// A whole blueprint.
@@ -183,12 +190,13 @@
     }
 
     fn read_limits(root: &Place<'_>) -> Result<Limits, Fault> {
-        let mut limits = Limits { per_replica: 8, per_edge: 48, stall_ms: 10_000 };
+        let mut limits = Limits { per_replica: 8, per_edge: 48, stall_ms: 10_000, keep_serving: keep_serving() };
         if let Some(at) = root.maybe("limits")? {
-            at.only(&["perReplica", "perEdge", "stallMs"])?;
+            at.only(&["perReplica", "perEdge", "stallMs", "keepServing"])?;
             limits.per_replica = number(&at, "perReplica", 8, 1, 1000)?;
-            limits.per_edge = number(&at, "perEdge", 48, 1, 60)?;
+            limits.per_edge = number(&at, "perEdge", 48, 1, 4092)?;
             limits.stall_ms = number(&at, "stallMs", 10_000, 100, 600_000)?;
+            limits.keep_serving = number(&at, "keepServing", keep_serving(), 0, 95)?;
         }
         Ok(limits)
     }
--- a/crates/control-chain/src/fleet.rs
+++ b/crates/control-chain/src/fleet.rs
@@ -6,7 +6,7 @@
 use fleet_common::node::Identity;
 use fleet_common::{hash, ring};
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::Duration;
 
 /// The model name under which the platform lists a prefix store: a source, never a place.
 pub const STORE: &str = "@store";
@@ -19,7 +19,7 @@
     pub vector: Vector,
     pub blueprint: Option<Blueprint>,
     /// For each model its weights and since when this node knows them to be named.
-    pub weights_since: BTreeMap<String, (String, Instant)>,
+    pub weights_since: BTreeMap<String, (String, Duration)>,
     pub keys: BTreeMap<String, Key>,
     pub replicas: Vec<Replica>,
     pub members: BTreeMap<String, Node>,
@@ -46,18 +46,18 @@
     /// use fleet_common::ask::{KEYS, Versioned};
     /// let news = |version, text: &str| Versioned { source: KEYS as u8, version, value: text.as_bytes().to_vec().into() };
     /// let mut fleet = Fleet::default();
-    /// fleet.take(&news(5, r#"{"p":{"tenant":"t","withdrawn":true}}"#));
-    /// fleet.take(&news(4, "{}"));
-    /// fleet.take(&news(6, "{\"p\":"));
+    /// fleet.take(std::time::Duration::ZERO, &news(5, r#"{"p":{"tenant":"t","withdrawn":true}}"#));
+    /// fleet.take(std::time::Duration::ZERO, &news(4, "{}"));
+    /// fleet.take(std::time::Duration::ZERO, &news(6, "{\"p\":"));
     /// assert_eq!((fleet.vector[KEYS], fleet.keys["p"].withdrawn), (5, true));
     /// ```
-    pub fn take(&mut self, news: &Versioned) {
+    pub fn take(&mut self, now: Duration, news: &Versioned) {
         let at = news.source as usize;
         if at >= SOURCES.len() || news.version <= self.vector[at] {
             return;
         }
         let taken = match at {
-            BLUEPRINT => parse::<Option<Blueprint>>(news).map(|blueprint| self.take_blueprint(blueprint)),
+            BLUEPRINT => parse::<Option<Blueprint>>(news).map(|blueprint| self.take_blueprint(now, blueprint)),
             KEYS => parse(news).map(|v| self.keys = v),
             REPLICAS => parse(news).map(|v| self.replicas = v),
             MEMBERS => parse(news).map(|v| self.members = v),
@@ -75,17 +75,17 @@
     /// use control_chain::fleet::Fleet;
     /// use fleet_common::ask::{KEYS, Versioned};
     /// let broken = Versioned { source: KEYS as u8, version: 1, value: b"{".to_vec().into() };
-    /// assert!(!Fleet::default().take_all(&[broken]));
+    /// assert!(!Fleet::default().take_all(std::time::Duration::ZERO, &[broken]));
     /// ```
-    pub fn take_all(&mut self, news: &[Versioned]) -> bool {
-        news.iter().for_each(|one| self.take(one));
+    pub fn take_all(&mut self, now: Duration, news: &[Versioned]) -> bool {
+        news.iter().for_each(|one| self.take(now, one));
         news.iter().all(|one| self.vector.get(one.source as usize).is_some_and(|held| *held >= one.version))
     }
 
-    fn take_blueprint(&mut self, blueprint: Option<Blueprint>) {
+    fn take_blueprint(&mut self, now: Duration, blueprint: Option<Blueprint>) {
         for (name, model) in blueprint.iter().flat_map(|b| &b.models) {
             if self.weights_since.get(name).is_none_or(|(weights, _)| *weights != model.weights) {
-                self.weights_since.insert(name.clone(), (model.weights.clone(), Instant::now()));
+                self.weights_since.insert(name.clone(), (model.weights.clone(), now));
             }
         }
         self.blueprint = blueprint;
--- a/crates/control-chain/tests/sim/edges.rs
+++ b/crates/control-chain/tests/sim/edges.rs
@@ -144,7 +144,7 @@
             debug_assert!(due <= now);
             self.router_asks = None;
             let news = pulled.changed.items();
-            let taken = news.is_empty() || self.fleet.take_all(news);
+            let taken = news.is_empty() || self.fleet.take_all(now, news);
             if pulled.member != 0 && taken {
                 let asked = if self.off == Off::FromAnswer { now } else { asked };
                 self.fresh.confirm(self.begun + asked, Duration::from_millis(pulled.age_ms));
--- a/crates/control-core/src/main.rs
+++ b/crates/control-core/src/main.rs
@@ -75,7 +75,7 @@
     let platform = Arc::new(Rcu::new(settings.platform.clone()));
     heed(driver.clone(), platform.clone(), flags);
     listing::follow(driver.clone(), platform, polled);
-    let served = http_in::serve(http, move |incoming| operators::answer(&driver, incoming));
+    let served = http_in::serve(http, http_in::WORKERS, move |incoming| operators::answer(&driver, incoming));
     if let Err(e) = served {
         eprintln!("control-core: {e}");
         std::process::exit(EXIT_LISTEN);
--- a/crates/fleet-common/src/ask.rs
+++ b/crates/fleet-common/src/ask.rs
@@ -36,7 +36,13 @@
     }
 
     /// What the index knows of a replica's state; only the holder of its duty sends it.
-    pub struct SeatNews { pub replica: Text, pub fence: u64, pub load: u64, pub weights: Text, pub down: u8 }
+    pub struct SeatNews {
+        pub replica: Text, pub fence: u64, pub load: u64, pub weights: Text, pub down: u8,
+        /// The first version of its filter that may still be trusted, under this fence.
+        pub floor: u64,
+        /// The weights it was ordered to load, if any, and how far it is: see `stage`.
+        pub order: Text, pub stage: u8,
+    }
 
     /// One try at a hand-over, as the router saw it.
     pub struct Handover {
@@ -87,3 +93,15 @@
     pub const STALE: u8 = 2;
     pub const NOT_MINE: u8 = 3;
 }
+
+/// How far a replica is with the weights it was ordered to load.
+pub mod stage {
+    /// Nothing was ordered.
+    pub const NONE: u8 = 0;
+    /// It was told to, and has time left.
+    pub const LOADING: u8 = 1;
+    /// It runs them.
+    pub const SERVES: u8 = 2;
+    /// It did not take the order, or did not run them in time.
+    pub const FAILED: u8 = 3;
+}
--- a/crates/fleet-common/src/http_in.rs
+++ b/crates/fleet-common/src/http_in.rs
@@ -8,7 +8,8 @@
 
 const BODY_MAX: u64 = 4 << 20;
 const HEADERS_MAX: usize = 16 << 10;
-const WORKERS: usize = 64;
+/// Workers of a listener for pages.
+pub const WORKERS: usize = 16;
 
 /// A request with its body read, not yet answered.
 pub struct Incoming {
@@ -176,14 +177,18 @@
 /// use fleet_common::{http_in, http_out};
 /// let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
 /// let at = listener.local_addr().unwrap();
-/// http_in::serve(listener, |incoming| incoming.json(200, "{}", vec![])).unwrap();
+/// http_in::serve(listener, 2, |incoming| incoming.json(200, "{}", vec![])).unwrap();
 /// let wait = std::time::Duration::from_secs(5);
 /// assert_eq!(http_out::json("GET", &format!("http://{at}/x"), "", wait).unwrap(), "{}");
 /// ```
-pub fn serve(listener: TcpListener, answer: impl Fn(Incoming) + Send + Sync + 'static) -> std::io::Result<()> {
+pub fn serve(
+    listener: TcpListener,
+    workers: usize,
+    answer: impl Fn(Incoming) + Send + Sync + 'static,
+) -> std::io::Result<()> {
     let server = tiny_http::Server::from_listener(listener, None).map_err(std::io::Error::other)?;
     let (server, answer) = (Arc::new(server), Arc::new(answer));
-    for _ in 0..WORKERS {
+    for _ in 0..workers {
         let (server, answer) = (server.clone(), answer.clone());
         std::thread::spawn(move || {
             while let Ok(request) = server.recv() {
--- a/crates/fleet-common/src/http_out.rs
+++ b/crates/fleet-common/src/http_out.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 /// An answer whose body is still to be read.
-pub struct Opened {
+pub struct Opened<B = Body> {
     pub status: u16,
     pub headers: Vec<(String, String)>,
-    pub body: Body,
+    pub body: B,
 }
 
 /// A body that knows whether it came whole.
--- a/crates/fleet-common/src/lib.rs
+++ b/crates/fleet-common/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod ask;
 pub mod frame;
 pub mod hash;
+pub mod http_cut;
 pub mod http_in;
 pub mod http_out;
 pub mod json;
--- a/crates/fleet-common/tests/edges.rs
+++ b/crates/fleet-common/tests/edges.rs
@@ -1,8 +1,11 @@
 //! The HTTP edges' traps, shown with a caller that sees bytes.
 use crossbeam::channel::bounded;
+use fleet_common::http_cut::{self, Shutter};
 use fleet_common::{http_in, http_out};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 fn ask(at: std::net::SocketAddr, head: &str) -> TcpStream {
@@ -26,7 +29,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let at = listener.local_addr().unwrap();
     let (go, wait) = bounded::<()>(1);
-    http_in::serve(listener, move |incoming| {
+    http_in::serve(listener, 4, move |incoming| {
         let mut pieces = incoming.pieces(200, vec![]).unwrap();
         pieces.send(b"one").unwrap();
         wait.recv().unwrap();
@@ -45,7 +48,7 @@
 fn a_whole_answer_ends_and_its_stream_serves_on() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let at = listener.local_addr().unwrap();
-    http_in::serve(listener, |incoming| {
+    http_in::serve(listener, 4, |incoming| {
         let mut pieces = incoming.pieces(200, vec![("X-A", "b\r\nc".into())]).unwrap();
         pieces.send(b"one").unwrap();
         pieces.end().unwrap();
@@ -69,10 +72,15 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let at = listener.local_addr().unwrap();
         let server = std::thread::spawn(move || {
-            let mut stream = listener.accept().unwrap().0;
-            let _ = stream.read(&mut [0; 4096]);
-            stream.write_all(answer).unwrap();
+            for _ in 0..2 {
+                let mut stream = listener.accept().unwrap().0;
+                let _ = stream.read(&mut [0; 4096]);
+                stream.write_all(answer).unwrap();
+            }
         });
+        let cut = http_cut::open("GET", &format!("http://{at}/"), &[], &[], Arc::new(|| true), &Shutter::default());
+        let whole = cut.map(|mut opened| opened.body.read_to_end(&mut Vec::new()));
+        assert!(!matches!(whole, Ok(Ok(_))), "{:?} passed as whole", String::from_utf8_lossy(answer));
         let result = http_out::ask("GET", &format!("http://{at}/"), &[], &[], Duration::from_secs(5));
         assert!(result.is_err(), "{:?} passed as whole", String::from_utf8_lossy(answer));
         server.join().unwrap();
@@ -115,7 +123,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let at = listener.local_addr().unwrap();
     let (told, heard) = bounded::<std::io::Result<()>>(1);
-    http_in::serve(listener, move |incoming| {
+    http_in::serve(listener, 4, move |incoming| {
         let mut pieces = incoming.pieces(200, vec![]).unwrap();
         let piece = vec![b'x'; 1 << 20];
         let sent = (0..200).try_for_each(|_| pieces.send(&piece));
@@ -132,3 +140,53 @@
     assert!(sent.is_err());
     drop(deaf);
 }
+
+/// A colleague that says nothing: the one who asked is let go the moment its stream is shut, and the
+/// colleague sees the end of it.
+#[test]
+fn a_shut_stream_ends_for_both_at_once() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    let shutter = Shutter::default();
+    let (held, url) = (shutter.clone(), format!("http://{at}/"));
+    let asker = std::thread::spawn(move || {
+        http_cut::open("POST", &url, &[], b"x", Arc::new(|| true), &held).map(|_| ()).unwrap_err()
+    });
+    let mut stream = listener.accept().unwrap().0;
+    let mut seen = Vec::new();
+    while !seen.ends_with(b"x") {
+        let mut byte = [0u8; 1];
+        stream.read_exact(&mut byte).unwrap();
+        seen.push(byte[0]);
+    }
+    shutter.shut();
+    assert!(!matches!(stream.read(&mut [0; 8]), Ok(1..)), "the colleague sees the end");
+    assert_eq!(asker.join().unwrap().step, fleet_common::Step::Receive);
+}
+
+/// A gate that closes at any moment up to the last byte: nothing whole is sent.
+#[test]
+fn nothing_whole_goes_through_a_gate_that_closes() {
+    let body = vec![b'x'; 1 << 20];
+    for open_for in 0..6 {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = listener.local_addr().unwrap();
+        let colleague = std::thread::spawn(move || {
+            let mut seen = Vec::new();
+            let Ok((mut stream, _)) = listener.accept() else { return seen };
+            let _ = stream.read_to_end(&mut seen);
+            seen
+        });
+        let asked = Arc::new(AtomicUsize::new(0));
+        let gate = move || asked.fetch_add(1, Ordering::AcqRel) < open_for;
+        let shutter = Shutter::default();
+        let sent = http_cut::open("POST", &format!("http://{at}/"), &[], &body, Arc::new(gate), &shutter);
+        assert!(sent.is_err());
+        drop(sent);
+        let _ = TcpStream::connect(at);
+        shutter.shut();
+        let seen = colleague.join().unwrap();
+        assert!(seen.len() < body.len(), "{open_for}: {} bytes came", seen.len());
+        assert_eq!(shutter.begun(), open_for > 1, "{open_for}");
+    }
+}
--- a/crates/measure-index/src/replica.rs
+++ b/crates/measure-index/src/replica.rs
@@ -80,6 +80,7 @@
         leaving: false,
         down: false,
         load: 0,
+        floor: (0, 0),
     };
     let shape = table::Shape { bits: knobs.bits, hashes: knobs.hashes };
     Replica {
--- a/crates/measure-index/src/world.rs
+++ b/crates/measure-index/src/world.rs
@@ -7,6 +7,7 @@
 use prefix_table::event::Batch;
 use std::sync::Arc;
 use std::time::Duration;
+use way_choice::links::Costs;
 use way_choice::place::{Seat, Wish, place};
 use way_choice::source::{Mirrors, choose};
 
@@ -153,8 +154,15 @@
     if own < total {
         figures.misses += 1;
         let source = match knobs.way {
-            Way::Handover => choose(&seats, mirrors, seat, &request.blocks, links, model),
-            Way::Knowing => choose(&seats, &all_known(replicas, &request.blocks), seat, &request.blocks, links, model),
+            Way::Handover => choose(&seats, mirrors, seat, &request.blocks, &Costs::plain(links), model),
+            Way::Knowing => choose(
+                &seats,
+                &all_known(replicas, &request.blocks),
+                seat,
+                &request.blocks,
+                &Costs::plain(links),
+                model,
+            ),
             _ => None,
         };
         if let Some(source) = source {
--- a/crates/prefix-index/src/main.rs
+++ b/crates/prefix-index/src/main.rs
@@ -1,17 +1,14 @@
 //! An index node: holds duties for replicas, keeps their tables from their events, sends out only
 //! bit filters, audits hand-over tries, and gives its replicas orders under a fence.
-mod answers;
-mod duties;
-mod known;
-mod orders;
-mod pushing;
-mod watch;
+mod doing;
+mod pages;
+mod shared;
 
 use fleet_common::node::{Identity, Link, Seeds, follow};
 use fleet_common::settings::{EXIT_LISTEN, Settings, listen as listen_on};
 use fleet_common::signals::{self, Word};
 use fleet_common::{Rcu, frame, hash, http_in, ring};
-use known::Shared;
+use shared::Shared;
 use std::sync::Arc;
 
 mod flags {
@@ -52,14 +49,12 @@
     let shared = Arc::new(Shared::new(identity.clone(), seeds.clone()));
     heed(shared.clone(), seeds.clone(), flags);
     let for_frames = shared.clone();
-    frame::serve(frames, move |ask| Some(answers::answer(&for_frames, ask)));
+    frame::serve(frames, move |ask| Some(for_frames.answer(ask)));
     let for_pages = shared.clone();
-    if http_in::serve(pages, move |incoming| answers::page(&for_pages, incoming)).is_err() {
+    if http_in::serve(pages, http_in::WORKERS, move |incoming| pages::page(&for_pages, incoming)).is_err() {
         std::process::exit(EXIT_LISTEN);
     }
-    duties::start(shared.clone());
-    pushing::start(shared.clone());
-    orders::start(shared.clone());
+    shared::start(&shared);
     follow(Link::new(identity, seeds), move |sent, pulled| shared.take(sent, pulled))
 }
 
@@ -67,7 +62,7 @@
 fn heed(shared: Arc<Shared>, seeds: Seeds, flags: flags::PrefixIndex) {
     signals::heed(move |word| match word {
         Word::Warning => {
-            duties::leave(&shared);
+            shared.leave();
             std::process::exit(0);
         }
         Word::Settings => {
--- /dev/null
+++ b/crates/prefix-index/src/pages.rs
@@ -0,0 +1,60 @@
+//! Pages of an index node for people.
+use crate::shared::Shared;
+use fleet_common::http_in::Incoming;
+use fleet_common::json::quote;
+use prefix_table::keeper::Kept;
+
+pub fn page(shared: &Shared, incoming: Incoming) {
+    match incoming.path.as_str() {
+        "/health" => incoming.json(200, "{\"up\":true}", vec![]),
+        "/log" => incoming.log(),
+        "/self" => incoming.json(200, &words(shared), vec![]),
+        "/metrics" => incoming.whole(200, "text/plain; version=0.0.4", metrics(shared).as_bytes(), vec![]),
+        _ => incoming.json(404, "{\"error\":{\"pointer\":\"\",\"what\":\"no such page\"}}", vec![]),
+    }
+}
+
+fn words(shared: &Shared) -> String {
+    let keeper = shared.keeper();
+    let row = |(replica, kept): (&String, &Kept)| {
+        let (weights, gaps, since) = kept.table.facts();
+        let order = kept.order.as_ref().map_or("", |order| &order.weights);
+        format!(
+            "{}:{{\"role\":\"{}\",\"fence\":{},\"blocks\":{},\"weights\":{},\"ordered\":{},\"gaps\":{gaps},\"sincePush\":{since},\"load\":{},\"down\":{},\"audits\":{{\"held\":{},\"collision\":{},\"stale\":{}}}}}",
+            quote(replica),
+            if kept.fence.is_some() { "holder" } else { "shadow" },
+            kept.fence.unwrap_or(kept.copied_under),
+            kept.table.items(),
+            quote(weights),
+            quote(order),
+            kept.load,
+            kept.down,
+            kept.audits[0],
+            kept.audits[1],
+            kept.audits[2]
+        )
+    };
+    let tables: Vec<String> = keeper.kept.iter().map(row).collect();
+    let halted: Vec<String> = keeper.halted().iter().map(|(m, why)| format!("{}:{}", quote(m), quote(why))).collect();
+    format!(
+        "{{\"name\":{},\"fresh\":{},\"versions\":{{{}}},\"halted\":{{{}}},\"tables\":{{{}}}}}",
+        quote(&keeper.me.name),
+        keeper.fresh(),
+        keeper.fleet.versions(),
+        halted.join(","),
+        tables.join(",")
+    )
+}
+
+fn metrics(shared: &Shared) -> String {
+    let keeper = shared.keeper();
+    let mut text = format!("coursebend_index_halted_roll_outs {}\n", keeper.halted().len());
+    for (replica, kept) in &keeper.kept {
+        text += &format!("coursebend_index_blocks{{replica=\"{replica}\"}} {}\n", kept.table.items());
+        for (at, name) in ["held", "collision", "stale", "not_mine"].iter().enumerate() {
+            let count = kept.audits[at];
+            text += &format!("coursebend_index_audits{{replica=\"{replica}\",verdict=\"{name}\"}} {count}\n");
+        }
+    }
+    text
+}
--- /dev/null
+++ b/crates/prefix-table/src/duties.rs
@@ -0,0 +1,157 @@
+//! Duties: a replica's table and orders are held by the best live node by rendezvous, and change hands
+//! under a fence from the core. The second best shadows the table.
+use crate::keeper::{Fetching, Keeper, Output, shape};
+use crate::kept::Kept;
+use crate::table::Table;
+use control_chain::command::Command;
+use control_chain::fleet::APP;
+use fleet_common::ask::{Ask, TableCopy};
+use std::time::Duration;
+
+const ROUND: Duration = Duration::from_millis(150);
+const COPY_EVERY: Duration = Duration::from_secs(2);
+/// A fetch or a command without an answer is given up.
+const LOST: Duration = Duration::from_secs(2);
+
+impl Keeper {
+    pub(crate) fn duties_tick(&mut self) {
+        if self.now.saturating_sub(self.round_at) < ROUND {
+            return;
+        }
+        self.round_at = self.now;
+        let now = self.now;
+        self.busy.retain(|_, since| now.saturating_sub(*since) < LOST);
+        let lost: Vec<String> =
+            self.fetching.iter().filter(|(_, f)| now.saturating_sub(f.since) >= LOST).map(|(r, _)| r.clone()).collect();
+        lost.iter().for_each(|replica| self.on_copied(replica, None));
+        // The app service keeps no prefixes and takes no orders: nobody's duty.
+        let replicas: Vec<String> =
+            self.fleet.replicas.iter().filter(|r| r.model != APP).map(|r| r.id.clone()).collect();
+        for replica in &replicas {
+            let order: Vec<String> = self.fleet.order(replica).into_iter().cloned().collect();
+            self.duty(replica, order);
+        }
+        self.kept.retain(|replica, _| replicas.contains(replica));
+        self.fetching.retain(|replica, _| replicas.contains(replica));
+    }
+
+    fn duty(&mut self, replica: &str, order: Vec<String>) {
+        let mine = self.fleet.fence(replica, &self.me);
+        let rank = order.iter().position(|node| *node == self.me.name);
+        match (mine, rank) {
+            (Some(fence), Some(0)) if self.held_now(replica).is_none() => self.take_up(replica, fence, order),
+            (Some(_), Some(0)) => {}
+            (Some(fence), _) => {
+                let (replica, node) = (replica.to_string(), self.me.name.clone());
+                self.command(Command::DutyGive { replica, node, fence });
+            }
+            (None, Some(0)) => {
+                let held = self.fleet.duties.get(replica);
+                let free = held.is_none_or(|duty| {
+                    let owner = self.fleet.members.get(&duty.owner);
+                    duty.owner.is_empty() || owner.is_none_or(|m| m.incarnation != duty.incarnation)
+                });
+                if free && self.fresh() {
+                    let (replica, node) = (replica.to_string(), self.me.name.clone());
+                    self.command(Command::DutyTake { replica, node });
+                }
+            }
+            (None, Some(1)) => self.shadow(replica, &order[0]),
+            (None, _) => _ = self.kept.remove(replica),
+        }
+    }
+
+    fn command(&mut self, command: Command) {
+        let (Command::DutyGive { replica, .. } | Command::DutyTake { replica, .. }) = &command else { return };
+        if !self.busy.contains_key(replica) {
+            self.busy.insert(replica.clone(), self.now);
+            self.out.push(Output::Command(replica.clone(), command));
+        }
+    }
+
+    fn take_up(&mut self, replica: &str, fence: u64, order: Vec<String>) {
+        if let Some(kept) = self.kept.get_mut(replica) {
+            kept.take_up(fence, self.now);
+            let blocks = kept.table.items();
+            return self.note(format!("holds {replica} under fence {fence}, {blocks} blocks shadowed"));
+        }
+        if self.fetching.get(replica).is_some_and(|f| f.fence == fence) {
+            return;
+        }
+        let others = order.into_iter().filter(|n| *n != self.me.name).take(2).collect();
+        self.fetch(replica, Fetching { fence, others, since: self.now });
+    }
+
+    fn shadow(&mut self, replica: &str, holder: &str) {
+        let now = self.now;
+        if let Some(kept) = self.kept.get_mut(replica) {
+            kept.fence = None;
+        }
+        let due = self.kept.get(replica).is_none_or(|kept| now.saturating_sub(kept.since) > COPY_EVERY);
+        if due && !self.fetching.contains_key(replica) {
+            self.fetch(replica, Fetching { fence: 0, others: vec![holder.to_string()], since: now });
+        }
+    }
+
+    /// Asks the next of those who may have a copy; with nobody left the table begins empty.
+    fn fetch(&mut self, replica: &str, mut fetching: Fetching) {
+        while !fetching.others.is_empty() {
+            let node = fetching.others.remove(0);
+            if let Some(at) = self.fleet.members.get(&node).map(|m| m.at.clone()) {
+                fetching.since = self.now;
+                self.fetching.insert(replica.to_string(), fetching);
+                return self.out.push(Output::Fetch { replica: replica.to_string(), at });
+            }
+        }
+        self.fetching.remove(replica);
+        if fetching.fence > 0 {
+            let table = Table::new(shape(&self.fleet), self.now);
+            self.keep_held(replica, table, fetching.fence);
+        }
+    }
+
+    fn keep_held(&mut self, replica: &str, table: Table, fence: u64) {
+        self.note(format!("holds {replica} under fence {fence}, {} blocks handed over", table.items()));
+        self.kept.insert(replica.to_string(), Kept::new(table, Some(fence), self.now));
+    }
+
+    pub(crate) fn on_copied(&mut self, replica: &str, copy: Option<TableCopy>) {
+        let Some(fetching) = self.fetching.remove(replica) else { return };
+        match copy {
+            None => self.fetch(replica, fetching),
+            Some(copy) => {
+                let table = Table::from_copy(shape(&self.fleet), self.now, &copy);
+                if fetching.fence > 0 {
+                    return self.keep_held(replica, table, fetching.fence);
+                }
+                // A shadow that has become holder meanwhile keeps what it has.
+                if self.held_now(replica).is_none() {
+                    self.keep_copy(replica, table, copy.fence);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn keep_copy(&mut self, replica: &str, table: Table, fence: u64) {
+        let mut kept = Kept::new(table, None, self.now);
+        kept.copied_under = fence;
+        self.kept.insert(replica.to_string(), kept);
+    }
+
+    /// Hands all tables over, gives all duties up and leaves.
+    pub(crate) fn leave(&mut self) {
+        let held: Vec<String> = self.kept.keys().cloned().collect();
+        for replica in held {
+            let Some(fence) = self.fleet.fence(&replica, &self.me) else { continue };
+            let next = self.fleet.order(&replica).into_iter().find(|node| **node != self.me.name).cloned();
+            let at = next.and_then(|node| self.fleet.members.get(&node)).map(|m| m.at.clone());
+            if let (Some(at), Some(kept)) = (at, self.kept.get(&replica)) {
+                self.out.push(Output::Tell(at, Ask::TablePush(kept.table.copy(&replica, fence))));
+            }
+            let give = Command::DutyGive { replica: replica.clone(), node: self.me.name.clone(), fence };
+            self.out.push(Output::Command(replica, give));
+        }
+        let (node, incarnation) = (self.me.name.clone(), self.me.incarnation);
+        self.out.push(Output::Command(String::new(), Command::Lapse { node, incarnation }));
+    }
+}
--- /dev/null
+++ b/crates/prefix-table/src/keeper.rs
@@ -0,0 +1,201 @@
+//! An index node as a state machine: (now, input) gives outputs. It holds duties for replicas, keeps
+//! their tables from their events, shadows others, gives orders and tells routers. Threads or a
+//! simulator drive it.
+use crate::event::Batch;
+pub use crate::kept::{Kept, Order};
+use crate::table::Shape;
+use control_chain::command::Command;
+use control_chain::fleet::Fleet;
+use fleet_common::ask::{Ask, Pulled, SeatNews, TERM, TableCopy, Vector};
+use fleet_common::node::Identity;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// What an index node reacts to.
+#[derive(Clone, Debug)]
+pub enum Input {
+    Tick,
+    /// A pull that was sent then has been answered.
+    Pulled(Duration, Pulled),
+    /// A replica's events, asked for under a fence.
+    Polled(String, u64, Result<Batch, String>),
+    /// A colleague's copy of a table, if it had one.
+    Copied(String, Option<TableCopy>),
+    /// A command about a replica's duty was answered, one way or another.
+    Commanded(String),
+    /// An order was answered.
+    Ordered(String, Result<(), String>),
+    /// This node is to stop: duties are given up and tables handed over.
+    Leave,
+}
+
+/// What an index node wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    Poll { replica: String, at: String, fence: u64, incarnation: String, from: u64 },
+    Fetch { replica: String, at: String },
+    Command(String, Command),
+    Order { replica: String, at: String, fence: u64, weights: String },
+    Tell(String, Ask),
+    Note(String),
+}
+
+/// A table being fetched: under which fence it is to be taken up (0 for a shadow), whom to ask next.
+pub(crate) struct Fetching {
+    pub fence: u64,
+    pub others: Vec<String>,
+    pub since: Duration,
+}
+
+/// An index node.
+pub struct Keeper {
+    pub me: Identity,
+    pub fleet: Fleet,
+    pub kept: BTreeMap<String, Kept>,
+    /// What colleagues told of the replicas that they hold.
+    pub news: BTreeMap<String, (SeatNews, Duration)>,
+    pub(crate) now: Duration,
+    confirmed: Option<Duration>,
+    pub(crate) fetching: BTreeMap<String, Fetching>,
+    /// Replicas about which a command is on its way, and since when.
+    pub(crate) busy: BTreeMap<String, Duration>,
+    pub(crate) told: BTreeMap<String, (SeatNews, Duration)>,
+    pub(crate) known: BTreeSet<String>,
+    pub(crate) halted: BTreeMap<String, String>,
+    pub(crate) round_at: Duration,
+    leaving: bool,
+    pub(crate) out: Vec<Output>,
+}
+
+/// The shape of tables that the blueprint asks for.
+/// ```
+/// assert_eq!(prefix_table::keeper::shape(&Default::default()).bits, 16_384);
+/// ```
+pub fn shape(fleet: &Fleet) -> Shape {
+    let index = fleet.blueprint.as_ref().map(|b| &b.index);
+    Shape { bits: index.map_or(16_384, |i| i.bits as u32), hashes: index.map_or(0, |i| i.hashes as u8) }
+}
+
+impl Keeper {
+    /// A node that knows nothing yet.
+    /// ```
+    /// use fleet_common::node::Identity;
+    /// let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
+    /// assert!(!prefix_table::keeper::Keeper::new(me).fresh());
+    /// ```
+    pub fn new(me: Identity) -> Self {
+        Keeper {
+            me,
+            fleet: Fleet::default(),
+            kept: BTreeMap::new(),
+            news: BTreeMap::new(),
+            now: Duration::ZERO,
+            confirmed: None,
+            fetching: BTreeMap::new(),
+            busy: BTreeMap::new(),
+            told: BTreeMap::new(),
+            known: BTreeSet::new(),
+            halted: BTreeMap::new(),
+            round_at: Duration::ZERO,
+            leaving: false,
+            out: Vec::new(),
+        }
+    }
+
+    /// Whether this node's term holds.
+    /// ```
+    /// # use fleet_common::node::Identity;
+    /// # let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
+    /// # let keeper = prefix_table::keeper::Keeper::new(me);
+    /// assert!(!keeper.fresh());
+    /// ```
+    pub fn fresh(&self) -> bool {
+        self.confirmed.is_some_and(|sent| self.now < sent + TERM)
+    }
+
+    /// The fence under which this node holds a replica's duty now: by the core's word, under its term.
+    /// ```
+    /// # use fleet_common::node::Identity;
+    /// # let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
+    /// # let keeper = prefix_table::keeper::Keeper::new(me);
+    /// assert_eq!(keeper.holds("r1"), None);
+    /// ```
+    pub fn holds(&self, replica: &str) -> Option<u64> {
+        self.fresh().then(|| self.fleet.fence(replica, &self.me)).flatten()
+    }
+
+    /// The versions this node has put to use.
+    /// ```
+    /// # use fleet_common::node::Identity;
+    /// # let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
+    /// # let keeper = prefix_table::keeper::Keeper::new(me);
+    /// assert_eq!(keeper.vector(), [0; 6]);
+    /// ```
+    pub fn vector(&self) -> Vector {
+        self.fleet.vector
+    }
+
+    /// Why a model's roll-out stands still, if it does.
+    /// ```
+    /// # use fleet_common::node::Identity;
+    /// # let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
+    /// # let keeper = prefix_table::keeper::Keeper::new(me);
+    /// assert!(keeper.halted().is_empty());
+    /// ```
+    pub fn halted(&self) -> &BTreeMap<String, String> {
+        &self.halted
+    }
+
+    /// Lets time pass without anything happening, so that answers know the hour.
+    /// ```
+    /// # use fleet_common::node::Identity;
+    /// # let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
+    /// # let mut keeper = prefix_table::keeper::Keeper::new(me);
+    /// keeper.at(std::time::Duration::from_secs(4));
+    /// ```
+    pub fn at(&mut self, now: Duration) {
+        self.now = self.now.max(now);
+    }
+
+    /// Steps on.
+    /// ```
+    /// # use fleet_common::node::Identity;
+    /// # let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
+    /// # let mut keeper = prefix_table::keeper::Keeper::new(me);
+    /// use prefix_table::keeper::Input;
+    /// assert!(keeper.step(std::time::Duration::from_secs(1), Input::Tick).is_empty(), "nothing is known yet");
+    /// ```
+    pub fn step(&mut self, now: Duration, input: Input) -> Vec<Output> {
+        self.at(now);
+        match input {
+            Input::Tick if !self.leaving => {
+                self.duties_tick();
+                self.watch_tick();
+                self.orders_tick();
+                self.news_tick();
+            }
+            Input::Tick => {}
+            Input::Pulled(sent, pulled) => self.on_pulled(sent, pulled),
+            Input::Polled(replica, fence, polled) => self.on_polled(&replica, fence, polled),
+            Input::Copied(replica, copy) => self.on_copied(&replica, copy),
+            Input::Commanded(replica) => _ = self.busy.remove(&replica),
+            Input::Ordered(replica, taken) => self.on_ordered(&replica, taken),
+            Input::Leave => {
+                self.leaving = true;
+                self.leave();
+            }
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    fn on_pulled(&mut self, sent: Duration, pulled: Pulled) {
+        let taken = self.fleet.take_all(self.now, pulled.changed.items());
+        if pulled.member != 0 && taken {
+            self.confirmed = self.confirmed.max(Some(sent));
+        }
+    }
+
+    pub(crate) fn note(&mut self, line: String) {
+        self.out.push(Output::Note(line));
+    }
+}
--- /dev/null
+++ b/crates/prefix-table/src/kept.rs
@@ -0,0 +1,117 @@
+//! What an index node keeps for one replica, and how it is fed from the replica's events.
+use crate::event::Batch;
+use crate::keeper::{Keeper, Output};
+use crate::table::Table;
+use std::time::Duration;
+
+/// A replica is down when it could not be asked for so long.
+const LOST: Duration = Duration::from_millis(900);
+/// A poll that was never answered is asked anew.
+const POLL_LOST: Duration = Duration::from_secs(3);
+const POLL_AGAIN: Duration = Duration::from_millis(100);
+
+/// An order given: which weights, when first and last, how often it was not taken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    pub weights: String,
+    pub first: Duration,
+    pub last: Duration,
+    pub refused: u32,
+}
+
+/// A table and what else is known of its replica.
+pub struct Kept {
+    pub table: Table,
+    /// Under which fence it is held; none for a shadow.
+    pub fence: Option<u64>,
+    /// The fence of whoever the copy came from.
+    pub copied_under: u64,
+    pub load: u64,
+    pub down: bool,
+    /// Held, collision, stale, not mine.
+    pub audits: [u64; 4],
+    pub order: Option<Order>,
+    /// Since when it is held, or copied.
+    pub since: Duration,
+    first_loss: Option<Duration>,
+    polling: Option<Duration>,
+    poll_after: Duration,
+}
+
+impl Kept {
+    pub(crate) fn new(table: Table, fence: Option<u64>, now: Duration) -> Self {
+        Kept {
+            table,
+            fence,
+            copied_under: 0,
+            load: 0,
+            down: false,
+            audits: [0; 4],
+            order: None,
+            since: now,
+            first_loss: None,
+            polling: None,
+            poll_after: now,
+        }
+    }
+
+    /// Taken up under a fence, with the table as it is.
+    pub(crate) fn take_up(&mut self, fence: u64, now: Duration) {
+        (self.fence, self.since) = (Some(fence), now);
+        (self.first_loss, self.polling, self.order) = (None, None, None);
+        self.down = false;
+        self.table.under_new_fence();
+    }
+}
+
+impl Keeper {
+    /// Whether this node still holds what it keeps a table of, under the fence it took it up with.
+    pub(crate) fn held_now(&self, replica: &str) -> Option<u64> {
+        let fence = self.fleet.fence(replica, &self.me)?;
+        (self.kept.get(replica)?.fence == Some(fence)).then_some(fence)
+    }
+
+    pub(crate) fn watch_tick(&mut self) {
+        let rows: Vec<(String, String)> =
+            self.fleet.replicas.iter().map(|row| (row.id.clone(), row.at.clone())).collect();
+        for (replica, at) in rows {
+            let (Some(fence), now) = (self.held_now(&replica), self.now) else { continue };
+            let Some(kept) = self.kept.get_mut(&replica) else { continue };
+            let waiting = kept.polling.is_some_and(|since| now.saturating_sub(since) < POLL_LOST);
+            if waiting || now < kept.poll_after {
+                continue;
+            }
+            kept.polling = Some(now);
+            let (incarnation, from) = kept.table.wanted();
+            let incarnation = incarnation.to_string();
+            self.out.push(Output::Poll { replica, at, fence, incarnation, from });
+        }
+    }
+
+    pub(crate) fn on_polled(&mut self, replica: &str, fence: u64, polled: Result<Batch, String>) {
+        if self.held_now(replica) != Some(fence) {
+            return;
+        }
+        let now = self.now;
+        let Some(kept) = self.kept.get_mut(replica) else { return };
+        kept.polling = None;
+        let line = match polled {
+            Ok(batch) => {
+                kept.table.apply(now, &batch);
+                kept.load = batch.load;
+                kept.first_loss = None;
+                std::mem::replace(&mut kept.down, false).then(|| format!("{replica} is back"))
+            }
+            Err(what) => {
+                kept.poll_after = now + POLL_AGAIN;
+                let since = *kept.first_loss.get_or_insert(now);
+                let down = now.saturating_sub(since) > LOST;
+                let news = down && !std::mem::replace(&mut kept.down, down);
+                news.then(|| format!("{replica} is down: {what}"))
+            }
+        };
+        kept.table.age(now);
+        line.into_iter().for_each(|line| self.note(line));
+        self.watch_tick();
+    }
+}
--- a/crates/prefix-table/src/lib.rs
+++ b/crates/prefix-table/src/lib.rs
@@ -1,9 +1,16 @@
-//! The index's logic: chained block hashes, counting tables fed by events, bit filters, mirrors.
+//! The index's logic: chained block hashes, counting tables fed by events, bit filters, mirrors, and
+//! the index node itself as a state machine: no I/O here.
 //! After "Deployment of Collaborative Web Caching with Active Networks", section 4.
 
 pub mod blocks;
 mod copying;
 pub mod counting;
+mod duties;
 pub mod event;
 pub mod filter;
+pub mod keeper;
+mod kept;
+mod news;
+mod ordering;
+pub mod rolling;
 pub mod table;
--- /dev/null
+++ b/crates/prefix-table/src/news.rs
@@ -0,0 +1,132 @@
+//! What an index node tells: filters to routers after beta events, the state of its replicas to routers
+//! and colleagues; and what it answers when it is asked.
+use crate::keeper::{Keeper, Output, shape};
+use crate::table::Table;
+use fleet_common::ask::{Answer, Ask, Filter, SeatNews, audit};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+const SEATS_ANEW: Duration = Duration::from_millis(1000);
+
+impl Keeper {
+    /// Makes the filter of a replica for sending, if its duty is held here.
+    /// ```
+    /// # use fleet_common::node::Identity;
+    /// # let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
+    /// # let mut keeper = prefix_table::keeper::Keeper::new(me);
+    /// assert!(keeper.filter("r1").is_none());
+    /// ```
+    pub fn filter(&mut self, replica: &str) -> Option<Filter> {
+        let fence = self.holds(replica)?;
+        let index = self.me.name.as_str().into();
+        let kept = self.kept.get_mut(replica).filter(|kept| kept.fence == Some(fence))?;
+        let (items, weights) = (kept.table.items() as u32, kept.table.facts().0.into());
+        let (bits, version) = kept.table.send();
+        let (words, m, k) = bits.into_parts();
+        Some(Filter { replica: replica.into(), index, fence, version, weights, m, k, items, bits: words.into() })
+    }
+
+    fn seat(&self, replica: &str, fence: u64) -> Option<SeatNews> {
+        let kept = self.kept.get(replica)?;
+        let (order, stage) = self.stage(replica);
+        Some(SeatNews {
+            replica: replica.into(),
+            fence,
+            load: kept.load,
+            weights: kept.table.facts().0.into(),
+            down: kept.down.into(),
+            floor: kept.table.floor(),
+            order: order.as_str().into(),
+            stage,
+        })
+    }
+
+    pub(crate) fn news_tick(&mut self) {
+        let of = |kind: &str| -> BTreeSet<String> {
+            self.fleet.members.values().filter(|m| m.kind == kind).map(|m| m.at.clone()).collect()
+        };
+        let (edges, mut all) = (of("edge"), of("index"));
+        all.remove(&self.me.at);
+        all.extend(edges.iter().cloned());
+        let newcomers: Vec<String> = all.iter().filter(|at| !self.known.contains(*at)).cloned().collect();
+        self.known = all.clone();
+        let beta = self.fleet.blueprint.as_ref().map_or(25, |b| b.index.beta);
+        let mut seats = Vec::new();
+        let replicas: Vec<String> = self.kept.keys().cloned().collect();
+        for replica in replicas {
+            let Some(fence) = self.holds(&replica).filter(|_| self.held_now(&replica).is_some()) else { continue };
+            let due = self.kept.get(&replica).is_some_and(|kept| kept.table.due(beta));
+            let to: Vec<String> = if due { edges.iter().cloned().collect() } else { newcomers.clone() };
+            let to: Vec<String> = to.into_iter().filter(|at| edges.contains(at)).collect();
+            if !to.is_empty()
+                && let Some(filter) = self.filter(&replica)
+            {
+                self.out.extend(to.into_iter().map(|at| Output::Tell(at, Ask::FilterPush(filter.clone()))));
+            }
+            let Some(seat) = self.seat(&replica, fence) else { continue };
+            let old = |(last, at): &(SeatNews, Duration)| {
+                *last == seat && self.now.saturating_sub(*at) < SEATS_ANEW && newcomers.is_empty()
+            };
+            if !self.told.get(&replica).is_some_and(old) {
+                self.told.insert(replica, (seat.clone(), self.now));
+                seats.push(seat);
+            }
+        }
+        if !seats.is_empty() {
+            self.out.extend(all.into_iter().map(|at| Output::Tell(at, Ask::Seats(seats.clone().into()))));
+        }
+    }
+
+    /// Answers routers and colleagues.
+    /// ```
+    /// # use fleet_common::node::Identity;
+    /// # let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
+    /// # let mut keeper = prefix_table::keeper::Keeper::new(me);
+    /// use fleet_common::ask::{Answer, Ask};
+    /// assert!(matches!(keeper.answer(std::time::Duration::ZERO, Ask::FilterPull("r1".into())), Answer::Refused(_)));
+    /// ```
+    pub fn answer(&mut self, now: Duration, ask: Ask) -> Answer {
+        self.at(now);
+        match ask {
+            Ask::FilterPull(replica) => match self.filter(replica.as_str()) {
+                Some(filter) => Answer::Filter(filter),
+                None => Answer::Refused("not my duty".into()),
+            },
+            Ask::Handover(tried) => {
+                let held = self.holds(tried.source.as_str());
+                let verdict = match (held, self.kept.get_mut(tried.source.as_str())) {
+                    (Some(fence), Some(kept)) if kept.fence == Some(fence) => {
+                        let verdict = kept.table.audit(tried.block);
+                        kept.audits[verdict as usize] += 1;
+                        verdict
+                    }
+                    _ => audit::NOT_MINE,
+                };
+                Answer::Audit(verdict)
+            }
+            Ask::TablePull(replica) => match self.kept.get(replica.as_str()) {
+                Some(kept) => Answer::Table(kept.table.copy(replica.as_str(), kept.fence.unwrap_or(kept.copied_under))),
+                None => Answer::Refused("no such table here".into()),
+            },
+            Ask::TablePush(copy) => {
+                let replica = copy.replica.to_string();
+                if self.held_now(&replica).is_some() {
+                    return Answer::Refused("held here already".into());
+                }
+                let table = Table::from_copy(shape(&self.fleet), self.now, &copy);
+                self.keep_copy(&replica, table, copy.fence);
+                Answer::Done
+            }
+            Ask::Seats(seats) => {
+                for told in seats.into_items() {
+                    let replica = told.replica.to_string();
+                    if self.news.get(&replica).is_none_or(|(held, _)| held.fence <= told.fence) {
+                        self.news.insert(replica, (told, self.now));
+                    }
+                }
+                Answer::Done
+            }
+            _ => Answer::Refused("not an index node's to answer".into()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/prefix-table/src/rolling.rs
@@ -0,0 +1,69 @@
+//! Rolling new weights out over a model's replicas: in the order of their ranks, so many at a time that
+//! a stated share keeps serving, on as soon as one serves, and no further once too many failed.
+use fleet_common::ask::stage;
+use fleet_common::hash::weight;
+use std::time::Duration;
+
+/// How long a replica may take to load. One that takes longer no longer holds the others up.
+pub const LOAD_BOUND: Duration = Duration::from_secs(6);
+
+/// A replica of the model as an index node sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Row {
+    pub id: String,
+    /// Which weights it runs; empty while it loads, or when nothing is known of it.
+    pub weights: String,
+    /// How far it is with the weights that are wanted.
+    pub stage: u8,
+    pub down: bool,
+    pub leaving: bool,
+}
+
+/// What is to be done about one replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn {
+    Serves,
+    Now,
+    Wait,
+    /// So many of so many could not load them: the others keep what they run.
+    Halted(usize, usize),
+}
+
+/// How many of `up` replicas may be out of service at once.
+/// ```
+/// use prefix_table::rolling::at_once;
+/// assert_eq!((at_once(18, 60), at_once(6, 60), at_once(2, 60), at_once(1, 95)), (7, 2, 1, 1));
+/// ```
+pub fn at_once(up: usize, keep_percent: u64) -> usize {
+    (up * (100 - keep_percent.min(100)) as usize / 100).max(1)
+}
+
+/// Whether it is a replica's turn to load the wanted weights.
+/// ```
+/// use prefix_table::rolling::{Row, Turn, turn};
+/// let row = |id: &str| Row { id: id.into(), weights: "w1".into(), stage: 0, down: false, leaving: false };
+/// let rows = [row("r1"), row("r2"), row("r3")];
+/// let now = rows.iter().filter(|r| turn(&rows, &r.id, "w2", 60) == Turn::Now).count();
+/// assert_eq!(now, 1, "one of three may go at a time");
+/// ```
+pub fn turn(rows: &[Row], id: &str, wanted: &str, keep_percent: u64) -> Turn {
+    let Some(own) = rows.iter().find(|row| row.id == id) else { return Turn::Wait };
+    if own.weights == wanted {
+        return Turn::Serves;
+    }
+    let up: Vec<&Row> = rows.iter().filter(|row| !row.down && !row.leaving).collect();
+    let failed = up.iter().filter(|row| row.stage == stage::FAILED).count();
+    let loading = [stage::LOADING, stage::FAILED].contains(&own.stage);
+    if failed >= up.len().div_ceil(5).max(2) && !loading && !own.weights.is_empty() {
+        return Turn::Halted(failed, up.len());
+    }
+    // One without weights has nothing to lose, and one that was told to is told again.
+    if own.weights.is_empty() || loading {
+        return Turn::Now;
+    }
+    let mut waiting: Vec<&Row> =
+        up.iter().filter(|row| row.weights != wanted && row.stage != stage::FAILED).copied().collect();
+    waiting.sort_by_key(|row| (weight(wanted, &row.id), row.id.as_str()));
+    let first = waiting.iter().take(at_once(up.len(), keep_percent));
+    if first.into_iter().any(|row| row.id == id) { Turn::Now } else { Turn::Wait }
+}
--- a/crates/prefix-table/src/table.rs
+++ b/crates/prefix-table/src/table.rs
@@ -34,6 +34,8 @@
     heard: Duration,
     since_push: u64,
     version: u64,
+    /// The first version that says nothing of what was before the table was last emptied.
+    floor: u64,
     gaps: u64,
 }
 
@@ -55,6 +57,7 @@
             heard: now,
             since_push: 0,
             version: 0,
+            floor: 1,
             gaps: 0,
         }
     }
@@ -151,6 +154,7 @@
             self.removed.insert(hash);
         }
         self.counting = Counting::new(self.shape.bits, self.counting.hashes());
+        self.floor = self.version + 1;
     }
 
     /// Counts all anew under a better k once the number of items has outgrown the one in use.
@@ -223,4 +227,30 @@
             (false, false) => audit::COLLISION,
         }
     }
+
+    /// The first version of the filter that may still be trusted: what was sent before the replica
+    /// started anew or cleared its cache may not.
+    /// ```
+    /// # use prefix_table::table::{Shape, Table};
+    /// let mut table = Table::new(Shape { bits: 64, hashes: 2 }, std::time::Duration::ZERO);
+    /// assert!(table.due(25), "nothing was sent yet");
+    /// assert!(table.send().1 >= table.floor() && !table.due(25));
+    /// ```
+    pub fn floor(&self) -> u64 {
+        self.floor
+    }
+
+    /// Whether the filter is to be sent: after so many events, or because the last one is below the floor.
+    /// ```
+    /// # use prefix_table::table::{Shape, Table};
+    /// assert!(Table::new(Shape { bits: 64, hashes: 2 }, std::time::Duration::ZERO).due(1000));
+    /// ```
+    pub fn due(&self, beta: u64) -> bool {
+        self.since_push >= beta || self.version < self.floor
+    }
+
+    /// Another holder, or the same under another fence: its versions count anew.
+    pub(crate) fn under_new_fence(&mut self) {
+        (self.version, self.floor) = (0, 1);
+    }
 }
--- /dev/null
+++ b/crates/prefix-table/tests/rolling.rs
@@ -0,0 +1,130 @@
+//! Roll-outs in simulated time, as all index nodes together bring them about: the share that keeps
+//! serving, the time until all serve the new weights, replicas that cannot load, and the halt.
+use fleet_common::ask::stage;
+use fleet_common::hash::Dice;
+use prefix_table::rolling::{LOAD_BOUND, Row, Turn, at_once, turn};
+use rstest::rstest;
+use std::time::Duration;
+
+const STEP: Duration = Duration::from_millis(100);
+/// How long after a change all index nodes know of it.
+const HEARD: Duration = Duration::from_millis(400);
+
+struct Sim {
+    rows: Vec<Row>,
+    load: Vec<Option<Duration>>,
+    ordered: Vec<Option<Duration>>,
+    seen: Vec<(Duration, Vec<Row>)>,
+    now: Duration,
+    least_serving: usize,
+    halted: bool,
+}
+
+impl Sim {
+    fn new(seed: u64, n: usize, broken: usize) -> Self {
+        let mut dice = Dice::new(seed);
+        let row = |at: usize| Row {
+            id: format!("r{at}"),
+            weights: "w1".into(),
+            stage: stage::NONE,
+            down: false,
+            leaving: false,
+        };
+        let load = (0..n).map(|_| Some(Duration::from_millis(500 + dice.next(5500)))).collect();
+        let mut sim = Sim {
+            rows: (0..n).map(row).collect(),
+            load,
+            ordered: vec![None; n],
+            seen: Vec::new(),
+            now: Duration::ZERO,
+            least_serving: n,
+            halted: false,
+        };
+        for _ in 0..broken {
+            let at = dice.next(n as u64) as usize;
+            sim.load[at] = None;
+        }
+        sim
+    }
+
+    fn step(&mut self, keep: u64) {
+        self.now += STEP;
+        for at in 0..self.rows.len() {
+            let Some(since) = self.ordered[at] else { continue };
+            let took = self.now - since;
+            if self.load[at].is_some_and(|load| took >= load) {
+                (self.rows[at].weights, self.rows[at].stage) = ("w2".into(), stage::SERVES);
+            } else if took > LOAD_BOUND {
+                self.rows[at].stage = stage::FAILED;
+            }
+        }
+        self.seen.push((self.now, self.rows.clone()));
+        let known = self.seen.iter().rev().find(|(at, _)| self.now - *at >= HEARD).map(|(_, rows)| rows.clone());
+        let Some(known) = known else { return };
+        for at in 0..self.rows.len() {
+            // A holder knows its own replica as it is, the others as it heard.
+            let mut rows = known.clone();
+            rows[at] = self.rows[at].clone();
+            match turn(&rows, &rows[at].id, "w2", keep) {
+                Turn::Now if self.ordered[at].is_none() => {
+                    self.ordered[at] = Some(self.now);
+                    (self.rows[at].weights, self.rows[at].stage) = (String::new(), stage::LOADING);
+                }
+                Turn::Halted(..) => self.halted = true,
+                _ => {}
+            }
+        }
+        let serving = self.rows.iter().filter(|row| !row.weights.is_empty()).count();
+        self.least_serving = self.least_serving.min(serving);
+    }
+
+    fn all_in_use(&self) -> bool {
+        self.rows.iter().zip(&self.load).all(|(row, load)| row.weights == "w2" || load.is_none())
+    }
+}
+
+#[rstest]
+#[case(18, 0)]
+#[case(18, 1)]
+#[case(6, 0)]
+#[case(6, 1)]
+#[case(2, 0)]
+fn new_weights_are_in_use_in_time_while_a_share_serves(#[case] n: usize, #[case] broken: usize) {
+    let mut worst = Duration::ZERO;
+    for seed in 0..200 {
+        let mut sim = Sim::new(seed, n, broken);
+        while !sim.all_in_use() {
+            sim.step(60);
+            assert!(sim.now < Duration::from_secs(60), "seed {seed}: {:?}", sim.rows);
+        }
+        // A replica that failed is out beside those whose turn it is.
+        let least = n - at_once(n, 60) - broken;
+        assert!(sim.least_serving >= least, "seed {seed}: {} of {n} served", sim.least_serving);
+        worst = worst.max(sim.now);
+    }
+    println!("{n} replicas, {broken} that cannot load: in use after {worst:?} at the worst");
+    assert!(worst <= Duration::from_secs(20), "{worst:?}");
+}
+
+#[test]
+fn a_roll_out_that_fails_is_halted_and_the_rest_goes_on_serving() {
+    for seed in 0..50 {
+        let mut sim = Sim::new(seed, 18, 0);
+        sim.load = vec![None; 18];
+        for _ in 0..600 {
+            sim.step(60);
+        }
+        let kept = sim.rows.iter().filter(|row| row.weights == "w1").count();
+        assert!(sim.halted && kept >= 18 - at_once(18, 60), "seed {seed}: {kept} kept, halted {}", sim.halted);
+    }
+}
+
+/// The check has teeth: without a share that keeps serving, hardly anybody serves.
+#[test]
+fn a_roll_out_without_a_share_is_seen() {
+    let mut sim = Sim::new(1, 18, 0);
+    while !sim.all_in_use() {
+        sim.step(0);
+    }
+    assert!(sim.least_serving < 18 - at_once(18, 60), "{} served", sim.least_serving);
+}
--- a/crates/request-router/src/claims.rs
+++ b/crates/request-router/src/claims.rs
@@ -1,4 +1,5 @@
 //! Once-requests: claimed through the chain before anything is sent, settled afterwards.
+use crate::ferry::may;
 use crate::passage::{Flow, Passage, Reply};
 use crate::shared::Shared;
 use control_chain::command::{Command, Envelope, Outcome, Ran};
@@ -6,6 +7,7 @@
 use fleet_common::ring;
 use std::sync::Arc;
 use std::time::Duration;
+use way_choice::trip::{Claimed, Do, Heard, Trip};
 
 /// Puts a command through the agent. `None` when nobody can say what came of it.
 fn command(shared: &Shared, command: Command) -> Option<Outcome> {
@@ -27,33 +29,34 @@
     }
 }
 
+/// Begins the trip: a once-request goes no further without its claim.
 pub fn claim(shared: &Arc<Shared>, passage: &mut Passage) -> Flow {
-    let Some(key) = passage.once.clone() else { return Flow::Next };
-    if key.len() > 256 {
+    let once = passage.once.clone();
+    if once.as_ref().is_some_and(|key| key.len() > 256) {
         return Flow::Reply(Reply::new(400, "", "Idempotency-Key: at most 256 bytes"));
     }
-    let claim =
-        Command::Claim { tenant: passage.tenant.clone(), key, edge: shared.name.clone(), request: passage.id.clone() };
-    match command(shared, claim) {
-        Some(outcome) if outcome.accepted() => {
-            passage.claimed = true;
-            passage.explain.step("claimed to run once");
-            Flow::Next
-        }
-        Some(outcome) => Flow::Reply(Reply::new(409, "", format!("already claimed: {}", outcome.detail)).unknown()),
-        None => {
-            // Nothing was sent and nothing will be; the claim may stand, so it is settled as not run.
-            passage.claimed = true;
-            settle(shared, passage, Ran::NotRun);
-            Flow::Reply(Reply::later(503, "the claim could not be confirmed"))
-        }
+    passage.trip = Trip::new(once.is_some(), passage.wanted.stream && !passage.to_app);
+    let now = may(shared, passage);
+    let mut todo = passage.trip.step(now, Heard::Start, &mut shared.tokens());
+    if let ([Do::Claim], Some(key)) = (&todo[..], once) {
+        let (tenant, edge, request) = (passage.tenant.clone(), shared.name.clone(), passage.id.clone());
+        let claimed = match command(shared, Command::Claim { tenant, key, edge, request }) {
+            Some(outcome) if outcome.accepted() => Claimed::Yes,
+            Some(outcome) if outcome.code == 409 => Claimed::Taken(outcome.detail),
+            Some(outcome) => Claimed::Refused(outcome.detail),
+            None => Claimed::Lost,
+        };
+        let now = may(shared, passage);
+        todo = passage.trip.step(now, Heard::Claimed(claimed), &mut shared.tokens());
     }
+    passage.todo = todo;
+    Flow::Next
 }
 
-/// Settles the passage's claim, trying for a while in the background.
+/// Settles the passage's claim, trying for a while in the background: a lapse of this edge would
+/// only call it unknown.
 pub fn settle(shared: &Arc<Shared>, passage: &mut Passage, ran: Ran) {
-    let (true, Some(key)) = (passage.claimed, passage.once.clone()) else { return };
-    passage.claimed = false;
+    let Some(key) = passage.once.clone() else { return };
     passage.explain.step(format!("settled as {ran:?}"));
     let settle = Command::Settle { tenant: passage.tenant.clone(), key, request: passage.id.clone(), ran };
     let shared = shared.clone();
--- a/crates/request-router/src/feed.rs
+++ b/crates/request-router/src/feed.rs
@@ -23,7 +23,7 @@
     let asked = Instant::now();
     let Answer::Pulled(pulled) = caller.ask(&ask)? else { return Ok(false) };
     let news = pulled.changed.items();
-    let taken = news.is_empty() || shared.fleet.change(|fleet| fleet.take_all(news));
+    let taken = news.is_empty() || shared.fleet.change(|fleet| fleet.take_all(shared.now(), news));
     if pulled.member != 0 && taken {
         // What came with the confirmation is in use by now, so the freshness may count.
         shared.fresh.confirm(asked, Duration::from_millis(pulled.age_ms));
--- a/crates/request-router/src/ferry.rs
+++ b/crates/request-router/src/ferry.rs
@@ -1,110 +1,212 @@
-//! Ferrying: one try after another, pieces as they come, and a cut that looks like one.
+//! Ferrying: does what the trip says and tells it what is heard from replica and caller.
 use crate::claims::settle;
-use crate::passage::{Flow, Passage, Reply, Try};
+use crate::passage::{Flow, Passage, Try};
 use crate::placing;
 use crate::shared::{Shared, count};
-use crate::telling::{finish, piece_text, report, told};
-use crate::to_app::to_app;
-use crate::upstream::{self, Coming};
-use control_chain::command::Ran;
-use crossbeam::channel::{Receiver, RecvTimeoutError};
+use crate::telling::{finish, finish_app, pass_on, piece_text, report, told};
+use crate::upstream::{self, Answer, Coming, Upstream, Wish};
+use crossbeam::channel::RecvTimeoutError;
 use fleet_common::http_in::Pieces;
 use fleet_common::{Mishap, Step, ring};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use way_choice::trip::{Do, Heard, Stop, may_go_on};
 
-const LOOK: Duration = Duration::from_millis(100);
+/// How often a waiting request looks whether it may still go on.
+const LOOK: Duration = Duration::from_millis(50);
+/// A replica whose door is closed is left alone for a while.
 const DOWN_FOR: Duration = Duration::from_millis(1500);
 
-/// Why a request may not go on.
-pub enum Stop {
-    NotFresh,
-    Withdrawn,
-    Budget,
-    CallerLeft,
+/// Whether the request may go on at this moment.
+pub fn may(shared: &Shared, passage: &Passage) -> Result<(), Stop> {
+    let who = (passage.print.as_str(), passage.tenant.as_str());
+    may_go_on(&shared.fleet.read(), shared.is_fresh(), who, shared.now(), passage.until)
 }
 
-/// How a try ended before anything was answered.
-enum Ended {
-    Answered,
-    /// The replica never began.
-    NotRun(String),
-    /// It may have run.
-    Broken(String),
-    Stopped(Stop),
+struct Ferry<'a> {
+    shared: &'a Arc<Shared>,
+    passage: &'a mut Passage,
+    this: Option<Try>,
+    up: Option<Upstream>,
+    out: Option<Pieces>,
+    event: Vec<u8>,
+    whole: String,
+    answer: Option<Answer>,
+    begun: Instant,
+    heard_at: Instant,
+    flow: Flow,
 }
 
-pub fn may_go_on(shared: &Shared, passage: &Passage) -> Result<(), Stop> {
-    if !shared.is_fresh() {
-        return Err(Stop::NotFresh);
+/// The last filter: from where the claim left off to the outcome.
+pub fn ferry(shared: &Arc<Shared>, passage: &mut Passage) -> Flow {
+    let todo = std::mem::take(&mut passage.todo);
+    let now = Instant::now();
+    let mut ferry = Ferry {
+        shared,
+        passage,
+        this: None,
+        up: None,
+        out: None,
+        event: Vec::new(),
+        whole: String::new(),
+        answer: None,
+        begun: now,
+        heard_at: now,
+        flow: Flow::Answered,
+    };
+    ferry.act(todo);
+    while !ferry.passage.trip.over() {
+        let heard = ferry.hear();
+        let todo = ferry.step(heard);
+        ferry.act(todo);
     }
-    if shared.fleet.read().tenant(&passage.print) != Ok(passage.tenant.as_str()) {
-        return Err(Stop::Withdrawn);
+    ferry.flow
+}
+
+impl Ferry<'_> {
+    fn step(&mut self, heard: Heard) -> Vec<Do> {
+        let may = may(self.shared, self.passage);
+        self.passage.trip.step(may, heard, &mut self.shared.tokens())
     }
-    if Instant::now() >= passage.until {
-        return Err(Stop::Budget);
+
+    fn hear(&mut self) -> Heard {
+        let Some(up) = &self.up else { return Heard::Broken(true, "no stream is open".into()) };
+        let coming = up.coming.recv_timeout(LOOK);
+        if coming.is_ok() {
+            self.heard_at = Instant::now();
+        }
+        match coming {
+            Ok(Coming::Event(event)) => {
+                self.event = event;
+                Heard::Piece(self.event == b"data: [DONE]\n\n")
+            }
+            Ok(Coming::Answer(answer)) => {
+                let after = answer.header("retry-after").and_then(|v| v.parse().ok());
+                let heard = match self.passage.to_app {
+                    true => Heard::Piece(true),
+                    false => Heard::Head(answer.status, answer.header("x-not-run").is_some(), after),
+                };
+                self.answer = Some(answer);
+                heard
+            }
+            Ok(Coming::Whole) => Heard::Whole,
+            Ok(Coming::Broken(mishap)) => self.broken(mishap),
+            Err(RecvTimeoutError::Disconnected) => Heard::Broken(true, "the stream ended oddly".into()),
+            Err(RecvTimeoutError::Timeout) => self.silence(),
+        }
     }
-    Ok(())
-}
 
-pub fn stopped(stop: Stop) -> Reply {
-    match stop {
-        Stop::NotFresh => Reply::later(503, "this edge holds no fresh term"),
-        Stop::Withdrawn => Reply::new(403, "", "this key is withdrawn"),
-        Stop::Budget => Reply { retry_after: Some(1), ..Reply::new(504, "", "the budget ran out") },
-        Stop::CallerLeft => Reply::new(499, "", "the caller left"),
+    fn silence(&self) -> Heard {
+        let left = match (&self.out, &self.passage.incoming) {
+            (Some(pieces), _) => pieces.caller_left(),
+            (None, incoming) => incoming.as_ref().is_some_and(|i| i.caller_left()),
+        };
+        let stall = self.shared.fleet.read().blueprint.as_ref().map_or(10_000, |b| b.limits.stall_ms);
+        match (left, self.heard_at.elapsed() > Duration::from_millis(stall)) {
+            (true, _) => Heard::CallerLeft,
+            (_, true) => Heard::Broken(true, format!("nothing came for {stall} ms")),
+            _ => Heard::Nothing,
+        }
     }
-}
 
-pub fn ferry(shared: &Arc<Shared>, passage: &mut Passage) -> Flow {
-    if passage.to_app {
-        return to_app(shared, passage);
+    fn broken(&mut self, mishap: Mishap) -> Heard {
+        ring::note(&mishap.to_string());
+        let left = mishap.step != Step::Connect;
+        if let (false, true, Some(this)) = (left, may(self.shared, self.passage).is_ok(), &self.this) {
+            let until = self.shared.now() + DOWN_FOR;
+            self.shared.down.change(|down| down.insert(this.seat.id.clone(), until));
+        }
+        Heard::Broken(left, mishap.to_string())
     }
-    shared.tokens().earn();
-    loop {
-        if let Err(stop) = may_go_on(shared, passage) {
-            settle(shared, passage, Ran::NotRun);
-            return Flow::Reply(stopped(stop));
+
+    fn act(&mut self, todo: Vec<Do>) {
+        for act in todo {
+            let more = match act {
+                Do::Place => {
+                    self.this = placing::next(self.shared, self.passage);
+                    let id = self.this.as_ref().map(|this| this.seat.id.clone());
+                    self.step(Heard::Placed(id))
+                }
+                Do::Piece if self.passage.wanted.stream && !self.passage.to_app => match self.hand_on() {
+                    true => continue,
+                    false => self.step(Heard::CallerLeft),
+                },
+                act => {
+                    self.act_once(act);
+                    continue;
+                }
+            };
+            self.act(more);
         }
-        let Some(this) = placing::next(shared, passage) else {
-            settle(shared, passage, Ran::NotRun);
-            return Flow::Reply(Reply::later(503, "no fit replica"));
-        };
-        let (what, ran) = match attempt(shared, passage, &this) {
-            Ended::Answered => return Flow::Answered,
-            Ended::Stopped(stop) => {
-                settle(shared, passage, Ran::Unknown);
-                return Flow::Reply(stopped(stop).unknown());
+    }
+
+    fn act_once(&mut self, act: Do) {
+        match (act, &self.this) {
+            (Do::Send, Some(this)) => {
+                (self.begun, self.heard_at) = (Instant::now(), Instant::now());
+                self.up = Some(send(self.shared, self.passage, this));
             }
-            Ended::NotRun(what) => (what, false),
-            Ended::Broken(what) => (what, true),
-        };
-        passage.explain.step(format!("{} failed: {what}", this.seat.id));
-        passage.tried.push(this.seat.id.clone());
-        let repeatable = passage.once.is_none();
-        if repeatable && passage.tried.len() < 3 && shared.tokens().spend() {
-            count(&shared.counters.retries);
-            passage.explain.step("tries again");
-            continue;
+            (Do::First, Some(this)) => {
+                let ms = self.begun.elapsed().as_millis() as u64;
+                self.passage.explain.step(format!("first piece from {} after {ms} ms", this.seat.id));
+                report(self.shared, self.passage, this, self.begun.elapsed());
+            }
+            (Do::Piece, _) => self.whole.push_str(&piece_text(&self.event)),
+            (Do::Finish, Some(this)) => match self.answer.take() {
+                Some(answer) => finish_app(self.shared, self.passage, answer),
+                None => finish(self.shared, self.passage, this, self.out.take(), &self.whole),
+            },
+            (Do::PassOn(outcome), Some(this)) => {
+                if let Some(answer) = self.answer.take() {
+                    pass_on(self.shared, self.passage, this, answer, outcome);
+                }
+            }
+            (Do::Shut, _) => self.up = None,
+            (Do::Cut(why), _) => {
+                // Dropped without its end: the caller's stream is shut.
+                self.out = None;
+                count(&self.shared.counters.cut);
+                self.passage.explain.step(format!("cut: {why}"));
+                self.passage.explain.outcome = format!("unknown: cut, {why}");
+            }
+            (Do::Settle(ran), _) => settle(self.shared, self.passage, ran),
+            (Do::Tell(told), _) => self.flow = Flow::Reply(told.into()),
+            (Do::Explain(what), _) => {
+                if what == "tries again" {
+                    count(&self.shared.counters.retries);
+                }
+                self.passage.explain.step(what);
+            }
+            _ => {}
+        }
+    }
+
+    /// Hands a piece on to the caller; whether it was taken.
+    fn hand_on(&mut self) -> bool {
+        let Some(this) = &self.this else { return false };
+        if self.out.is_none() {
+            let Some(incoming) = self.passage.incoming.take() else { return false };
+            self.out = incoming.pieces(200, told(self.passage, this, "text/event-stream")).ok();
         }
-        settle(shared, passage, if ran { Ran::Unknown } else { Ran::NotRun });
-        let reply = Reply::later(503, format!("{} failed: {what}", this.seat.id));
-        return Flow::Reply(if ran { reply.unknown() } else { reply });
+        self.out.as_mut().is_some_and(|pieces| pieces.send(&self.event).is_ok())
     }
 }
 
-fn send(shared: &Shared, passage: &Passage, this: &Try, stall: Duration) -> Receiver<Coming> {
-    let left = passage.until.saturating_duration_since(Instant::now());
+fn send(shared: &Arc<Shared>, passage: &Passage, this: &Try) -> Upstream {
+    let left = passage.until.saturating_sub(shared.now());
     let block_bytes = shared.fleet.read().blueprint.as_ref().map_or(64, |b| b.index.block_bytes);
+    let kind = passage.incoming.as_ref().and_then(|i| i.header("content-type")).unwrap_or("application/json");
     let mut headers = vec![
-        ("content-type", "application/json".to_string()),
+        ("content-type", kind.to_string()),
         ("x-request-id", passage.id.clone()),
-        ("x-wall", passage.wall.clone()),
-        ("x-weights", this.seat.weights.clone()),
-        ("x-block-bytes", block_bytes.to_string()),
         ("x-budget-ms", left.as_millis().to_string()),
         ("x-tenant", passage.tenant.clone()),
     ];
+    if !passage.to_app {
+        headers.push(("x-wall", passage.wall.clone()));
+        headers.push(("x-weights", this.seat.weights.clone()));
+        headers.push(("x-block-bytes", block_bytes.to_string()));
+    }
     if let Some(source) = &this.source {
         count(&shared.counters.handovers_named);
         headers.push(("cache-source", source.at.clone()));
@@ -112,106 +214,15 @@
     if let Some(key) = &passage.once {
         headers.push(("x-once-key", key.clone()));
     }
-    let url = format!("http://{}/v1/completions", this.seat.at);
-    upstream::start(url, headers, passage.wanted.body.clone(), stall)
-}
-
-/// One try, up to and including its answer.
-fn attempt(shared: &Arc<Shared>, passage: &mut Passage, this: &Try) -> Ended {
-    let stall_ms = shared.fleet.read().blueprint.as_ref().map_or(10_000, |b| b.limits.stall_ms);
-    let begun = Instant::now();
-    let coming = send(shared, passage, this, Duration::from_millis(stall_ms));
-    let mut out: Option<Pieces> = None;
-    let mut whole = String::new();
-    let (mut first, mut done) = (true, false);
-    let ended = loop {
-        let event = match coming.recv_timeout(LOOK) {
-            Ok(Coming::Head(200, _)) => continue,
-            Ok(Coming::Head(status, headers)) => {
-                let refused = headers.iter().any(|(name, _)| name == "x-not-run");
-                let what = format!("answered {status}");
-                break if refused { Ended::NotRun(what) } else { Ended::Broken(what) };
-            }
-            Ok(Coming::Event(event)) => event,
-            Ok(Coming::Whole) if done => {
-                finish(shared, passage, this, out.take(), &whole);
-                break Ended::Answered;
-            }
-            Ok(Coming::Whole) => break Ended::Broken("the stream ended without [DONE]".into()),
-            Ok(Coming::Broken(mishap)) => break broken(shared, this, mishap),
-            Err(RecvTimeoutError::Disconnected) => break Ended::Broken("the stream ended oddly".into()),
-            Err(RecvTimeoutError::Timeout) => {
-                let left = out.as_ref().map_or_else(
-                    || passage.incoming.as_ref().is_some_and(|i| i.caller_left()),
-                    |pieces| pieces.caller_left(),
-                );
-                match may_go_on(shared, passage) {
-                    Err(stop) => break Ended::Stopped(stop),
-                    Ok(()) if left => break Ended::Stopped(Stop::CallerLeft),
-                    Ok(()) => continue,
-                }
-            }
-        };
-        if let Err(stop) = may_go_on(shared, passage) {
-            break Ended::Stopped(stop);
-        }
-        if done {
-            break Ended::Broken("a piece came after [DONE]".into());
-        }
-        if std::mem::take(&mut first) {
-            let ms = begun.elapsed().as_millis() as u64;
-            passage.explain.step(format!("first piece from {} after {ms} ms", this.seat.id));
-            report(shared, passage, this, ms);
-        }
-        done = event == b"data: [DONE]\n\n";
-        if !passage.wanted.stream {
-            whole.push_str(&piece_text(&event));
-            continue;
-        }
-        if out.is_none() {
-            let Some(incoming) = passage.incoming.take() else { break Ended::Answered };
-            match incoming.pieces(200, told(passage, this, "text/event-stream")) {
-                Ok(pieces) => out = Some(pieces),
-                Err(_) => break Ended::Stopped(Stop::CallerLeft),
-            }
-        }
-        if out.as_mut().is_some_and(|pieces| pieces.send(&event).is_err()) {
-            break Ended::Stopped(Stop::CallerLeft);
-        }
+    let incoming = passage.incoming.as_ref();
+    let (method, path) = match (passage.to_app, incoming) {
+        (true, Some(i)) if i.query.is_empty() => (i.method.clone(), passage.path.clone()),
+        (true, Some(i)) => (i.method.clone(), format!("{}?{}", passage.path, i.query)),
+        _ => ("POST".to_string(), "/v1/completions".to_string()),
     };
-    drop(coming);
-    match (out, ended) {
-        (Some(pieces), ended) if !matches!(ended, Ended::Answered) => {
-            drop(pieces);
-            cut(shared, passage, &ended);
-            Ended::Answered
-        }
-        (_, ended) => ended,
-    }
-}
-
-/// An answer that had begun is cut: the caller sees its stream end without its end.
-fn cut(shared: &Arc<Shared>, passage: &mut Passage, ended: &Ended) {
-    let why = match ended {
-        Ended::Stopped(Stop::NotFresh) => "this edge lost its term",
-        Ended::Stopped(Stop::Withdrawn) => "the key was withdrawn",
-        Ended::Stopped(Stop::Budget) => "the budget ran out",
-        Ended::Stopped(Stop::CallerLeft) => "the caller left",
-        Ended::Broken(what) | Ended::NotRun(what) => what.as_str(),
-        Ended::Answered => "",
-    };
-    count(&shared.counters.cut);
-    passage.explain.step(format!("cut: {why}"));
-    passage.explain.outcome = format!("unknown: cut, {why}");
-    settle(shared, passage, Ran::Unknown);
-}
-
-fn broken(shared: &Shared, this: &Try, mishap: Mishap) -> Ended {
-    ring::note(&mishap.to_string());
-    if mishap.step == Step::Connect {
-        let until = Instant::now() + DOWN_FOR;
-        shared.down.change(|down| down.insert(this.seat.id.clone(), until));
-        return Ended::NotRun(mishap.to_string());
-    }
-    Ended::Broken(mishap.to_string())
+    let url = format!("http://{}{path}", this.seat.at);
+    let wish = Wish { method, url, headers, body: passage.wanted.body.clone(), events: !passage.to_app };
+    let (shared, print, tenant, until) = (shared.clone(), passage.print.clone(), passage.tenant.clone(), passage.until);
+    let gate = move || may_go_on(&shared.fleet.read(), shared.is_fresh(), (&print, &tenant), shared.now(), until);
+    upstream::start(wish, Arc::new(move || gate().is_ok()))
 }
--- a/crates/request-router/src/filters.rs
+++ b/crates/request-router/src/filters.rs
@@ -9,8 +9,9 @@
 use fleet_common::json::{self, Fault};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use way_choice::let_in::{Over, Wish};
+use way_choice::trip::Trip;
 
 type Filter = fn(&Arc<Shared>, &mut Passage) -> Flow;
 
@@ -41,14 +42,14 @@
         wall: String::new(),
         kind: text("x-kind"),
         urgency: 1,
-        until: Instant::now(),
+        until: Duration::ZERO,
         session: text("x-session"),
         kept: maybe("x-place"),
         once: maybe("idempotency-key"),
         to_app: false,
         let_in: false,
-        claimed: false,
-        tried: Vec::new(),
+        trip: Trip::new(false, false),
+        todo: Vec::new(),
         explain: Explain::default(),
         incoming: Some(incoming),
     };
@@ -187,7 +188,7 @@
         Some(Ok(asked)) => asked.min(own),
         Some(Err(_)) => return Flow::Reply(Reply::new(400, "", "X-Budget-Ms: a whole number is wanted")),
     };
-    passage.until = passage.explain.begun + Duration::from_millis(budget_ms);
+    passage.until = shared.at(passage.explain.begun) + Duration::from_millis(budget_ms);
     let facts = Facts {
         tenant: &passage.tenant,
         kind: &passage.kind,
@@ -213,7 +214,7 @@
         tenant: &passage.tenant,
         urgency: passage.urgency,
         share: (share, sum),
-        most: blueprint.limits.per_edge,
+        most: blueprint.limits.per_edge.min(shared.places),
     };
     let ruling = shared.in_flight().let_in(&wish);
     match ruling {
--- a/crates/request-router/src/main.rs
+++ b/crates/request-router/src/main.rs
@@ -11,7 +11,6 @@
 mod reporting;
 mod shared;
 mod telling;
-mod to_app;
 mod upstream;
 
 use fleet_common::settings::{EXIT_LISTEN, Settings, listen as listen_on};
@@ -39,7 +38,10 @@
     }
 }
 
-const NAMES: &[&str] = &["name", "district", "listen", "http", "frames", "agent", "drainMs"];
+/// Requests that can be worked on at once by default; a few of them only refuse.
+const WORKERS: u64 = 256;
+const SPARE: u64 = 4;
+const NAMES: &[&str] = &["name", "district", "listen", "http", "frames", "agent", "drainMs", "workers"];
 
 fn main() {
     let flags = flags::RequestRouter::from_env_or_exit();
@@ -53,18 +55,19 @@
     let (listen, http, frames) = (settings.address("listen"), settings.address("http"), settings.address("frames"));
     let agent = settings.address("agent");
     let drain_ms = settings.number("drainMs", 8000, 0, 600_000);
+    let workers = settings.number("workers", WORKERS, 8, 4096);
     settings.or_exit(flags.check);
     let bind = |at| listen_on("request-router", at);
     let (callers, pages_at, pushes) = (bind(listen), bind(http), bind(frames));
-    let shared = Arc::new(Shared::new(name, district, agent));
+    let shared = Arc::new(Shared::new(name, district, agent, workers - SPARE));
     shared.drain_ms.store(drain_ms, Ordering::Relaxed);
     heed(shared.clone(), flags);
     let for_pushes = shared.clone();
     frame::serve(pushes, move |ask| Some(mirrors::answer(&for_pushes, ask)));
     let for_pages = shared.clone();
     let for_callers = shared.clone();
-    let served = http_in::serve(pages_at, move |incoming| pages::answer(&for_pages, incoming))
-        .and_then(|_| http_in::serve(callers, move |incoming| filters::run(&for_callers, incoming)));
+    let served = http_in::serve(pages_at, http_in::WORKERS, move |incoming| pages::answer(&for_pages, incoming))
+        .and_then(|_| http_in::serve(callers, workers as usize, move |incoming| filters::run(&for_callers, incoming)));
     if let Err(e) = served {
         eprintln!("request-router: {e}");
         std::process::exit(EXIT_LISTEN);
--- a/crates/request-router/src/mirrors.rs
+++ b/crates/request-router/src/mirrors.rs
@@ -5,7 +5,8 @@
 use fleet_common::ring;
 use prefix_table::filter::Mirror;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use way_choice::desk;
 
 /// Takes a filter unless a later fence or version is held, or the core knows a later fence.
 fn take(shared: &Shared, filter: Filter) -> bool {
@@ -31,15 +32,8 @@
             if take(shared, filter) { Answer::Done } else { Answer::Refused("an older filter".into()) }
         }
         Ask::Seats(seats) => {
-            let at = Instant::now();
-            shared.news.change(|news| {
-                for told in seats.into_items() {
-                    let replica = told.replica.to_string();
-                    if news.get(&replica).is_none_or(|(held, _)| held.fence <= told.fence) {
-                        news.insert(replica, (told, at));
-                    }
-                }
-            });
+            let now = shared.now();
+            shared.news.change(|news| desk::take(news, now, seats.into_items()));
             Answer::Done
         }
         _ => Answer::Refused("not a router's to answer".into()),
--- a/crates/request-router/src/pages.rs
+++ b/crates/request-router/src/pages.rs
@@ -3,6 +3,7 @@
 use fleet_common::http_in::Incoming;
 use fleet_common::json::quote;
 use std::sync::atomic::Ordering;
+use way_choice::desk::NO_FLOOR;
 
 pub fn answer(shared: &Shared, incoming: Incoming) {
     let path = incoming.path.clone();
@@ -14,7 +15,8 @@
         }
         "/self" => incoming.json(200, &words(shared), vec![]),
         "/metrics" => {
-            incoming.whole(200, "text/plain; version=0.0.4", shared.counters.words().as_bytes(), vec![]);
+            let text = shared.counters.words() + &links(shared);
+            incoming.whole(200, "text/plain; version=0.0.4", text.as_bytes(), vec![]);
         }
         "/log" => incoming.log(),
         "/requests" => {
@@ -31,6 +33,18 @@
     }
 }
 
+/// What handing a block over costs, as learnt, for each pair of districts that was tried.
+fn links(shared: &Shared) -> String {
+    let fleet = shared.fleet.read();
+    let Some(blueprint) = &fleet.blueprint else { return String::new() };
+    let rows = shared.learnt().rows(shared.now(), &blueprint.links);
+    let line = |((from, to), us, tries): &((String, String), u64, u64)| {
+        let labels = format!("{{from=\"{from}\",to=\"{to}\"}}");
+        format!("coursebend_router_link_us_per_block{labels} {us}\ncoursebend_router_link_tries{labels} {tries}\n")
+    };
+    rows.iter().map(line).collect()
+}
+
 fn words(shared: &Shared) -> String {
     let fleet = shared.fleet.read();
     let seats: Vec<String> = shared
@@ -38,12 +52,13 @@
         .iter()
         .map(|s| {
             format!(
-                "{}:{{\"weights\":{},\"leaving\":{},\"down\":{},\"load\":{}}}",
+                "{}:{{\"weights\":{},\"leaving\":{},\"down\":{},\"load\":{},\"heard\":{}}}",
                 quote(&s.id),
                 quote(&s.weights),
                 s.leaving,
                 s.down,
-                s.load
+                s.load,
+                s.floor != NO_FLOOR
             )
         })
         .collect();
--- a/crates/request-router/src/passage.rs
+++ b/crates/request-router/src/passage.rs
@@ -2,9 +2,10 @@
 use crate::explain::Explain;
 use fleet_common::http_in::{Extra, Incoming};
 use fleet_common::json::quote;
-use std::time::Instant;
+use std::time::Duration;
 use way_choice::place::{Reason, Seat};
 use way_choice::source::Source;
+use way_choice::trip::{Do, Told, Trip};
 
 /// What the caller asked for, as parsed.
 #[derive(Clone, Debug, Default)]
@@ -23,6 +24,8 @@
     pub reason: Reason,
     pub source: Option<Source>,
     pub blocks: Vec<u64>,
+    /// How many leading blocks the place holds itself, by its mirror.
+    pub own: usize,
 }
 
 pub struct Passage {
@@ -35,14 +38,15 @@
     pub wall: String,
     pub kind: String,
     pub urgency: u64,
-    pub until: Instant,
+    /// When its budget ends, counted from the router's start.
+    pub until: Duration,
     pub session: String,
     pub kept: Option<String>,
     pub once: Option<String>,
     pub to_app: bool,
     pub let_in: bool,
-    pub claimed: bool,
-    pub tried: Vec<String>,
+    pub trip: Trip,
+    pub todo: Vec<Do>,
     pub explain: Explain,
 }
 
@@ -68,11 +72,6 @@
         Reply { retry_after: Some(1 + spread), ..Reply::new(status, "", what) }
     }
 
-    pub fn unknown(mut self) -> Self {
-        self.outcome = "unknown";
-        self
-    }
-
     pub fn send(self, incoming: Incoming, id: &str) {
         let body = format!(
             "{{\"error\":{{\"pointer\":{},\"what\":{}}},\"request\":{},\"outcome\":{}}}",
@@ -90,6 +89,15 @@
 }
 
 /// What a filter says: go on, answer this, or it has answered already.
+impl From<Told> for Reply {
+    fn from(told: Told) -> Self {
+        // Callers that are told to come back do not all come at once; a colleague's own word stands.
+        let spread = || 1 + fleet_common::hash::unique() % 3;
+        let retry_after = told.retry_after.map(|after| if after == 0 { spread() } else { after });
+        Reply { retry_after, outcome: told.outcome, ..Reply::new(told.status, "", told.what) }
+    }
+}
+
 pub enum Flow {
     Next,
     Reply(Reply),
--- a/crates/request-router/src/reporting.rs
+++ b/crates/request-router/src/reporting.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use way_choice::links::{Pair, Seconds};
 
 /// A hand-over try as the ferry saw it.
 pub struct Tried {
@@ -15,19 +16,36 @@
     pub source: String,
     pub block: u64,
     pub filter_version: u64,
-    /// What the hand-over was to save, and what reading all of it anew would take.
+    pub pair: Pair,
+    /// Blocks to be handed over, blocks read anew besides, and what reading one takes.
+    pub handed: u64,
+    pub anew: u64,
+    pub prefill_us: u64,
+    /// What the hand-over was to save.
     pub saved_us: u64,
-    pub anew_us: u64,
-    pub first_piece_ms: u64,
+    pub first_us: u64,
 }
 
 impl Tried {
+    /// What reading all of it anew would have taken.
+    fn anew_us(&self) -> u64 {
+        (self.handed + self.anew) * self.prefill_us
+    }
+
     /// The second sign: the first piece came no sooner than if most of the prompt was read anew.
     fn looks_missed(&self) -> bool {
-        self.first_piece_ms * 1000 > self.anew_us.saturating_sub(self.saved_us / 2)
+        self.first_us > self.anew_us().saturating_sub(self.saved_us / 2)
     }
 }
 
+fn learn(shared: &Shared, tried: &Tried) {
+    let fleet = shared.fleet.read();
+    let Some(blueprint) = &fleet.blueprint else { return };
+    let (pair, handed, anew) = (tried.pair.clone(), tried.handed, tried.anew);
+    let seen = Seconds { pair, handed, anew, prefill_us: tried.prefill_us, first_us: tried.first_us };
+    shared.learnt().tried(shared.now(), &blueprint.links, &seen);
+}
+
 pub fn start(shared: Arc<Shared>) {
     std::thread::spawn(move || {
         let mut callers: HashMap<SocketAddr, Caller> = HashMap::new();
@@ -44,14 +62,17 @@
                 source: tried.source.as_str().into(),
                 block: tried.block,
                 filter_version: tried.filter_version,
-                expected_ms: tried.anew_us.saturating_sub(tried.saved_us) / 1000,
-                first_piece_ms: tried.first_piece_ms,
+                expected_ms: tried.anew_us().saturating_sub(tried.saved_us) / 1000,
+                first_piece_ms: tried.first_us / 1000,
             });
             match caller.ask(&ask) {
                 Ok(Answer::Audit(verdict)) => {
                     count(&shared.counters.handovers_audited);
-                    if [audit::COLLISION, audit::STALE].contains(&verdict) {
-                        mirrors::false_hit(&shared, &tried.source);
+                    match verdict {
+                        audit::COLLISION | audit::STALE => mirrors::false_hit(&shared, &tried.source),
+                        // The source held it, so the time is the link's.
+                        audit::HELD => learn(&shared, &tried),
+                        _ => {}
                     }
                 }
                 Ok(_) => {}
--- a/crates/request-router/src/shared.rs
+++ b/crates/request-router/src/shared.rs
@@ -6,16 +6,16 @@
 use control_chain::rules::Judge;
 use crossbeam::channel::{Receiver, Sender, bounded};
 use fleet_common::Rcu;
-use fleet_common::ask::SeatNews;
 use fleet_common::frame::Caller;
 use fleet_common::hash;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Instant;
+use std::time::{Duration, Instant};
+use way_choice::desk::{Down, News, seats};
 use way_choice::fresh::Fresh;
 use way_choice::let_in::InFlight;
+use way_choice::links::Learnt;
 use way_choice::place::Seat;
 use way_choice::source::Mirrors;
 use way_choice::tokens::Tokens;
@@ -36,7 +36,7 @@
 }
 
 counters! {
-    requests, answered_whole, cut, refused, over_limit, retries, handovers_named, handovers_audited,
+    requests, answered_whole, cut, refused, over_limit, passed_on, retries, handovers_named, handovers_audited,
     false_hits, filter_pushes, filter_pulls, prefix_hits, prefix_misses, moves, not_fresh, slow_handovers,
 }
 
@@ -44,21 +44,21 @@
     counter.fetch_add(1, Ordering::Relaxed);
 }
 
-/// State news of replicas, with when it came.
-pub type News = HashMap<String, (SeatNews, Instant)>;
-
 pub struct Shared {
     pub name: String,
     pub district: String,
     pub agent: SocketAddr,
     pub start: u64,
+    begun: Instant,
+    /// How many requests this router has workers for.
+    pub places: u64,
     pub numbers: AtomicU64,
     pub fleet: Rcu<Fleet>,
     pub mirrors: Rcu<Mirrors>,
     /// Rules as compiled for a version of the blueprint.
     pub judge: Rcu<Arc<(u64, Judge)>>,
     pub news: Rcu<News>,
-    pub down: Rcu<HashMap<String, Instant>>,
+    pub down: Rcu<Down>,
     pub fresh: Fresh,
     pub counters: Counters,
     pub draining: std::sync::atomic::AtomicBool,
@@ -66,6 +66,7 @@
     in_flight: Mutex<InFlight>,
     tokens: Mutex<Tokens>,
     explains: Mutex<Explains>,
+    learnt: Mutex<Learnt>,
     agents: Mutex<Vec<Caller>>,
     pub tried: (Sender<Tried>, Receiver<Tried>),
 }
@@ -75,25 +76,28 @@
 }
 
 impl Shared {
-    pub fn new(name: String, district: String, agent: SocketAddr) -> Self {
+    pub fn new(name: String, district: String, agent: SocketAddr, places: u64) -> Self {
         Shared {
             name,
             district,
             agent,
             start: hash::unique(),
+            begun: Instant::now(),
+            places,
             numbers: AtomicU64::new(0),
             fleet: Rcu::new(Fleet::default()),
             mirrors: Rcu::new(Mirrors::new()),
             judge: Rcu::default(),
             news: Rcu::new(News::new()),
-            down: Rcu::new(HashMap::new()),
+            down: Rcu::new(Down::new()),
             fresh: Fresh::default(),
             counters: Counters::default(),
             draining: false.into(),
             drain_ms: AtomicU64::new(8000),
             in_flight: Mutex::default(),
-            tokens: Mutex::new(Tokens::new(10)),
+            tokens: Mutex::new(Tokens::starting(1, 10)),
             explains: Mutex::default(),
+            learnt: Mutex::default(),
             agents: Mutex::default(),
             tried: bounded(1024),
         }
@@ -107,6 +111,21 @@
         held(&self.tokens)
     }
 
+    /// What links cost, as learnt. Held while a source is chosen; nothing else is taken meanwhile.
+    pub fn learnt(&self) -> MutexGuard<'_, Learnt> {
+        held(&self.learnt)
+    }
+
+    /// The time since this router started, by the monotonic clock.
+    pub fn now(&self) -> Duration {
+        self.begun.elapsed()
+    }
+
+    /// A moment, counted likewise.
+    pub fn at(&self, moment: Instant) -> Duration {
+        moment.saturating_duration_since(self.begun)
+    }
+
     pub fn explains(&self) -> MutexGuard<'_, Explains> {
         held(&self.explains)
     }
@@ -114,7 +133,7 @@
     /// A stream to the agent, kept between asks.
     pub fn agent(&self) -> Caller {
         let idle = held(&self.agents).pop();
-        idle.unwrap_or_else(|| Caller::new(self.agent, std::time::Duration::from_secs(5)))
+        idle.unwrap_or_else(|| Caller::new(self.agent, Duration::from_secs(5)))
     }
 
     pub fn give_agent_back(&self, caller: Caller) {
@@ -140,25 +159,6 @@
 
     /// Replicas as they look now: listed by the platform, loaded and running as the index told.
     pub fn seats(&self) -> Vec<Seat> {
-        let (fleet, news, down) = (self.fleet.read(), self.news.read(), self.down.read());
-        let now = Instant::now();
-        fleet
-            .replicas
-            .iter()
-            .map(|row| {
-                let told = news.get(&row.id).map(|(told, _)| told);
-                let lately = down.get(&row.id).is_some_and(|until| now < *until);
-                Seat {
-                    id: row.id.clone(),
-                    at: row.at.clone(),
-                    district: row.district.clone(),
-                    model: row.model.clone(),
-                    weights: told.map(|t| t.weights.to_string()).unwrap_or_default(),
-                    leaving: row.leaving,
-                    down: lately || told.is_some_and(|t| t.down != 0),
-                    load: told.map_or(0, |t| t.load),
-                }
-            })
-            .collect()
+        seats(&self.fleet.read(), &self.news.read(), &self.down.read(), self.now())
     }
 }
--- a/crates/request-router/src/telling.rs
+++ b/crates/request-router/src/telling.rs
@@ -1,12 +1,12 @@
-//! What a caller is told: its place in the headers, its answer's end, and to the index the try.
-use crate::claims::settle;
+//! What a caller is told: its place in the headers, its answer's end, a refusal passed on; and what
+//! the index is told of the try.
 use crate::passage::{Passage, Try};
 use crate::reporting::Tried;
 use crate::shared::{Shared, count};
-use control_chain::command::Ran;
+use crate::upstream::Answer;
 use fleet_common::http_in::{Extra, Pieces};
 use fleet_common::json::quote;
-use std::sync::Arc;
+use std::time::Duration;
 
 /// What the caller is told of its place.
 pub fn told(passage: &Passage, this: &Try, kind: &str) -> Extra {
@@ -23,8 +23,16 @@
     extra
 }
 
-pub fn finish(shared: &Arc<Shared>, passage: &mut Passage, this: &Try, out: Option<Pieces>, whole: &str) {
-    let ended = match (out, passage.incoming.take()) {
+fn ended(shared: &Shared, passage: &mut Passage, whole: bool) {
+    if whole {
+        count(&shared.counters.answered_whole);
+    }
+    passage.explain.outcome = "whole".into();
+    passage.explain.step("answered whole");
+}
+
+pub fn finish(shared: &Shared, passage: &mut Passage, this: &Try, out: Option<Pieces>, whole: &str) {
+    let taken = match (out, passage.incoming.take()) {
         (Some(pieces), _) => pieces.end().is_ok(),
         (None, Some(incoming)) => {
             let body = format!(
@@ -40,12 +48,32 @@
         }
         (None, None) => false,
     };
-    if ended {
-        count(&shared.counters.answered_whole);
+    ended(shared, passage, taken);
+}
+
+/// The app service's answer, as it is.
+pub fn finish_app(shared: &Shared, passage: &mut Passage, answer: Answer) {
+    let kind = answer.header("content-type").unwrap_or("application/octet-stream").to_string();
+    let mut extra: Extra = vec![("X-Request-Id", passage.id.clone())];
+    extra.extend(answer.header("retry-after").map(|after| ("Retry-After", after.to_string())));
+    if let Some(incoming) = passage.incoming.take() {
+        incoming.whole(answer.status, &kind, &answer.body, extra);
+    }
+    ended(shared, passage, true);
+}
+
+/// A replica's own refusal, as it is: the request is at fault, and no other replica would say otherwise.
+pub fn pass_on(shared: &Shared, passage: &mut Passage, this: &Try, answer: Answer, outcome: &'static str) {
+    count(&shared.counters.passed_on);
+    let kind = answer.header("content-type").unwrap_or("application/json").to_string();
+    let mut extra = told(passage, this, "");
+    extra.retain(|(name, _)| *name != "Content-Type");
+    extra.push(("X-Outcome", outcome.to_string()));
+    passage.explain.step(format!("{} refused with {}, passed on", this.seat.id, answer.status));
+    passage.explain.outcome = outcome.into();
+    if let Some(incoming) = passage.incoming.take() {
+        incoming.whole(answer.status, &kind, &answer.body, extra);
     }
-    passage.explain.outcome = "whole".into();
-    passage.explain.step("answered whole");
-    settle(shared, passage, Ran::Done);
 }
 
 pub fn piece_text(event: &[u8]) -> String {
@@ -55,24 +83,27 @@
     text.ok().and_then(|t| t.as_str().map(str::to_string)).unwrap_or_default()
 }
 
-pub fn report(shared: &Shared, passage: &Passage, this: &Try, first_piece_ms: u64) {
-    let Some(source) = &this.source else { return };
-    let prefill_us = shared
-        .fleet
-        .read()
-        .blueprint
-        .as_ref()
-        .and_then(|b| b.models.get(&passage.wanted.model))
-        .map_or(0, |m| m.prefill_us_per_block);
-    let missing = (this.blocks.len() - source.own) as u64;
+/// A try's first piece is here: what it took teaches what links cost, and the index audits the source.
+pub fn report(shared: &Shared, passage: &Passage, this: &Try, first: Duration) {
+    let fleet = shared.fleet.read();
+    let model = fleet.blueprint.as_ref().and_then(|b| b.models.get(&passage.wanted.model));
+    let prefill_us = model.map_or(0, |m| m.prefill_us_per_block);
+    let first_us = first.as_micros() as u64;
+    let missing = (this.blocks.len() - this.own.min(this.blocks.len())) as u64;
+    let Some(source) = &this.source else {
+        return shared.learnt().plain(missing, prefill_us, first_us);
+    };
     let tried = Tried {
         request: passage.id.clone(),
         source: source.replica.clone(),
+        pair: source.pair.clone(),
         block: this.blocks[source.blocks - 1],
         filter_version: source.filter_version,
+        handed: (source.blocks - source.own) as u64,
+        anew: (this.blocks.len() - source.blocks) as u64,
+        prefill_us,
         saved_us: source.saved_us,
-        anew_us: missing * prefill_us,
-        first_piece_ms,
+        first_us,
     };
     let _ = shared.tried.0.try_send(tried);
 }
--- a/crates/request-router/src/upstream.rs
+++ b/crates/request-router/src/upstream.rs
@@ -1,57 +1,107 @@
-//! The stream from a replica, read by a thread of its own and handed on in whole events.
+//! The stream from a replica or the app service, read by a thread of its own and handed on in whole
+//! events. Whoever holds it shuts it by dropping it: at once, not at the next piece.
 use crossbeam::channel::{Receiver, Sender, bounded};
-use fleet_common::http_out::{self, Opened};
+use fleet_common::http_cut::{self, Gate, Shutter};
+use fleet_common::http_out::Opened;
 use fleet_common::{Mishap, Step};
 use std::io::Read;
-use std::time::Duration;
 
-/// What comes from a replica, in order.
+/// The most that is read of an answer that is handed on whole.
+const WHOLE_MAX: u64 = 64 << 20;
+
+/// An answer that is handed on as it is.
+pub struct Answer {
+    pub status: u16,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+}
+
+/// What comes, in order.
 pub enum Coming {
-    Head(u16, Vec<(String, String)>),
+    /// An answer that is no stream of events, whole.
+    Answer(Answer),
     Event(Vec<u8>),
     Whole,
     Broken(Mishap),
 }
 
-/// Opens a stream in the background. Dropping the receiver drops the stream at its next piece, or
-/// when `stall` passes without one.
-pub fn start(url: String, headers: Vec<(&'static str, String)>, body: Vec<u8>, stall: Duration) -> Receiver<Coming> {
-    let (sender, receiver) = bounded(64);
+/// What is asked.
+pub struct Wish {
+    pub method: String,
+    pub url: String,
+    pub headers: Vec<(&'static str, String)>,
+    pub body: Vec<u8>,
+    /// Whether a 200 comes in events.
+    pub events: bool,
+}
+
+/// An open stream. Dropping it shuts it.
+pub struct Upstream {
+    pub coming: Receiver<Coming>,
+    shutter: Shutter,
+}
+
+impl Drop for Upstream {
+    fn drop(&mut self) {
+        self.shutter.shut();
+    }
+}
+
+/// Opens a stream in the background. Nothing leaves while the gate is closed.
+pub fn start(wish: Wish, gate: Gate) -> Upstream {
+    let (sender, coming) = bounded(64);
+    let shutter = Shutter::default();
+    let held = shutter.clone();
     std::thread::spawn(move || {
-        let opened = match http_out::open("POST", &url, &headers, &body, stall) {
-            Ok(opened) => opened,
-            Err(mishap) => return drop(sender.send(Coming::Broken(mishap))),
+        let opened = http_cut::open(&wish.method, &wish.url, &wish.headers, &wish.body, gate, &held);
+        let last = match opened {
+            Err(mishap) => Coming::Broken(mishap),
+            Ok(opened) if wish.events && opened.status == 200 => pump(opened.body, &wish.url, &sender),
+            Ok(opened) => whole(opened, &wish.url, &sender),
         };
-        let Opened { status, headers, body } = opened;
-        if sender.send(Coming::Head(status, headers)).is_ok() {
-            pump(body, &url, &sender);
-        }
+        let _ = sender.send(last);
     });
-    receiver
+    Upstream { coming, shutter }
 }
 
-fn pump(mut body: impl Read, url: &str, sender: &Sender<Coming>) {
+fn whole(opened: Opened<impl Read>, url: &str, sender: &Sender<Coming>) -> Coming {
+    let mut body = Vec::new();
+    match opened.body.take(WHOLE_MAX + 1).read_to_end(&mut body) {
+        Ok(_) if body.len() as u64 <= WHOLE_MAX => {
+            let answer = Answer { status: opened.status, headers: opened.headers, body };
+            let _ = sender.send(Coming::Answer(answer));
+            Coming::Whole
+        }
+        Ok(_) => Coming::Broken(Mishap::at(Step::Ferry, url, "an answer over 64 MiB")),
+        Err(e) => Coming::Broken(Mishap::at(Step::Ferry, url, e)),
+    }
+}
+
+fn pump(mut body: impl Read, url: &str, sender: &Sender<Coming>) -> Coming {
     let mut held: Vec<u8> = Vec::new();
     let mut buffer = [0u8; 16 << 10];
     loop {
         match body.read(&mut buffer) {
-            Ok(0) if held.is_empty() => return drop(sender.send(Coming::Whole)),
-            Ok(0) => {
-                let mishap = Mishap::at(Step::Ferry, url, "the stream ended inside an event");
-                return drop(sender.send(Coming::Broken(mishap)));
-            }
+            Ok(0) if held.is_empty() => return Coming::Whole,
+            Ok(0) => return Coming::Broken(Mishap::at(Step::Ferry, url, "the stream ended inside an event")),
             Ok(n) => {
                 held.extend_from_slice(&buffer[..n]);
                 while let Some(end) = held.windows(2).position(|pair| pair == b"\n\n") {
                     let rest = held.split_off(end + 2);
                     let event = std::mem::replace(&mut held, rest);
                     if sender.send(Coming::Event(event)).is_err() {
-                        return;
+                        return Coming::Whole;
                     }
                 }
             }
             Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
-            Err(e) => return drop(sender.send(Coming::Broken(Mishap::at(Step::Ferry, url, e)))),
+            Err(e) => return Coming::Broken(Mishap::at(Step::Ferry, url, e)),
         }
     }
 }
--- a/crates/router-agent/src/main.rs
+++ b/crates/router-agent/src/main.rs
@@ -86,7 +86,7 @@
         })
     });
     let for_pages = held.clone();
-    let served = http_in::serve(pages, move |incoming| match incoming.path.as_str() {
+    let served = http_in::serve(pages, http_in::WORKERS, move |incoming| match incoming.path.as_str() {
         "/health" => incoming.json(200, "{\"up\":true}", vec![]),
         "/self" => incoming.json(200, &for_pages.words(), vec![]),
         "/log" => incoming.log(),
--- a/crates/run-fleet/tests/streams.rs
+++ b/crates/run-fleet/tests/streams.rs
@@ -62,3 +62,95 @@
     assert_eq!((told.status, told.header("x-outcome")), (503, Some("unknown")));
     assert!(told.header("retry-after").is_some());
 }
+
+/// A replica that reads a long prompt says nothing for half a minute. Whoever stops the request lets it go
+/// at once: key withdrawn, budget over, caller gone.
+#[test]
+fn a_replica_that_has_said_nothing_yet_is_let_go_too() {
+    let fleet = fleet("prefill");
+    let ended = |name: &str| {
+        let all = runs(&fleet);
+        all.iter().find(|(_, run)| field(run, "once") == name).map(|(_, run)| field(run, "ended").to_string())
+    };
+    let long = |edge, tenant: &str, name: &str| {
+        let mut job = job(&fleet, edge, tenant, &format!("{name} {}", text(500_000)), 4);
+        job.once = Some(name.into());
+        job
+    };
+    let mut short = long(1, "bazaar", "budget");
+    short.budget_ms = Some(600);
+    let withdrawn = long(0, "canal", "key");
+    let asked = [withdrawn, short].map(|job| std::thread::spawn(move || call(&job)));
+    let body = format!("{{\"model\":\"m1\",\"prompt\":\"left {}\",\"stream\":true}}", text(500_000));
+    let mut stream = TcpStream::connect(fleet.edges[2]).unwrap();
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-station\r\nIdempotency-Key: left\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    for name in ["key", "budget", "left"] {
+        assert!(Fleet::until(LONG, || ended(name).is_some()), "{name} did not begin");
+    }
+    drop(stream);
+    assert!(fleet.query(&["key-withdraw", "key-canal", "--wait"]).status.success());
+    for name in ["key", "budget", "left"] {
+        let let_go = || ended(name).as_deref() == Some("left");
+        assert!(Fleet::until(LONG, let_go), "{name}: {:?}", ended(name));
+    }
+    let [withdrawn, short] = asked.map(|thread| thread.join().unwrap());
+    assert_eq!((withdrawn.status, withdrawn.header("x-outcome")), (403, Some("unknown")));
+    assert_eq!((short.status, short.header("x-outcome")), (504, Some("unknown")));
+}
+
+/// A replica's own refusal is the answer, asked for once; where all are busy the caller is told when.
+#[test]
+fn refusals_are_passed_on_and_busy_replicas_gone_round() {
+    let fleet = fleet("refusals");
+    let asked = || -> u64 {
+        let of = |id: &String| {
+            let page = fleet.page(id, "/load");
+            sonic_rs::get(&page, ["asked"]).unwrap().as_u64().unwrap()
+        };
+        fleet.replicas.iter().map(|(id, _)| of(id)).sum()
+    };
+    let all = |faults: &str| fleet.replicas.iter().for_each(|(id, _)| post(&fleet, id, faults));
+    let fine = b"{\"model\":\"m1\",\"prompt\":\"x\"}";
+    all("/faults?refuse=422");
+    let before = asked();
+    let (status, _, body) = raw(fleet.edges[0], "key-canal", fine, &[]);
+    assert_eq!((status, body.as_str(), asked() - before), (422, "{\"error\":\"as told\"}", 1));
+    all("/faults?refuse=429&retry_after=17");
+    let before = asked();
+    let (status, after, _) = raw(fleet.edges[0], "key-canal", fine, &[]);
+    assert_eq!((status, after.as_deref()), (503, Some("17")));
+    assert!((1..=3).contains(&(asked() - before)), "{} asked", asked() - before);
+    all("/faults");
+    assert_eq!(raw(fleet.edges[0], "key-canal", fine, &[]).0, 200);
+
+    // The app service gets the budget and the once-key, and its answer keeps its type.
+    let headers = [("authorization", "Bearer key-canal".to_string()), ("idempotency-key", "stops-1".into())];
+    let url = format!("http://{}/app/stops", fleet.edges[1]);
+    let mut answer = None;
+    let answered = || {
+        let opened = fleet_common::http_out::open("POST", &url, &headers, b"{}", LONG).unwrap();
+        let kind = opened.headers.iter().find(|(n, _)| n == "content-type").map(|(_, v)| v.clone());
+        let mut text = String::new();
+        let mut body = opened.body;
+        let _ = body.read_to_string(&mut text);
+        answer = Some((opened.status, kind, text));
+        answer.as_ref().is_some_and(|a| a.0 != 503)
+    };
+    assert!(Fleet::until(LONG, answered));
+    let (status, kind, text) = answer.unwrap();
+    assert_eq!((status, kind.as_deref()), (200, Some("application/vnd.stops+json")), "{text}");
+    assert!(text.contains("\"once\":\"stops-1\"") && !text.contains("\"budgetMs\":\"\""), "{text}");
+    // Run once: a repeat at another edge is refused.
+    let again = fleet_common::http_out::ask(
+        "POST",
+        &url.replace(&fleet.edges[1].to_string(), &fleet.edges[0].to_string()),
+        &headers,
+        b"{}",
+        LONG,
+    );
+    assert_eq!(again.unwrap().0, 409);
+}
--- a/crates/stand-in/src/app.rs
+++ b/crates/stand-in/src/app.rs
@@ -4,14 +4,16 @@
 use std::net::TcpListener;
 
 pub fn run(listener: TcpListener) {
-    http_in::serve(listener, |incoming| {
+    http_in::serve(listener, 64, |incoming| {
         let body = format!(
-            "{{\"path\":{},\"bytes\":{},\"request\":{}}}",
+            "{{\"path\":{},\"bytes\":{},\"request\":{},\"budgetMs\":{},\"once\":{}}}",
             quote(&incoming.path),
             incoming.body.len(),
-            quote(incoming.header("x-request-id").unwrap_or_default())
+            quote(incoming.header("x-request-id").unwrap_or_default()),
+            quote(incoming.header("x-budget-ms").unwrap_or_default()),
+            quote(incoming.header("x-once-key").unwrap_or_default())
         );
-        incoming.json(200, &body, vec![]);
+        incoming.whole(200, "application/vnd.stops+json", body.as_bytes(), vec![]);
     })
     .expect("serving");
     loop {
--- a/crates/stand-in/src/platform.rs
+++ b/crates/stand-in/src/platform.rs
@@ -8,7 +8,7 @@
 pub fn run(listener: TcpListener, listing: Option<PathBuf>) {
     let first = listing.and_then(|path| std::fs::read_to_string(path).ok());
     let listing = Mutex::new(first.unwrap_or_else(|| "{\"replicas\":[]}".into()));
-    http_in::serve(listener, move |incoming| match (incoming.method.as_str(), incoming.path.as_str()) {
+    http_in::serve(listener, 64, move |incoming| match (incoming.method.as_str(), incoming.path.as_str()) {
         ("GET", "/replicas") => {
             let text = listing.lock().unwrap().clone();
             incoming.json(200, &text, vec![]);
--- a/crates/stand-in/src/replica.rs
+++ b/crates/stand-in/src/replica.rs
@@ -23,6 +23,9 @@
     pub source: String,
     pub pieces: u64,
     pub at_ms: u128,
+    /// When it ended and how: `done`, `left` when its asker went away, `refused`, `broken`; empty while it runs.
+    pub end_ms: u128,
+    pub ended: &'static str,
 }
 
 #[derive(Default)]
@@ -49,6 +52,11 @@
     pub load_ms: u64,
     pub store: Option<std::net::SocketAddr>,
     /// Faults that tests switch on: stop a stream after so many pieces, break hand-overs midway.
+    /// Completions asked for, whatever came of them.
+    pub asked: AtomicU64,
+    /// A status that is answered instead, and its Retry-After.
+    pub refuse: AtomicU64,
+    pub refuse_after: AtomicU64,
     pub break_after: AtomicU64,
     pub break_handover: AtomicU64,
 }
@@ -87,10 +95,13 @@
         piece_us: flags.piece_us.unwrap_or(4000),
         load_ms: flags.load_ms.unwrap_or(1500),
         store: flags.store,
+        asked: AtomicU64::new(0),
+        refuse: AtomicU64::new(0),
+        refuse_after: AtomicU64::new(0),
         break_after: AtomicU64::new(0),
         break_handover: AtomicU64::new(0),
     });
-    http_in::serve(listener, move |incoming| answer(&replica, incoming)).expect("serving");
+    http_in::serve(listener, 64, move |incoming| answer(&replica, incoming)).expect("serving");
     loop {
         std::thread::park();
     }
@@ -105,8 +116,9 @@
         }
         ("GET", "/load") => {
             let body = format!(
-                "{{\"id\":{},\"running\":{},\"slots\":{},\"blocks\":{},\"weights\":{}}}",
+                "{{\"id\":{},\"asked\":{},\"running\":{},\"slots\":{},\"blocks\":{},\"weights\":{}}}",
                 json::quote(&replica.id),
+                replica.asked.load(Ordering::Relaxed),
                 replica.running.load(Ordering::Relaxed),
                 replica.slots,
                 replica.cache.lock().unwrap().len(),
@@ -118,6 +130,8 @@
         ("POST", "/orders") => order(replica, incoming),
         ("POST", "/faults") => {
             let number = |name| crate::events::field(&incoming.query, name).and_then(|v| v.parse().ok()).unwrap_or(0);
+            replica.refuse.store(number("refuse"), Ordering::Relaxed);
+            replica.refuse_after.store(number("retry_after"), Ordering::Relaxed);
             replica.break_after.store(number("break_after"), Ordering::Relaxed);
             replica.break_handover.store(number("break_handover"), Ordering::Relaxed);
             replica.events.lose(number("lose_events"));
@@ -135,8 +149,8 @@
         .iter()
         .map(|r| {
             format!(
-                "{{\"request\":{},\"once\":{},\"tenant\":{},\"wall\":{},\"weights\":{},\"blocks\":{},\"own\":{},\"handed\":{},\"source\":{},\"pieces\":{},\"atMs\":{}}}",
-                json::quote(&r.request), json::quote(&r.once), json::quote(&r.tenant), json::quote(&r.wall), json::quote(&r.weights), r.blocks, r.own, r.handed, json::quote(&r.source), r.pieces, r.at_ms
+                "{{\"request\":{},\"once\":{},\"tenant\":{},\"wall\":{},\"weights\":{},\"blocks\":{},\"own\":{},\"handed\":{},\"source\":{},\"pieces\":{},\"atMs\":{},\"endMs\":{},\"ended\":{}}}",
+                json::quote(&r.request), json::quote(&r.once), json::quote(&r.tenant), json::quote(&r.wall), json::quote(&r.weights), r.blocks, r.own, r.handed, json::quote(&r.source), r.pieces, r.at_ms, r.end_ms, json::quote(r.ended)
             )
         })
         .collect();
--- a/crates/stand-in/src/running.rs
+++ b/crates/stand-in/src/running.rs
@@ -32,8 +32,15 @@
     let begun = Instant::now();
     let text = |name: &str| incoming.header(name).unwrap_or_default().to_string();
     let made = Made { wall: text("x-wall"), weights: text("x-weights") };
+    replica.asked.fetch_add(1, Ordering::Relaxed);
+    let status = replica.refuse.load(Ordering::Relaxed) as u16;
+    if status > 0 {
+        let after = replica.refuse_after.load(Ordering::Relaxed);
+        let extra = vec![("Retry-After", after.to_string())];
+        return incoming.json(status, "{\"error\":\"as told\"}", if after > 0 { extra } else { vec![] });
+    }
     if made.weights.is_empty() || replica.weights_now() != made.weights {
-        return refuse(incoming, 409, "these weights are not in use here");
+        return refuse(incoming, 503, "these weights are not in use here");
     }
     if replica.running.fetch_add(1, Ordering::AcqRel) >= replica.slots * 2 {
         replica.running.fetch_sub(1, Ordering::AcqRel);
@@ -55,12 +62,6 @@
     let own = replica.cache.lock().unwrap().leading(&chain, &made);
     let handed = if source.is_empty() || own == chain.len() { 0 } else { fetch(replica, &source, &made, &chain, own) };
     let anew = (chain.len() - own - handed) as u64;
-    std::thread::sleep(Duration::from_micros(anew * replica.prefill_us));
-    // New weights may have come while the prompt was read: what was read under the old is worth nothing.
-    if replica.weights_now() != made.weights {
-        return refuse(incoming, 409, "these weights went out of use");
-    }
-    keep(replica, &chain, &made, block_bytes as u64);
     let number = {
         let mut runs = replica.runs.lock().unwrap();
         runs.push(Run {
@@ -75,27 +76,55 @@
             source,
             pieces: 0,
             at_ms: wall_ms(),
+            end_ms: 0,
+            ended: "",
         });
         runs.len() - 1
     };
-    let Ok(mut out) = incoming.pieces(200, vec![("Content-Type", "text/event-stream".into())]) else { return };
+    let end = |pieces: u64, how: &'static str| {
+        let run = &mut replica.runs.lock().unwrap()[number];
+        (run.pieces, run.end_ms, run.ended) = (pieces, wall_ms(), how);
+    };
+    let read_by = Instant::now() + Duration::from_micros(anew * replica.prefill_us);
+    while Instant::now() < read_by {
+        std::thread::sleep(read_by.saturating_duration_since(Instant::now()).min(Duration::from_millis(20)));
+        if incoming.caller_left() {
+            return end(0, "left");
+        }
+    }
+    // New weights may have come while the prompt was read: what was read under the old is worth nothing.
+    if replica.weights_now() != made.weights {
+        end(0, "refused");
+        return refuse(incoming, 503, "these weights went out of use");
+    }
+    keep(replica, &chain, &made, block_bytes as u64);
+    let Ok(mut out) = incoming.pieces(200, vec![("Content-Type", "text/event-stream".into())]) else {
+        return end(0, "left");
+    };
     let sent = stream(replica, &mut out, (&request, &model, &made.weights, &prompt), most, begun + budget);
-    replica.runs.lock().unwrap()[number].pieces = sent.unwrap_or(0);
-    if sent == Some(most) && out.send(b"data: [DONE]\n\n").is_ok() {
+    let whole = sent == Ok(most) && out.send(b"data: [DONE]\n\n").is_ok();
+    if whole {
         let _ = out.end();
     }
+    let (pieces, how) = match sent {
+        Ok(pieces) => (pieces, if whole { "done" } else { "left" }),
+        Err((pieces, how)) => (pieces, how),
+    };
+    end(pieces, how);
 }
 
+/// How many pieces were sent, and when not all: why.
+type Streamed = Result<u64, (u64, &'static str)>;
 type Names<'a> = (&'a str, &'a str, &'a str, &'a str);
 
 /// Sends the pieces; `None` when the stream broke, the budget ended or a test asked for a break.
-fn stream(replica: &Replica, out: &mut Pieces, names: Names, most: u64, until: Instant) -> Option<u64> {
+fn stream(replica: &Replica, out: &mut Pieces, names: Names, most: u64, until: Instant) -> Streamed {
     let (request, model, weights, prompt) = names;
     for number in 0..most {
         std::thread::sleep(Duration::from_micros(replica.piece_us));
         let break_after = replica.break_after.load(Ordering::Relaxed);
         if Instant::now() >= until || (break_after > 0 && number + 1 >= break_after) {
-            return None;
+            return Err((number, "broken"));
         }
         let text = piece(prompt, weights, number);
         let event = format!(
@@ -105,9 +134,9 @@
             json::quote(weights),
             json::quote(&text)
         );
-        out.send(event.as_bytes()).ok()?;
+        out.send(event.as_bytes()).map_err(|_| (number, "left"))?;
     }
-    Some(most)
+    Ok(most)
 }
 
 fn keep(replica: &Replica, chain: &[u64], made: &Made, block_bytes: u64) {
--- a/crates/way-choice/src/lib.rs
+++ b/crates/way-choice/src/lib.rs
@@ -1,7 +1,11 @@
 //! How a router decides: freshness, letting in, placing, choosing a source, retrying. No I/O here.
 
+pub mod desk;
 pub mod fresh;
 pub mod let_in;
+pub mod links;
 pub mod place;
 pub mod source;
 pub mod tokens;
+pub mod trip;
+mod trip_words;
--- a/crates/way-choice/src/place.rs
+++ b/crates/way-choice/src/place.rs
@@ -13,6 +13,8 @@
     pub down: bool,
     /// Running and waiting, as the index told all routers alike.
     pub load: u64,
+    /// The oldest fence and version of its mirror that is still trusted.
+    pub floor: (u64, u64),
 }
 
 /// Why a request went where it went.
@@ -64,7 +66,7 @@
 /// ```
 /// use way_choice::place::{Reason, Seat, Wish, place};
 /// let seat = |id: &str| Seat { id: id.into(), at: "".into(), district: "a".into(), model: "m".into(), weights: "w".into(),
-///     leaving: false, down: false, load: 0 };
+///     leaving: false, down: false, load: 0, floor: (0, 0) };
 /// let wish = Wish { session: "s", model: "m", weights: "w", old_weights_too: false, kept: None, tried: &[], per_replica: 8 };
 /// let seats = [seat("r1"), seat("r2")];
 /// let (first, reason) = place(&seats, &wish).unwrap();
--- a/crates/way-choice/src/source.rs
+++ b/crates/way-choice/src/source.rs
@@ -1,6 +1,7 @@
 //! Which replica should hand a prefix over, and whether that beats reading it anew.
+use crate::links::{Costs, Pair};
 use crate::place::Seat;
-use control_chain::blueprint::{Links, Model};
+use control_chain::blueprint::Model;
 use control_chain::fleet::STORE;
 use indexmap::IndexMap;
 use prefix_table::filter::Mirror;
@@ -27,46 +28,72 @@
     pub own: usize,
     pub filter_version: u64,
     pub saved_us: u64,
+    /// From which district to which.
+    pub pair: Pair,
+}
+
+/// The link a hand-over takes. The store's is a link of its own: it is another machine with other cost.
+fn pair(from: &Seat, to: &Seat) -> Pair {
+    let own = if from.model == STORE { STORE } else { "" };
+    (format!("{}{own}", from.district), to.district.clone())
 }
 
 /// Mirrors by replica.
 pub type Mirrors = IndexMap<String, std::sync::Arc<Mirror>>;
 
+fn trusted<'a>(mirrors: &'a Mirrors, seat: &Seat, weights: &str) -> Option<&'a Mirror> {
+    let same = |m: &&std::sync::Arc<Mirror>| {
+        !m.stale && (m.fence, m.version) >= seat.floor && (m.weights == weights || seat.model == STORE)
+    };
+    mirrors.get(&seat.id).filter(same).map(|m| m.as_ref())
+}
+
+/// How many leading blocks a place holds itself, by its mirror if that may be trusted.
+/// ```
+/// # use way_choice::place::Seat;
+/// let seat = Seat { id: "r1".into(), at: "".into(), district: "a".into(), model: "m".into(), weights: "w".into(),
+///     leaving: false, down: false, load: 0, floor: (0, 0) };
+/// assert_eq!(way_choice::source::own(&Default::default(), &seat, &[1, 2]), 0);
+/// ```
+pub fn own(mirrors: &Mirrors, seat: &Seat, blocks: &[u64]) -> usize {
+    trusted(mirrors, seat, &seat.weights).map_or(0, |m| leading(m, blocks))
+}
+
 /// Picks the source that saves most over reading anew; `None` when none does. A mirror that is
-/// stale, or of other weights than the place runs, never matches (a store holds blocks of many
+/// stale, below its floor, or of other weights than the place runs, never matches, and one that leaves
+/// is no source: handing over is work too (a store holds blocks of many
 /// weights; the hashes themselves are salted).
 /// ```
+/// # use way_choice::links::Costs;
 /// # use way_choice::source::{Mirrors, choose};
 /// # use way_choice::place::Seat;
 /// # use control_chain::blueprint::{Links, Model};
 /// let seat = Seat { id: "r1".into(), at: "".into(), district: "a".into(), model: "m".into(), weights: "w".into(),
-///     leaving: false, down: false, load: 0 };
+///     leaving: false, down: false, load: 0, floor: (0, 0) };
 /// let links = Links { near_us_per_block: 1, far_us_per_block: 9, setup_us: 5 };
 /// let model = Model { weights: "w".into(), prefill_us_per_block: 100 };
-/// assert!(choose(&[seat.clone()], &Mirrors::new(), &seat, &[1, 2], &links, &model).is_none());
+/// assert!(choose(&[seat.clone()], &Mirrors::new(), &seat, &[1, 2], &Costs::plain(&links), &model).is_none());
 /// ```
 pub fn choose(
     seats: &[Seat],
     mirrors: &Mirrors,
     place: &Seat,
     blocks: &[u64],
-    links: &Links,
+    costs: &Costs,
     model: &Model,
 ) -> Option<Source> {
-    let matching = |seat: &Seat| {
-        let same = |m: &&std::sync::Arc<Mirror>| !m.stale && (m.weights == place.weights || seat.model == STORE);
-        mirrors.get(&seat.id).filter(same).map_or(0, |m| leading(m, blocks))
-    };
+    let matching = |seat: &Seat| trusted(mirrors, seat, &place.weights).map_or(0, |m| leading(m, blocks));
     let own = matching(place);
-    let candidates =
-        seats.iter().filter(|s| s.id != place.id && (s.model == place.model || s.model == STORE) && !s.down);
+    let candidates = seats
+        .iter()
+        .filter(|s| s.id != place.id && (s.model == place.model || s.model == STORE) && !s.down && !s.leaving);
     candidates
         .filter_map(|seat| {
             let held = matching(seat);
             let gained = held.checked_sub(own).filter(|gained| *gained > 0)? as u64;
-            let near = seat.district == place.district;
-            let per_block = if near { links.near_us_per_block } else { links.far_us_per_block };
-            let saved = (gained * model.prefill_us_per_block).checked_sub(links.setup_us + gained * per_block)?;
+            let pair = pair(seat, place);
+            let cost = costs.links.setup_us + gained * costs.us_per_block(&pair);
+            let saved = (gained * model.prefill_us_per_block).checked_sub(cost)?;
             let source = Source {
                 replica: seat.id.clone(),
                 at: seat.at.clone(),
@@ -74,6 +101,7 @@
                 own,
                 filter_version: mirrors.get(&seat.id).map_or(0, |m| m.version),
                 saved_us: saved,
+                pair,
             };
             (saved > 0).then_some((saved, std::cmp::Reverse(seat.load), source))
         })
--- a/crates/way-choice/src/tokens.rs
+++ b/crates/way-choice/src/tokens.rs
@@ -18,6 +18,15 @@
         Tokens { tenths: whole * 10, most: whole * 10 }
     }
 
+    /// Starts with fewer tokens than it may hold: a router that starts anew brings no burst with it.
+    /// ```
+    /// let mut tokens = way_choice::tokens::Tokens::starting(1, 10);
+    /// assert!(tokens.spend() && !tokens.spend());
+    /// ```
+    pub fn starting(whole: u64, most: u64) -> Self {
+        Tokens { tenths: whole * 10, most: most * 10 }
+    }
+
     /// A first try.
     /// ```
     /// let mut tokens = way_choice::tokens::Tokens::new(1);
--- a/crates/way-choice/tests/choices.rs
+++ b/crates/way-choice/tests/choices.rs
@@ -7,7 +7,10 @@
 use prefix_table::filter::Mirror;
 use rstest::rstest;
 use std::sync::Arc;
+use std::time::Duration;
+use way_choice::desk::NO_FLOOR;
 use way_choice::let_in::{InFlight, Over};
+use way_choice::links::{Costs, FORGET, Learnt, Seconds};
 use way_choice::place::{Reason, Seat, Wish, place};
 use way_choice::source::{Mirrors, choose};
 use way_choice::{let_in, tokens::Tokens};
@@ -22,6 +25,7 @@
         leaving: false,
         down: false,
         load: 0,
+        floor: (0, 0),
     }
 }
 
@@ -67,7 +71,7 @@
         let wanted = blocks::chain(blocks::salt("wall", "m", "w1"), &prompt, 64);
         let mirrors: Mirrors = [mirror("r2", now, &held)].into_iter().collect();
         let seats = [seat("r1"), seat("r2")];
-        let found = choose(&seats, &mirrors, &seats[0], &wanted, &LINKS, &model());
+        let found = choose(&seats, &mirrors, &seats[0], &wanted, &Costs::plain(&LINKS), &model());
         assert_eq!(found.is_some(), good, "{what}, seed {seed}");
     }
 }
@@ -77,7 +81,8 @@
     let chain: Vec<u64> = (1..=40).collect();
     let mirrors: Mirrors = [mirror("r2", "w1", &chain[..20]), mirror("r3", "w1", &chain)].into_iter().collect();
     let mut seats = [seat("r1"), seat("r2"), seat("r3")];
-    let best = |seats: &[Seat], links: &Links| choose(seats, &mirrors, &seats[0], &chain, links, &model());
+    let best =
+        |seats: &[Seat], links: &Links| choose(seats, &mirrors, &seats[0], &chain, &Costs::plain(links), &model());
     assert_eq!(best(&seats, &LINKS).unwrap().replica, "r3");
     seats[2].district = "b".into();
     let slow_far = Links { far_us_per_block: 3900, ..LINKS };
@@ -86,7 +91,7 @@
     assert_eq!(best(&seats, &slow), None, "reading anew is as fast");
     let mut stale = mirrors.clone();
     stale.values_mut().for_each(|m| Arc::make_mut(m).stale = true);
-    assert_eq!(choose(&seats, &stale, &seats[0], &chain, &LINKS, &model()), None);
+    assert_eq!(choose(&seats, &stale, &seats[0], &chain, &Costs::plain(&LINKS), &model()), None);
 }
 
 #[test]
@@ -160,3 +165,49 @@
     }
     assert!(retries <= tries / 10 + 10, "{retries} of {tries}");
 }
+
+/// A mirror is trusted only while its holder is heard and from the floor on that it names; one that
+/// leaves is no source, and links that slowed down are learnt and tried again later.
+#[test]
+fn hand_overs_follow_what_is_known_now() {
+    let chain: Vec<u64> = (1..=40).collect();
+    let mirrors: Mirrors = [mirror("r2", "w1", &chain)].into_iter().collect();
+    let named = |seat: &Seat, costs: &Costs| {
+        choose(&[self::seat("r1"), seat.clone()], &mirrors, &self::seat("r1"), &chain, costs, &model()).is_some()
+    };
+    let costs = Costs::plain(&LINKS);
+    let with = |change: fn(&mut Seat)| {
+        let mut seat = seat("r2");
+        change(&mut seat);
+        named(&seat, &costs)
+    };
+    assert!(with(|_| {}));
+    assert!(!with(|s| s.leaving = true), "one that leaves was named");
+    assert!(!with(|s| s.floor = (1, 2)), "its cache was emptied since");
+    assert!(!with(|s| s.floor = (2, 0)), "another holds its table now");
+    assert!(!with(|s| s.floor = NO_FLOOR), "its holder is not heard any more");
+
+    let mut learnt = Learnt::default();
+    let pair = ("a".to_string(), "a".to_string());
+    let mut now = Duration::ZERO;
+    learnt.plain(10, 4000, 46_000);
+    let mut tries = 0;
+    loop {
+        let costs = Costs { links: &LINKS, learnt: Some(&learnt), now };
+        if !named(&seat("r2"), &costs) {
+            break;
+        }
+        tries += 1;
+        now += Duration::from_millis(100);
+        // Each block takes twice what reading it anew takes.
+        let seen = Seconds { pair: pair.clone(), handed: 40, anew: 0, prefill_us: 4000, first_us: 40 * 8000 + 8000 };
+        learnt.tried(now, &LINKS, &seen);
+    }
+    assert!((1..=8).contains(&tries), "{tries} tries until hand-overs stopped");
+    let paid = |now| named(&seat("r2"), &Costs { links: &LINKS, learnt: Some(&learnt), now });
+    assert!(!paid(now + FORGET / 2));
+    assert!(paid(now + FORGET * 3), "a link that was slow once is tried again");
+    // Numbers that an operator changed are believed again.
+    let other = Links { near_us_per_block: 101, ..LINKS };
+    assert!(named(&seat("r2"), &Costs { links: &other, learnt: Some(&learnt), now }));
+}
