--- a/crates/control-chain/tests/sim/edges.rs
+++ b/crates/control-chain/tests/sim/edges.rs
@@ -21,7 +21,7 @@
 }
 
 pub struct Edge {
-    name: String,
+    pub name: String,
     incarnation: u64,
     relay: Relay,
     asking: Option<(u64, Duration, Plan)>,
@@ -68,8 +68,20 @@
 
     /// Whether the router would run a request under this key now.
     pub fn would_run(&self, now: Duration, key: &str) -> bool {
-        let fresh = self.off == Off::NoTerm || self.fresh.holds(self.begun + now);
-        now >= self.router_frozen && fresh && self.fleet.tenant(&key_print(key)).is_ok()
+        now >= self.router_frozen && self.fresh(now) && self.fleet.tenant(&key_print(key)).is_ok()
+    }
+
+    /// Whether the router's term holds.
+    pub fn fresh(&self, now: Duration) -> bool {
+        self.off == Off::NoTerm || self.fresh.holds(self.begun + now)
+    }
+
+    /// The router starts anew: it knows nothing, and its agent takes it to hold its predecessor's term.
+    pub fn restart_router(&mut self) {
+        self.fleet = Fleet::default();
+        self.fresh = Fresh::default();
+        self.router_asks = None;
+        self.coming = None;
     }
 
     pub fn step(&mut self, world: &mut World) {
@@ -113,7 +125,7 @@
                 node: self.name.as_str().into(),
                 kind: "edge".into(),
                 incarnation: self.incarnation,
-                at: "".into(),
+                at: self.name.as_str().into(),
                 district: "a".into(),
                 have: plan.have.to_vec().into(),
                 confirmed: plan.confirmed.to_vec().into(),
--- a/crates/control-chain/tests/sim/mod.rs
+++ b/crates/control-chain/tests/sim/mod.rs
@@ -16,7 +16,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-pub fn ms(n: u64) -> Duration {
+pub const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
 
--- a/crates/prefix-table/src/copying.rs
+++ b/crates/prefix-table/src/copying.rs
@@ -1,4 +1,5 @@
-//! Copies of a table, for the shadow and for the next holder of the duty.
+//! Copies of a table, for the shadow and for the next holder of the duty; and which versions of a
+//! holder's filters may be trusted.
 use crate::table::{Shape, Table};
 use fleet_common::ask::TableCopy;
 use std::time::Duration;
@@ -43,4 +44,30 @@
         }
         table
     }
+
+    /// The first version of the filter that may still be trusted: what was sent before the replica
+    /// started anew or cleared its cache may not.
+    /// ```
+    /// # use prefix_table::table::{Shape, Table};
+    /// let mut table = Table::new(Shape { bits: 64, hashes: 2 }, std::time::Duration::ZERO);
+    /// assert!(table.due(25), "nothing was sent yet");
+    /// assert!(table.send().1 >= table.floor() && !table.due(25));
+    /// ```
+    pub fn floor(&self) -> u64 {
+        self.floor
+    }
+
+    /// Whether the filter is to be sent: after so many events, or because the last one is below the floor.
+    /// ```
+    /// # use prefix_table::table::{Shape, Table};
+    /// assert!(Table::new(Shape { bits: 64, hashes: 2 }, std::time::Duration::ZERO).due(1000));
+    /// ```
+    pub fn due(&self, beta: u64) -> bool {
+        self.since_push >= beta || self.version < self.floor
+    }
+
+    /// Another holder, or the same under another fence: its versions count anew.
+    pub(crate) fn under_new_fence(&mut self) {
+        (self.version, self.floor) = (0, 1);
+    }
 }
--- a/crates/prefix-table/src/table.rs
+++ b/crates/prefix-table/src/table.rs
@@ -32,10 +32,10 @@
     pub(crate) weights: String,
     pub(crate) next: u64,
     heard: Duration,
-    since_push: u64,
-    version: u64,
+    pub(crate) since_push: u64,
+    pub(crate) version: u64,
     /// The first version that says nothing of what was before the table was last emptied.
-    floor: u64,
+    pub(crate) floor: u64,
     gaps: u64,
 }
 
@@ -227,30 +227,4 @@
             (false, false) => audit::COLLISION,
         }
     }
-
-    /// The first version of the filter that may still be trusted: what was sent before the replica
-    /// started anew or cleared its cache may not.
-    /// ```
-    /// # use prefix_table::table::{Shape, Table};
-    /// let mut table = Table::new(Shape { bits: 64, hashes: 2 }, std::time::Duration::ZERO);
-    /// assert!(table.due(25), "nothing was sent yet");
-    /// assert!(table.send().1 >= table.floor() && !table.due(25));
-    /// ```
-    pub fn floor(&self) -> u64 {
-        self.floor
-    }
-
-    /// Whether the filter is to be sent: after so many events, or because the last one is below the floor.
-    /// ```
-    /// # use prefix_table::table::{Shape, Table};
-    /// assert!(Table::new(Shape { bits: 64, hashes: 2 }, std::time::Duration::ZERO).due(1000));
-    /// ```
-    pub fn due(&self, beta: u64) -> bool {
-        self.since_push >= beta || self.version < self.floor
-    }
-
-    /// Another holder, or the same under another fence: its versions count anew.
-    pub(crate) fn under_new_fence(&mut self) {
-        (self.version, self.floor) = (0, 1);
-    }
 }
--- a/crates/request-router/src/ferry.rs
+++ b/crates/request-router/src/ferry.rs
@@ -1,6 +1,6 @@
 //! Ferrying: does what the trip says and tells it what is heard from replica and caller.
 use crate::claims::settle;
-use crate::passage::{Flow, Passage, Try};
+use crate::passage::{Flow, Passage};
 use crate::placing;
 use crate::shared::{Shared, count};
 use crate::telling::{finish, finish_app, pass_on, piece_text, report, told};
@@ -10,6 +10,7 @@
 use fleet_common::{Mishap, Step, ring};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use way_choice::placing::Found;
 use way_choice::trip::{Do, Heard, Stop, may_go_on};
 
 /// How often a waiting request looks whether it may still go on.
@@ -26,7 +27,7 @@
 struct Ferry<'a> {
     shared: &'a Arc<Shared>,
     passage: &'a mut Passage,
-    this: Option<Try>,
+    this: Option<Found>,
     up: Option<Upstream>,
     out: Option<Pieces>,
     event: Vec<u8>,
@@ -144,6 +145,7 @@
         match (act, &self.this) {
             (Do::Send, Some(this)) => {
                 (self.begun, self.heard_at) = (Instant::now(), Instant::now());
+                self.whole.clear();
                 self.up = Some(send(self.shared, self.passage, this));
             }
             (Do::First, Some(this)) => {
@@ -192,7 +194,7 @@
     }
 }
 
-fn send(shared: &Arc<Shared>, passage: &Passage, this: &Try) -> Upstream {
+fn send(shared: &Arc<Shared>, passage: &Passage, this: &Found) -> Upstream {
     let left = passage.until.saturating_sub(shared.now());
     let block_bytes = shared.fleet.read().blueprint.as_ref().map_or(64, |b| b.index.block_bytes);
     let kind = passage.incoming.as_ref().and_then(|i| i.header("content-type")).unwrap_or("application/json");
--- a/crates/request-router/src/passage.rs
+++ b/crates/request-router/src/passage.rs
@@ -3,8 +3,6 @@
 use fleet_common::http_in::{Extra, Incoming};
 use fleet_common::json::quote;
 use std::time::Duration;
-use way_choice::place::{Reason, Seat};
-use way_choice::source::Source;
 use way_choice::trip::{Do, Told, Trip};
 
 /// What the caller asked for, as parsed.
@@ -17,17 +15,6 @@
     pub body: Vec<u8>,
 }
 
-/// Where one try goes.
-#[derive(Clone, Debug)]
-pub struct Try {
-    pub seat: Seat,
-    pub reason: Reason,
-    pub source: Option<Source>,
-    pub blocks: Vec<u64>,
-    /// How many leading blocks the place holds itself, by its mirror.
-    pub own: usize,
-}
-
 pub struct Passage {
     pub id: String,
     pub path: String,
--- a/crates/request-router/src/placing.rs
+++ b/crates/request-router/src/placing.rs
@@ -1,59 +1,44 @@
 //! Placing a try and choosing its source.
-use crate::passage::{Passage, Try};
+use crate::passage::Passage;
 use crate::shared::{Shared, count};
 use control_chain::fleet::APP;
-use prefix_table::blocks;
-use std::time::Duration;
-use way_choice::links::Costs;
-use way_choice::place::{Reason, Wish, place};
-use way_choice::source;
+use way_choice::place::Reason;
+use way_choice::placing::{Asked, Found, Known, find};
 
-/// While a roll-out is younger than this, replicas still on the old weights may serve.
-const OLD_WEIGHTS: Duration = Duration::from_secs(15);
-
-pub fn next(shared: &Shared, passage: &mut Passage) -> Option<Try> {
-    let seats = shared.seats();
+pub fn next(shared: &Shared, passage: &mut Passage) -> Option<Found> {
     if passage.to_app {
-        let open = seats.into_iter().find(|s| s.model == APP && !s.leaving && !s.down);
-        let open = open.filter(|s| !passage.trip.tried.contains(&s.id));
-        return open.map(|seat| Try { seat, reason: Reason::Home, source: None, blocks: Vec::new(), own: 0 });
+        let mut open = shared.seats().into_iter().filter(|s| s.model == APP && !s.leaving && !s.down);
+        let seat = open.find(|s| !passage.trip.tried.contains(&s.id))?;
+        return Some(Found { seat, reason: Reason::Home, source: None, blocks: Vec::new(), own: 0, link_us: 0 });
     }
-    let fleet = shared.fleet.read();
-    let blueprint = fleet.blueprint.as_ref()?;
-    let model = blueprint.models.get(&passage.wanted.model)?;
-    let now = shared.now();
-    let since = fleet.weights_since.get(&passage.wanted.model).map(|(_, at)| now.saturating_sub(*at));
-    let wish = Wish {
-        session: &passage.session,
+    let (fleet, news, down) = (shared.fleet.read(), shared.news.read(), shared.down.read());
+    let mirrors = shared.mirrors.read();
+    let asked = Asked {
+        wall: &passage.wall,
         model: &passage.wanted.model,
-        weights: &model.weights,
-        old_weights_too: since.is_some_and(|since| since < OLD_WEIGHTS),
+        prompt: passage.wanted.prompt.as_bytes(),
+        session: &passage.session,
         kept: passage.kept.as_deref(),
         tried: &passage.trip.tried,
-        per_replica: blueprint.limits.per_replica,
     };
-    let (seat, reason) = place(&seats, &wish)?;
-    let salt = blocks::salt(&passage.wall, &passage.wanted.model, &seat.weights);
-    let chain = blocks::chain(salt, passage.wanted.prompt.as_bytes(), blueprint.index.block_bytes as usize);
-    let mirrors = shared.mirrors.read();
-    let own = source::own(&mirrors, seat, &chain);
-    let missing = own < chain.len();
+    let learnt = shared.learnt().clone();
+    let known =
+        Known { fleet: &fleet, news: &news, down: &down, mirrors: &mirrors, learnt: &learnt, now: shared.now() };
+    let found = find(&known, &asked)?;
+    let missing = found.own < found.blocks.len();
     count(if missing { &shared.counters.prefix_misses } else { &shared.counters.prefix_hits });
-    let learnt = shared.learnt();
-    let costs = Costs { links: &blueprint.links, learnt: Some(&learnt), now };
-    let source = if missing { source::choose(&seats, &mirrors, seat, &chain, &costs, model) } else { None };
-    if matches!(reason, Reason::PlaceLost | Reason::LoadBound | Reason::Retry) {
+    if matches!(found.reason, Reason::PlaceLost | Reason::LoadBound | Reason::Retry) {
         count(&shared.counters.moves);
     }
-    let found = source.as_ref().map_or("none".into(), |s| {
-        let link = costs.us_per_block(&s.pair);
-        format!("{} with {} blocks at {link} us each, saves {} us", s.replica, s.blocks, s.saved_us)
+    let source = found.source.as_ref().map_or("none".into(), |s| {
+        format!("{} with {} blocks at {} us each, saves {} us", s.replica, s.blocks, found.link_us, s.saved_us)
     });
     passage.explain.step(format!(
-        "placed on {} ({}): {own} of {} blocks there by its mirror; source {found}",
-        seat.id,
-        reason.words(),
-        chain.len(),
+        "placed on {} ({}): {} of {} blocks there by its mirror; source {source}",
+        found.seat.id,
+        found.reason.words(),
+        found.own,
+        found.blocks.len(),
     ));
-    Some(Try { seat: seat.clone(), reason, source, blocks: chain, own })
+    Some(found)
 }
--- a/crates/request-router/src/telling.rs
+++ b/crates/request-router/src/telling.rs
@@ -1,15 +1,16 @@
 //! What a caller is told: its place in the headers, its answer's end, a refusal passed on; and what
 //! the index is told of the try.
-use crate::passage::{Passage, Try};
+use crate::passage::Passage;
 use crate::reporting::Tried;
 use crate::shared::{Shared, count};
 use crate::upstream::Answer;
 use fleet_common::http_in::{Extra, Pieces};
 use fleet_common::json::quote;
 use std::time::Duration;
+use way_choice::placing::Found;
 
 /// What the caller is told of its place.
-pub fn told(passage: &Passage, this: &Try, kind: &str) -> Extra {
+pub fn told(passage: &Passage, this: &Found, kind: &str) -> Extra {
     let mut extra: Extra = vec![
         ("Content-Type", kind.to_string()),
         ("X-Request-Id", passage.id.clone()),
@@ -31,7 +32,7 @@
     passage.explain.step("answered whole");
 }
 
-pub fn finish(shared: &Shared, passage: &mut Passage, this: &Try, out: Option<Pieces>, whole: &str) {
+pub fn finish(shared: &Shared, passage: &mut Passage, this: &Found, out: Option<Pieces>, whole: &str) {
     let taken = match (out, passage.incoming.take()) {
         (Some(pieces), _) => pieces.end().is_ok(),
         (None, Some(incoming)) => {
@@ -63,7 +64,7 @@
 }
 
 /// A replica's own refusal, as it is: the request is at fault, and no other replica would say otherwise.
-pub fn pass_on(shared: &Shared, passage: &mut Passage, this: &Try, answer: Answer, outcome: &'static str) {
+pub fn pass_on(shared: &Shared, passage: &mut Passage, this: &Found, answer: Answer, outcome: &'static str) {
     count(&shared.counters.passed_on);
     let kind = answer.header("content-type").unwrap_or("application/json").to_string();
     let mut extra = told(passage, this, "");
@@ -84,7 +85,7 @@
 }
 
 /// A try's first piece is here: what it took teaches what links cost, and the index audits the source.
-pub fn report(shared: &Shared, passage: &Passage, this: &Try, first: Duration) {
+pub fn report(shared: &Shared, passage: &Passage, this: &Found, first: Duration) {
     let fleet = shared.fleet.read();
     let model = fleet.blueprint.as_ref().and_then(|b| b.models.get(&passage.wanted.model));
     let prefill_us = model.map_or(0, |m| m.prefill_us_per_block);
--- a/crates/run-fleet/tests/streams.rs
+++ b/crates/run-fleet/tests/streams.rs
@@ -50,6 +50,15 @@
     assert_eq!((result.status, result.header("x-outcome")), (504, Some("unknown")));
     assert!(Fleet::until(LONG, idle));
 
+    // A replica that breaks off what is wanted whole: another gives all of it, nothing of the first is left.
+    let mut whole = job(&fleet, 2, "canal", &text(700), 50);
+    whole.stream = false;
+    let home = call(&whole).header("x-place").unwrap().to_string();
+    post(&fleet, &home, "/faults?break_after=6");
+    let again = call(&whole);
+    assert_eq!((again.status, again.wrong.as_deref(), again.whole), (200, None, true));
+    assert_eq!(again.header("x-place-reason"), Some("retry"));
+
     // A replica that breaks off: the caller of a stream sees the cut, one that waits is told.
     for (id, _) in &fleet.replicas {
         post(&fleet, id, "/faults?break_after=6");
--- /dev/null
+++ b/crates/simulate-fleet/src/letting.rs
@@ -0,0 +1,63 @@
+//! The filters of a simulated router before the trip: term, key, kind, room.
+use crate::callers::Request;
+use crate::router::Going;
+use crate::wire::{Message, Place};
+use crate::world::World;
+use fleet_common::hash::key_print;
+use std::time::Duration;
+use way_choice::let_in::Wish;
+use way_choice::trip::{Heard, Trip};
+
+impl World {
+    /// The filters before the trip: term, key, kind, room.
+    pub(crate) fn take_in(&mut self, at: usize, request: Request) {
+        let now = self.now();
+        let router = &mut self.routers[at];
+        let fleet = &router.edge.fleet;
+        let print = key_print(&request.key);
+        let tenant = fleet.tenant(&print).map(str::to_string);
+        let blueprint = fleet.blueprint.as_ref();
+        let kind = blueprint.and_then(|b| b.kinds.get("steady"));
+        let wall = tenant.as_ref().ok().and_then(|t| blueprint?.wall(t));
+        let call = request.call;
+        let refused = match (router.edge.fresh(now), &tenant, kind, &wall) {
+            (false, ..) => Some((503, Some(1))),
+            (_, Err(true), ..) => Some((403, None)),
+            (_, Err(false), ..) => Some((401, None)),
+            (_, _, Some(kind), Some(_)) => {
+                let wish = Wish {
+                    tenant: tenant.as_deref().unwrap_or_default(),
+                    urgency: kind.urgency,
+                    share: (1, 4),
+                    most: 48,
+                };
+                router.flight.let_in(&wish).err().map(|_| (429, Some(1)))
+            }
+            _ => Some((503, Some(1))),
+        };
+        if let Some((status, retry_after)) = refused {
+            let told = Message::CallerTold { call, status, outcome: "not run", retry_after };
+            return self.send(Place::Router(at), Place::Caller, told);
+        }
+        let (Ok(tenant), Some(kind), Some(wall)) = (tenant, kind, wall) else { return };
+        let going = Going {
+            id: format!("e{}-{}-{call}", at + 1, router.starts),
+            print,
+            tenant,
+            wall,
+            until: now + Duration::from_millis(kind.budget_ms),
+            kind_budget_ms: kind.budget_ms,
+            trip: Trip::new(request.once.is_some(), request.stream),
+            this: None,
+            tries: 0,
+            begun: now,
+            heard_at: now,
+            piece: ((0, 0), 0, false),
+            gathered: Vec::new(),
+            claim: None,
+            request,
+        };
+        router.going.insert(call, going);
+        self.trip(at, call, Heard::Start);
+    }
+}
--- /dev/null
+++ b/crates/simulate-fleet/src/lib.rs
@@ -0,0 +1,26 @@
+//! The whole fleet in simulated time, from one seed: cores, edges, index nodes, replicas, a store, a
+//! platform, operators and callers over a network that fails. The fleet's own step machines run in it
+//! as they run in the programs; judges look only at what callers, replicas and operators saw.
+
+/// Cores on their disks and network, and the agents and routers' terms, as the chain's tests have them.
+#[path = "../../control-chain/tests/sim/mod.rs"]
+pub mod cores;
+
+mod asked;
+pub mod callers;
+mod calls;
+pub mod faults;
+mod figures;
+mod index;
+mod judges;
+mod letting;
+pub mod operators;
+mod replica;
+mod router;
+mod run;
+mod serving;
+pub mod shape;
+mod wire;
+pub mod world;
+
+pub use run::{Outcome, run};
--- /dev/null
+++ b/crates/simulate-fleet/src/operators.rs
@@ -0,0 +1,126 @@
+//! Operators: commands by several at once, what each was told of them, and when.
+use crate::callers::key;
+use crate::calls::Call;
+use crate::shape::{Off, blueprint};
+use crate::world::World;
+use control_chain::command::{Command, Envelope, Outcome};
+use fleet_common::ask::{Answer, Ask, BLUEPRINT, KEYS};
+use fleet_common::hash::key_print;
+use sonic_rs::JsonValueTrait;
+use std::time::Duration;
+
+/// What a command states.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum What {
+    Blueprint(u64),
+    KeyAdd(String),
+    /// The print of the key that is withdrawn.
+    Withdraw(String),
+    Weights(String),
+}
+
+/// A command and what its operator knows of it.
+#[derive(Clone, Debug)]
+pub struct Order {
+    pub id: String,
+    pub what: What,
+    pub outcome: Option<Outcome>,
+    pub accepted: Option<Duration>,
+    pub in_force: Option<Duration>,
+    envelope: Envelope,
+    call: Option<Call>,
+}
+
+/// All operators.
+#[derive(Default)]
+pub struct Operators {
+    pub orders: Vec<Order>,
+    pub number: u64,
+    weights: String,
+}
+
+const PATIENCE: Duration = Duration::from_secs(4);
+
+impl Operators {
+    /// States something, over the version that is known to hold.
+    /// ```
+    /// use simulate_fleet::{operators::{Operators, What}, shape::Off, world::World};
+    /// let mut operators = Operators::default();
+    /// operators.state(&World::new(1, Off::Nothing), What::Blueprint(1));
+    /// assert_eq!(operators.orders.len(), 1);
+    /// ```
+    pub fn state(&mut self, world: &World, what: What) {
+        let (source, command) = match &what {
+            What::Blueprint(number) => {
+                if self.weights.is_empty() {
+                    self.weights = "w1".into();
+                }
+                (BLUEPRINT, Command::Blueprint { blueprint: blueprint(*number, &self.weights) })
+            }
+            What::Weights(weights) => {
+                self.weights.clone_from(weights);
+                (BLUEPRINT, Command::Weights { model: "m".into(), weights: weights.clone() })
+            }
+            What::KeyAdd(tenant) => {
+                let print = key_print(&key(tenant, self.number));
+                (KEYS, Command::KeyAdd { key: print, tenant: tenant.clone() })
+            }
+            What::Withdraw(print) => (KEYS, Command::KeyWithdraw { key: print.clone() }),
+        };
+        let id = format!("op-{}", self.orders.len());
+        let expect = world.committed().map(|state| state.versions[source]);
+        let envelope = Envelope { id: id.clone(), expect, command };
+        self.orders.push(Order { id, what, outcome: None, accepted: None, in_force: None, envelope, call: None });
+    }
+
+    /// Sends, repeats and asks after what is open.
+    /// ```
+    /// use simulate_fleet::{operators::Operators, shape::Off, world::World};
+    /// Operators::default().step(&mut World::new(1, Off::Nothing));
+    /// ```
+    pub fn step(&mut self, world: &mut World) {
+        let now = world.now();
+        for order in &mut self.orders {
+            let over = order.outcome.as_ref().is_some_and(|o| !o.accepted()) || order.in_force.is_some();
+            if over {
+                continue;
+            }
+            let call = order.call.get_or_insert_with(|| {
+                let ask = match &order.outcome {
+                    None => Ask::Command(order.envelope.pack().into()),
+                    Some(_) => Ask::Query(format!("command/{}", order.id).as_str().into()),
+                };
+                Call::new(ask, now, now + PATIENCE)
+            });
+            let Some(answer) = call.step(&mut world.cores, true) else { continue };
+            order.call = None;
+            let Some(Answer::Json(text)) = answer else { continue };
+            match &order.outcome {
+                None => {
+                    order.outcome = sonic_rs::from_slice(text.as_slice()).ok();
+                    if order.outcome.as_ref().is_some_and(Outcome::accepted) {
+                        order.accepted = Some(now);
+                        order.in_force = (world.off == Off::InForce).then_some(now);
+                    }
+                }
+                Some(_) => {
+                    let status = sonic_rs::get(text.as_slice(), ["status"]).ok();
+                    if status.is_some_and(|s| s.as_str() == Some("in force")) {
+                        order.in_force = Some(now);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Whether all that was stated is answered, and in force if it was accepted.
+    /// ```
+    /// assert!(simulate_fleet::operators::Operators::default().settled());
+    /// ```
+    pub fn settled(&self) -> bool {
+        self.orders.iter().all(|order| match &order.outcome {
+            None => false,
+            Some(outcome) => !outcome.accepted() || order.in_force.is_some(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/simulate-fleet/src/serving.rs
@@ -0,0 +1,215 @@
+//! What a simulated router does when its trip says so.
+use crate::calls::Call;
+use crate::cores::ms;
+use crate::shape::{Off, STORE};
+use crate::wire::{Asked, Message, Place};
+use crate::world::World;
+use control_chain::command::{Command, Envelope, Ran};
+use fleet_common::ask::{Ask, Handover};
+use std::time::Duration;
+use way_choice::desk;
+use way_choice::links::Seconds;
+use way_choice::placing::{self, Known, OLD_WEIGHTS, find_among};
+use way_choice::tokens::Tokens;
+use way_choice::trip::{Claimed, Do, Heard, Trip};
+
+const SETTLE_FOR: Duration = Duration::from_secs(60);
+
+impl World {
+    /// Tells a trip what was heard and does what it says.
+    pub(crate) fn trip(&mut self, at: usize, call: u64, heard: Heard) {
+        let may = self.may(at, call);
+        if self.off == Off::Tokens {
+            self.routers[at].tokens = Tokens::new(1000);
+        }
+        let router = &mut self.routers[at];
+        let Some(going) = router.going.get_mut(&call) else { return };
+        let todo = going.trip.step(may, heard, &mut router.tokens);
+        for act in todo {
+            self.act(at, call, act);
+        }
+        let over = self.routers[at].going.get(&call).is_some_and(|going| going.trip.over());
+        if over && let Some(going) = self.routers[at].going.remove(&call) {
+            self.routers[at].flight.let_out(&going.tenant);
+        }
+    }
+
+    fn act(&mut self, at: usize, call: u64, act: Do) {
+        let me = Place::Router(at);
+        match act {
+            Do::Claim if self.off == Off::Claim => self.trip(at, call, Heard::Claimed(Claimed::Yes)),
+            Do::Claim => self.claim(at, call),
+            Do::Place => {
+                let place = self.place(at, call);
+                self.trip(at, call, Heard::Placed(place));
+            }
+            Do::Send => self.send_try(at, call),
+            Do::First => self.first(at, call),
+            Do::Piece => {
+                let Some(going) = self.routers[at].going.get_mut(&call) else { return };
+                let (of, number, last) = going.piece;
+                if !going.request.stream && !last {
+                    // An answer that is wanted whole is gathered, and gathered anew in each try.
+                    going.gathered.push((of, number));
+                } else if !last {
+                    self.send(me, Place::Caller, Message::CallerPiece { call, of, number });
+                }
+            }
+            Do::Finish => {
+                let gathered = self.routers[at].going.get_mut(&call).map(|g| std::mem::take(&mut g.gathered));
+                for (of, number) in gathered.unwrap_or_default() {
+                    self.send(me, Place::Caller, Message::CallerPiece { call, of, number });
+                }
+                self.send(me, Place::Caller, Message::CallerEnd { call, whole: true });
+            }
+            Do::Cut(_) if self.off == Off::Splice => {
+                let stream = true;
+                if let Some(going) = self.routers[at].going.get_mut(&call) {
+                    going.trip = Trip::new(false, stream);
+                }
+                self.trip(at, call, Heard::Start);
+            }
+            Do::Cut(_) => {
+                let whole = self.off == Off::Cut;
+                self.send(me, Place::Caller, Message::CallerEnd { call, whole });
+            }
+            Do::PassOn(outcome) => {
+                self.send(me, Place::Caller, Message::CallerTold { call, status: 422, outcome, retry_after: None });
+            }
+            Do::Tell(told) => {
+                let outcome = if self.off == Off::Unknown { "not run" } else { told.outcome };
+                let (status, retry_after) = (told.status, told.retry_after);
+                self.send(me, Place::Caller, Message::CallerTold { call, status, outcome, retry_after });
+            }
+            Do::Shut => self.shut(at, call),
+            Do::Settle(ran) => self.settle(at, call, ran),
+            Do::Explain(_) => {}
+        }
+    }
+
+    fn claim(&mut self, at: usize, call: u64) {
+        let (now, deadline) = (self.now(), self.claim_wait());
+        let late = if self.late_claims && self.dice.next(4) == 0 { self.dice.next(9000) } else { 0 };
+        let router = &mut self.routers[at];
+        let edge = router.edge.name.clone();
+        let Some(going) = router.going.get_mut(&call) else { return };
+        let Some(key) = going.request.once.clone() else { return };
+        let command = Command::Claim { tenant: going.tenant.clone(), key, edge, request: going.id.clone() };
+        let ask = Ask::Command(Envelope::bare(command).pack().into());
+        let claim = Call::new(ask, now, now + SETTLE_FOR).held_until(now + ms(late));
+        going.claim = Some((claim, deadline));
+    }
+
+    fn settle(&mut self, at: usize, call: u64, ran: Ran) {
+        let now = self.now();
+        let router = &mut self.routers[at];
+        let Some(going) = router.going.get(&call) else { return };
+        let Some(key) = going.request.once.clone() else { return };
+        let ran = if self.off == Off::Unknown { Ran::NotRun } else { ran };
+        let command = Command::Settle { tenant: going.tenant.clone(), key, request: going.id.clone(), ran };
+        let ask = Ask::Command(Envelope::bare(command).pack().into());
+        router.strays.push(Call::new(ask, now, now + SETTLE_FOR));
+    }
+
+    fn place(&mut self, at: usize, call: u64) -> Option<String> {
+        let (now, off) = (self.now(), self.off);
+        let router = &mut self.routers[at];
+        let going = router.going.get_mut(&call)?;
+        let mut seats = desk::seats(&router.edge.fleet, &router.news, &router.down, now);
+        if off == Off::Leaving {
+            seats.iter_mut().for_each(|seat| seat.leaving = false);
+        }
+        let old_weights = if off == Off::Weights { Duration::MAX } else { OLD_WEIGHTS };
+        let asked = placing::Asked {
+            wall: if off == Off::Wall { "" } else { &going.wall },
+            model: "m",
+            prompt: going.request.prompt.as_bytes(),
+            session: &going.request.session,
+            kept: None,
+            tried: &going.trip.tried,
+        };
+        let known = Known {
+            fleet: &router.edge.fleet,
+            news: &router.news,
+            down: &router.down,
+            mirrors: &router.mirrors,
+            learnt: &router.learnt,
+            now,
+        };
+        going.this = find_among(&seats, old_weights, &known, &asked);
+        going.this.as_ref().map(|found| found.seat.id.clone())
+    }
+
+    fn send_try(&mut self, at: usize, call: u64) {
+        let now = self.now();
+        let router = &mut self.routers[at];
+        let Some(going) = router.going.get_mut(&call) else { return };
+        let Some(found) = &going.this else { return };
+        going.tries += 1;
+        going.gathered.clear();
+        (going.begun, going.heard_at) = (now, now);
+        let to: usize = found.seat.at.parse().unwrap_or(STORE);
+        let asked = Asked {
+            stream: (call, going.tries),
+            from: at,
+            once: going.request.once.as_ref().map(|key| format!("{}/{key}", going.tenant)),
+            print: going.print.clone(),
+            wall: going.wall.clone(),
+            weights: found.seat.weights.clone(),
+            chain: found.blocks.clone(),
+            tokens: going.request.tokens,
+            budget: going.until.saturating_sub(now),
+            kind_budget_ms: going.kind_budget_ms,
+            source: found.source.as_ref().and_then(|source| source.at.parse().ok()),
+        };
+        let (me, replica) = (Place::Router(at), Place::Replica(to));
+        if !self.passes(me, replica) || !self.passes(replica, me) {
+            // No connection comes about: nothing has left.
+            let stream = asked.stream;
+            return self.put(now + ms(800), Place::Router(at), Message::Broken(stream, false));
+        }
+        self.send(Place::Router(at), Place::Replica(to), Message::Ask(asked));
+    }
+
+    fn shut(&mut self, at: usize, call: u64) {
+        let Some(going) = self.routers[at].going.get_mut(&call) else { return };
+        let Some(to) = going.this.as_ref().and_then(|found| found.seat.at.parse().ok()) else { return };
+        let stream = (call, going.tries);
+        // Nothing of that stream is heard any more.
+        going.tries += 1;
+        self.send(Place::Router(at), Place::Replica(to), Message::Shut(stream));
+    }
+
+    fn first(&mut self, at: usize, call: u64) {
+        let now = self.now();
+        let router = &mut self.routers[at];
+        let Some(going) = router.going.get(&call) else { return };
+        let Some(found) = &going.this else { return };
+        let first_us = (now - going.begun).as_micros() as u64;
+        let Some(source) = &found.source else {
+            return router.learnt.plain((found.blocks.len() - found.own) as u64, 4000, first_us);
+        };
+        let seconds = Seconds {
+            pair: source.pair.clone(),
+            handed: (source.blocks - source.own) as u64,
+            anew: (found.blocks.len() - source.blocks) as u64,
+            prefill_us: 4000,
+            first_us,
+        };
+        let ask = Ask::Handover(Handover {
+            request: going.id.as_str().into(),
+            router: router.edge.name.as_str().into(),
+            source: source.replica.as_str().into(),
+            block: found.blocks[source.blocks - 1],
+            filter_version: source.filter_version,
+            expected_ms: 0,
+            first_piece_ms: first_us / 1000,
+        });
+        let replica = source.replica.clone();
+        router.tried.push((replica.clone(), seconds));
+        if router.tried.len() > 64 {
+            router.tried.remove(0);
+        }
+        self.ask_index(at, &replica, ask);
+    }
+}
--- /dev/null
+++ b/crates/simulate-fleet/src/shape.rs
@@ -0,0 +1,79 @@
+//! How large the simulated fleet is, and which guard is switched off in a run that must be caught.
+use control_chain::blueprint::Blueprint;
+use std::time::Duration;
+
+pub const EDGES: usize = 9;
+pub const REPLICAS: usize = 18;
+/// The store's place among the replicas.
+pub const STORE: usize = REPLICAS;
+pub const DISTRICTS: [&str; 4] = ["a", "b", "c", "d"];
+pub const TENANTS: [(&str, bool); 4] = [("north", true), ("bazaar", false), ("canal", false), ("clinic", true)];
+pub const PREFILL: Duration = Duration::from_micros(4000);
+pub const PIECE: Duration = Duration::from_millis(12);
+
+/// A guard that is switched off, to see that the judges miss it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Off {
+    Nothing,
+    /// Routers go on without a term.
+    Term,
+    /// Keys are looked at when a request comes, not while it runs.
+    KeyInStream,
+    /// Once-requests are sent without a claim.
+    Claim,
+    /// What was sent is told as not run.
+    Unknown,
+    /// A broken stream is carried on with another replica's pieces.
+    Splice,
+    /// A stream that broke is ended as if it were whole.
+    Cut,
+    /// Retries cost nothing.
+    Tokens,
+    /// Leaving marks are not heeded.
+    Leaving,
+    /// Replicas on old weights serve for ever.
+    Weights,
+    /// Replicas take orders under any fence, and a new holder does not wait for the old term.
+    Fence,
+    /// Blocks are hashed without their wall, and replicas do not look either.
+    Wall,
+    /// `in force` is said as soon as a command is accepted.
+    InForce,
+    /// A stopped request's replica is not told.
+    Shut,
+}
+
+pub const ALL_OFF: [Off; 13] = [
+    Off::Term,
+    Off::KeyInStream,
+    Off::Claim,
+    Off::Unknown,
+    Off::Splice,
+    Off::Cut,
+    Off::Tokens,
+    Off::Leaving,
+    Off::Weights,
+    Off::Fence,
+    Off::Wall,
+    Off::InForce,
+    Off::Shut,
+];
+
+/// The blueprint of a run's nth change: its number shows in the kinds' budgets, so that whoever gets a
+/// request sees under which blueprint it was let in.
+/// ```
+/// assert_eq!(simulate_fleet::shape::blueprint(3, "w1").kinds["steady"].budget_ms, 20_003);
+/// ```
+pub fn blueprint(number: u64, weights: &str) -> Blueprint {
+    let tenants: Vec<String> = TENANTS
+        .iter()
+        .map(|(name, apart)| format!("\"{name}\":{{\"wall\":\"{}\"}}", if *apart { "apart" } else { "shared" }))
+        .collect();
+    let text = format!(
+        "{{\"tenants\":{{{}}},\"models\":{{\"m\":{{\"weights\":\"{weights}\"}}}},\"kinds\":{{\"steady\":{{\"urgency\":5,\"budgetMs\":{}}}}},\"ways\":[{{\"path\":\"/v1/\",\"to\":\"model\"}}],\"limits\":{{\"stallMs\":2000}}}}",
+        tenants.join(","),
+        20_000 + number
+    );
+    let read = fleet_common::json::root(text.as_bytes()).and_then(|root| Blueprint::read(&root));
+    read.unwrap_or_else(|fault| unreachable!("the simulator's own blueprint: {fault}"))
+}
--- /dev/null
+++ b/crates/simulate-fleet/src/wire.rs
@@ -0,0 +1,153 @@
+//! What travels between the simulated machines that are not cores, and how it may fail.
+use crate::callers::Request;
+use crate::cores::ms;
+use crate::world::World;
+use fleet_common::ask::{Answer, Ask, TableCopy};
+use prefix_table::event::Batch;
+use std::time::Duration;
+
+/// A process that gets messages.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Place {
+    Router(usize),
+    Index(usize),
+    Replica(usize),
+    Caller,
+}
+
+/// A request as a replica gets it.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    /// Which try of which request: the name of its stream.
+    pub stream: (u64, u64),
+    pub from: usize,
+    pub once: Option<String>,
+    pub print: String,
+    pub wall: String,
+    pub weights: String,
+    pub chain: Vec<u64>,
+    pub tokens: u64,
+    pub budget: Duration,
+    /// The budget of its kind, which tells the blueprint.
+    pub kind_budget_ms: u64,
+    pub source: Option<usize>,
+}
+
+/// A message.
+#[derive(Clone, Debug)]
+pub enum Message {
+    /// A caller's request to a router, a router's try to a replica.
+    Request(Request),
+    Ask(Asked),
+    Shut((u64, u64)),
+    /// From a replica: a refusal that ran nothing, a piece, the end, a break.
+    Refused((u64, u64), u16, Option<u64>),
+    Piece((u64, u64), u64, bool),
+    Whole((u64, u64)),
+    Broken((u64, u64), bool),
+    Poll {
+        by: usize,
+        replica: String,
+        fence: u64,
+        incarnation: String,
+        from: u64,
+    },
+    Polled(String, u64, Result<Batch, String>),
+    Fetch {
+        by: usize,
+        replica: String,
+    },
+    Copied(String, Option<TableCopy>),
+    Order {
+        by: usize,
+        replica: String,
+        fence: u64,
+        weights: String,
+    },
+    Ordered(String, Result<(), String>),
+    Tell(Ask),
+    /// A router asks an index node, which answers.
+    Query {
+        by: usize,
+        ask: Ask,
+        replica: String,
+    },
+    Answered {
+        replica: String,
+        answer: Answer,
+    },
+    /// To the caller: a piece of a stream, the end of a whole one, a cut, or an answer instead.
+    CallerPiece {
+        call: u64,
+        of: (u64, u64),
+        number: u64,
+    },
+    CallerEnd {
+        call: u64,
+        whole: bool,
+    },
+    CallerTold {
+        call: u64,
+        status: u16,
+        outcome: &'static str,
+        retry_after: Option<u64>,
+    },
+}
+
+impl Message {
+    /// The stream from a replica that this is a part of.
+    fn stream(&self) -> Option<(u64, u64)> {
+        match self {
+            Message::Refused(stream, ..) | Message::Piece(stream, ..) => Some(*stream),
+            Message::Whole(stream) | Message::Broken(stream, _) => Some(*stream),
+            _ => None,
+        }
+    }
+}
+
+impl World {
+    /// Whether a message can pass from one machine to another now.
+    pub(crate) fn passes(&self, from: Place, to: Place) -> bool {
+        let machine = |place: Place| match place {
+            Place::Router(at) | Place::Index(at) => at,
+            Place::Replica(at) => 100 + at,
+            Place::Caller => 999,
+        };
+        !self.cut.contains(&(machine(from), machine(to)))
+    }
+
+    /// Sends what a stream carries: in order, or not at all.
+    pub(crate) fn send(&mut self, from: Place, to: Place, message: Message) {
+        // A stream that lost something is dead: nothing of it comes later.
+        let stream = message.stream();
+        if !self.passes(from, to) {
+            self.dead.extend(stream);
+            return;
+        }
+        if stream.is_some_and(|stream| self.dead.contains(&stream)) {
+            return;
+        }
+        let soonest = self.last_on_wire.get(&(from, to)).copied().unwrap_or_default();
+        let when = (self.now() + ms(1 + self.dice.next(6))).max(soonest);
+        self.last_on_wire.insert((from, to), when);
+        self.put(when, to, message);
+    }
+
+    /// Sends what may come late, twice, out of order or never.
+    pub(crate) fn send_loosely(&mut self, from: Place, to: Place, message: Message) {
+        if !self.passes(from, to) || self.dice.next(100) < self.loses {
+            return;
+        }
+        let times = if self.dice.next(100) < self.loses { 2 } else { 1 };
+        for _ in 0..times {
+            let late = if self.dice.next(100) < self.loses { self.dice.next(3000) } else { 0 };
+            let when = self.now() + ms(1 + self.dice.next(10) + late);
+            self.put(when, to, message.clone());
+        }
+    }
+
+    pub(crate) fn put(&mut self, when: Duration, to: Place, message: Message) {
+        self.order += 1;
+        self.wire.insert((when, self.order), (to, message));
+    }
+}
--- a/crates/way-choice/src/lib.rs
+++ b/crates/way-choice/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod let_in;
 pub mod links;
 pub mod place;
+pub mod placing;
 pub mod source;
 pub mod tokens;
 pub mod trip;
--- a/crates/way-choice/src/trip.rs
+++ b/crates/way-choice/src/trip.rs
@@ -64,6 +64,14 @@
         self.phase == Phase::Over
     }
 
+    /// Whether a try is out and being waited for.
+    /// ```
+    /// assert!(!way_choice::trip::Trip::new(false, true).waits());
+    /// ```
+    pub fn waits(&self) -> bool {
+        matches!(self.phase, Phase::Out { .. })
+    }
+
     fn end(&mut self, ran: Ran, last: Do) -> Vec<Do> {
         self.phase = Phase::Over;
         let settle = std::mem::take(&mut self.claimed).then_some(Do::Settle(ran));
