Drills behind the project's own relay, and of losses: splits, a district, a full disk, six edges of nine

run-fleet has a relay that stands before the cores, reads the fleet's frames and drops or delays them from one machine to another, each direction by itself; a core may listen elsewhere than the list says (listenChain, listenNode). New drills, judged by what operators, callers and replicas recorded and waiting on conditions: 2-2 split and single cores cut off during writes, a one-way cut, slow links; an edge that hears no core, mid-stream, while its key is withdrawn; all replicas replaced one at a time under load; a district lost and back; a core whose disk takes no more (a file size limit) in a storm of commands; six of nine edges killed at once under more load than the rest has room for.

Ruled out: index nodes not giving the order, which their log showed they did.

--- a/crates/control-core/src/main.rs
+++ b/crates/control-core/src/main.rs
@@ -49,7 +49,10 @@
         fleet_common::settings::listen("control-core", at)
     };
     let own = settings.own();
-    let (chain, node, http) = (listen(own.chain.as_str()), listen(own.node.as_str()), listen(own.http.as_str()));
+    let or = |other: Option<std::net::SocketAddr>, listed: &str| other.map_or(listed.to_string(), |at| at.to_string());
+    let chain = listen(&or(settings.listen_chain, own.chain.as_str()));
+    let node = listen(&or(settings.listen_node, own.node.as_str()));
+    let http = listen(own.http.as_str());
     let (disk, found) = disk::open(&settings.data, flags.found, &settings.cores).unwrap_or_else(|e| {
         eprintln!("control-core: {e}; refusing to start");
         std::process::exit(EXIT_DISK)
--- a/crates/control-core/src/settings.rs
+++ b/crates/control-core/src/settings.rs
@@ -2,15 +2,19 @@
 use control_chain::view::CoreAt;
 use fleet_common::Rcu;
 use fleet_common::settings::Settings;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-const NAMES: &[&str] = &["id", "data", "cores", "platform"];
+const NAMES: &[&str] = &["id", "data", "cores", "platform", "listenChain", "listenNode"];
 
 pub struct CoreSettings {
     pub id: u8,
     pub data: PathBuf,
     pub cores: Vec<CoreAt>,
     pub platform: Option<String>,
+    /// Where this core listens, if others reach its listed addresses by way of something else.
+    pub listen_chain: Option<SocketAddr>,
+    pub listen_node: Option<SocketAddr>,
 }
 
 impl CoreSettings {
@@ -34,8 +38,10 @@
         settings.add_fault(format!("/id: {id} is not among the cores"));
     }
     let platform = platform_of(&mut settings);
+    let mut listen = |name| settings.has(name).then(|| settings.address(name));
+    let (listen_chain, listen_node) = (listen("listenChain"), listen("listenNode"));
     settings.or_exit(only_check);
-    CoreSettings { id, data, cores, platform }
+    CoreSettings { id, data, cores, platform, listen_chain, listen_node }
 }
 
 /// Reads the settings again; only the platform's address may change while running.
--- a/crates/fleet-common/src/settings.rs
+++ b/crates/fleet-common/src/settings.rs
@@ -91,6 +91,15 @@
         }
     }
 
+    /// Whether a setting is given at all.
+    /// ```
+    /// let settings = fleet_common::settings::Settings::read(None, &["a=1".into()], &["a", "b"]);
+    /// assert!(settings.has("a") && !settings.has("b"));
+    /// ```
+    pub fn has(&self, name: &str) -> bool {
+        self.values.contains_key(name)
+    }
+
     /// A text with a default.
     /// ```
     /// # use fleet_common::settings::Settings;
--- a/crates/run-fleet/src/child.rs
+++ b/crates/run-fleet/src/child.rs
@@ -11,6 +11,8 @@
     pub args: Vec<String>,
     /// Where it shows its pages.
     pub http: SocketAddr,
+    /// The largest file it may write, in bytes: a disk that is full beyond it.
+    pub file_max: Option<u64>,
     child: Option<Child>,
     log: PathBuf,
 }
@@ -39,7 +41,15 @@
     /// assert!(!process.runs());
     /// ```
     pub fn new(name: &str, program: &'static str, args: Vec<String>, http: SocketAddr, logs: PathBuf) -> Self {
-        Process { name: name.into(), program, args, http, child: None, log: logs.join(format!("{name}.log")) }
+        Process {
+            name: name.into(),
+            program,
+            args,
+            http,
+            file_max: None,
+            child: None,
+            log: logs.join(format!("{name}.log")),
+        }
     }
 
     /// Starts it.
@@ -53,9 +63,18 @@
         command.args(&self.args).stdin(Stdio::null()).stdout(Stdio::null());
         command.stderr(log.map(Stdio::from).unwrap_or_else(|_| Stdio::null()));
         // Whatever ends us ends the fleet: a killed run-fleet must leave nobody behind.
-        let follow = || match unsafe { libc::prctl(libc::PR_SET_PDEATHSIG, libc::SIGKILL) } {
-            0 => Ok(()),
-            _ => Err(std::io::Error::last_os_error()),
+        let file_max = self.file_max;
+        let follow = move || {
+            if let Some(most) = file_max {
+                let limit = libc::rlimit { rlim_cur: most, rlim_max: most };
+                // Without the signal ignored the process would die of it instead of seeing the error.
+                unsafe { libc::signal(libc::SIGXFSZ, libc::SIG_IGN) };
+                unsafe { libc::setrlimit(libc::RLIMIT_FSIZE, &limit) };
+            }
+            match unsafe { libc::prctl(libc::PR_SET_PDEATHSIG, libc::SIGKILL) } {
+                0 => Ok(()),
+                _ => Err(std::io::Error::last_os_error()),
+            }
         };
         unsafe { command.pre_exec(follow) };
         self.child = command.spawn().map_err(|e| eprintln!("run-fleet: {} cannot start: {e}", self.name)).ok();
--- a/crates/run-fleet/src/fleet.rs
+++ b/crates/run-fleet/src/fleet.rs
@@ -1,9 +1,10 @@
 //! A whole fleet: four cores, edges of three processes each, replicas, store, app and platform.
 use crate::child::{Process, programs};
 use crate::ports::Ports;
+use crate::relay::Relay;
 use crate::shape::Shape;
 use fleet_common::http_out;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 use std::time::{Duration, Instant};
@@ -34,6 +35,17 @@
     /// let fleet = Fleet::start(shape::tanoa(), Size { edges: 3, replicas: 6 }, "/tmp/fleet".into());
     /// ```
     pub fn start(shape: Shape, size: Size, folder: PathBuf) -> Self {
+        Self::start_behind(shape, size, folder, None)
+    }
+
+    /// As `start`, with the cores behind a relay.
+    /// ```no_run
+    /// use run_fleet::{fleet::{Fleet, Size}, relay::Relay, shape::rahguzar};
+    /// let relay = Relay::default();
+    /// let fleet = Fleet::start_behind(rahguzar(), Size { edges: 3, replicas: 6 }, "/tmp/fleet".into(), Some(&relay));
+    /// relay.part("core-1", "core-2");
+    /// ```
+    pub fn start_behind(shape: Shape, size: Size, folder: PathBuf, relay: Option<&Relay>) -> Self {
         let _ = std::fs::remove_dir_all(&folder);
         let _ = std::fs::create_dir_all(&folder);
         let mut ports = Ports;
@@ -51,7 +63,16 @@
         };
         fleet.add_outside(size, &mut ports);
         for (at, core) in cores.iter().enumerate() {
-            fleet.add_core(at + 1, core[2]);
+            let name = format!("core-{}", at + 1);
+            let mut behind = Vec::new();
+            if let Some(relay) = relay {
+                let own = [ports.next(), ports.next()];
+                let listen = |at: SocketAddr| TcpListener::bind(at).unwrap_or_else(|e| panic!("relay at {at}: {e}"));
+                relay.before_chain(listen(core[0]), own[0], name.clone());
+                relay.before_node(listen(core[1]), own[1], name);
+                behind = vec![("listenChain", own[0].to_string()), ("listenNode", own[1].to_string())];
+            }
+            fleet.add_core(at + 1, core[2], &behind);
         }
         let seeds: Vec<String> = cores.iter().take(3).map(|c| c[1].to_string()).collect();
         for at in 0..size.edges {
--- a/crates/run-fleet/src/layout.rs
+++ b/crates/run-fleet/src/layout.rs
@@ -52,7 +52,7 @@
         self.add("platform", "stand-in", [listen("platform", platform), given].concat(), platform);
     }
 
-    pub(crate) fn add_core(&mut self, id: usize, http: SocketAddr) {
+    pub(crate) fn add_core(&mut self, id: usize, http: SocketAddr, behind: &[(&str, String)]) {
         let data = self.folder.join(format!("core-{id}"));
         let mut args = set(&[
             ("id", id.to_string()),
@@ -60,6 +60,7 @@
             ("cores", self.cores_setting.clone()),
             ("platform", self.platform.to_string()),
         ]);
+        args.extend(set(behind));
         args.push("--found".into());
         self.add(&format!("core-{id}"), "control-core", args, http);
     }
--- a/crates/run-fleet/src/lib.rs
+++ b/crates/run-fleet/src/lib.rs
@@ -6,4 +6,5 @@
 mod layout;
 pub mod measure;
 pub mod ports;
+pub mod relay;
 pub mod shape;
--- a/crates/run-fleet/tests/world/mod.rs
+++ b/crates/run-fleet/tests/world/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 use fleet_common::http_out;
 use run_fleet::fleet::{Fleet, Size};
+use run_fleet::relay::Relay;
 use run_fleet::shape::rahguzar;
 use sonic_rs::{JsonContainerTrait, JsonValueTrait, Value};
 use stand_in::caller::Job;
@@ -17,6 +18,29 @@
     fleet
 }
 
+/// A small fleet whose cores are behind a relay.
+pub fn fleet_behind(name: &str, relay: &Relay) -> Fleet {
+    let folder = std::env::temp_dir().join(format!("coursebend-drill-{}-{name}", std::process::id()));
+    let fleet = Fleet::start_behind(rahguzar(), Size { edges: 3, replicas: 6 }, folder, Some(relay));
+    fleet.set_up().unwrap_or_else(|what| panic!("{name}: {what}"));
+    fleet
+}
+
+/// What a program said, both ways.
+pub fn said(output: &std::process::Output) -> String {
+    String::from_utf8_lossy(&[output.stdout.clone(), output.stderr.clone()].concat()).into_owned()
+}
+
+/// A figure that the callers printed.
+pub fn figure(words: &str, name: &str) -> u64 {
+    sonic_rs::get(words, [name]).ok().and_then(|v| v.as_u64()).unwrap_or_else(|| panic!("no {name} in {words}"))
+}
+
+/// Lets callers end and gives their figures.
+pub fn figures(callers: std::process::Child) -> String {
+    String::from_utf8(callers.wait_with_output().unwrap().stdout).unwrap()
+}
+
 pub fn text(bytes: usize) -> String {
     "the lane behind the bazaar is closed today, ".chars().cycle().take(bytes).collect()
 }
--- a/crates/stand-in/src/replica.rs
+++ b/crates/stand-in/src/replica.rs
@@ -115,14 +115,17 @@
             replica.events.answer(incoming, || (replica.weights_now(), replica.running.load(Ordering::Relaxed)));
         }
         ("GET", "/load") => {
+            // Each lock is let go before the next: loading that has just ended takes both.
+            let weights = replica.weights_now();
+            let blocks = replica.cache.lock().unwrap().len();
             let body = format!(
                 "{{\"id\":{},\"asked\":{},\"running\":{},\"slots\":{},\"blocks\":{},\"weights\":{}}}",
                 json::quote(&replica.id),
                 replica.asked.load(Ordering::Relaxed),
                 replica.running.load(Ordering::Relaxed),
                 replica.slots,
-                replica.cache.lock().unwrap().len(),
-                json::quote(&replica.weights_now())
+                blocks,
+                json::quote(&weights)
             );
             incoming.json(200, &body, vec![]);
         }
