--- a/crates/control-chain/src/asked.rs
+++ b/crates/control-chain/src/asked.rs
@@ -61,10 +61,27 @@
                 Some(claim) => sonic_rs::to_string(claim).unwrap_or_default(),
                 None => "{\"ran\":\"never_claimed\"}".into(),
             },
+            ["explain", request] => self.explain(request),
             _ => "{\"error\":\"no such query\"}".into(),
         }
     }
 
+    /// What the control state knows of a request: its once-claims, and whether its router's edge is about.
+    fn explain(&self, request: &str) -> String {
+        let edge = request.rsplitn(3, '-').nth(2).unwrap_or_default();
+        let claims: Vec<String> = self
+            .state
+            .claims
+            .iter()
+            .filter(|(_, claim)| claim.request == request)
+            .map(|(name, claim)| {
+                format!("{{\"key\":{},\"ran\":{}}}", quote(name), sonic_rs::to_string(&claim.ran).unwrap_or_default())
+            })
+            .collect();
+        let about = self.state.members.contains_key(edge);
+        format!("{{\"edge\":{},\"edgeHoldsTerm\":{about},\"claims\":[{}]}}", quote(edge), claims.join(","))
+    }
+
     fn holds_words(&self) -> String {
         let vector = self.vector();
         let sources: Vec<String> = (0..SOURCES.len())
--- a/crates/control-chain/src/command.rs
+++ b/crates/control-chain/src/command.rs
@@ -83,6 +83,8 @@
         request: String,
         ran: Ran,
     },
+    /// The blueprint before this one holds again, as a new version.
+    Back,
     /// A minute of the head's monotonic clock has passed: old claims may go.
     Minute,
 }
@@ -139,7 +141,8 @@
             "key_add" => &["key", "tenant"],
             "key_withdraw" => &["key"],
             "weights" => &["model", "weights"],
-            _ => return Err(kind.fault("blueprint, key_add, key_withdraw or weights is wanted")),
+            "back" => &[],
+            _ => return Err(kind.fault("blueprint, back, key_add, key_withdraw or weights is wanted")),
         };
         root.only(&[&["id", "expect", "kind"], own].concat())?;
         let id = root.need("id")?.text()?;
@@ -154,6 +157,7 @@
         let text = |field: &str| root.need(field)?.text();
         Ok(match name {
             "blueprint" => Command::Blueprint { blueprint: Blueprint::read(&root.need("blueprint")?)? },
+            "back" => Command::Back,
             "key_add" => Command::KeyAdd { key: key_print(&text("key")?), tenant: text("tenant")? },
             "key_withdraw" => Command::KeyWithdraw { key: key_print(&text("key")?) },
             _ => Command::Weights { model: text("model")?, weights: text("weights")? },
--- a/crates/control-chain/src/ruling.rs
+++ b/crates/control-chain/src/ruling.rs
@@ -12,7 +12,7 @@
 impl State {
     pub(crate) fn source_of(command: &Command) -> Option<usize> {
         match command {
-            Command::Blueprint { .. } | Command::Weights { .. } => Some(BLUEPRINT),
+            Command::Blueprint { .. } | Command::Weights { .. } | Command::Back => Some(BLUEPRINT),
             Command::KeyAdd { .. } | Command::KeyWithdraw { .. } => Some(KEYS),
             Command::Listing { .. } => Some(REPLICAS),
             Command::Join { .. } | Command::Lapse { .. } => Some(MEMBERS),
@@ -26,17 +26,26 @@
         let same = || Ok("nothing to change".to_string());
         match command {
             Command::Blueprint { blueprint } => {
-                self.blueprint = Some(blueprint.clone());
+                self.before = self.blueprint.replace(blueprint.clone());
                 done("blueprint replaced")
             }
             Command::Weights { model, weights } => {
+                let before = self.blueprint.clone();
                 let row = self.blueprint.as_mut().and_then(|b| b.models.get_mut(model));
                 let Some(row) = row else {
                     return no(404, format!("no model {model}"));
                 };
                 row.weights = weights.clone();
+                self.before = before;
                 done("weights named")
             }
+            Command::Back => match self.before.take() {
+                Some(before) => {
+                    self.before = self.blueprint.replace(before);
+                    done("the blueprint before holds again")
+                }
+                None => no(404, "there was no blueprint before"),
+            },
             Command::KeyAdd { key, tenant } => {
                 if !self.blueprint.as_ref().is_some_and(|b| b.tenants.contains_key(tenant)) {
                     return no(404, format!("no tenant {tenant}"));
--- a/crates/control-chain/src/state.rs
+++ b/crates/control-chain/src/state.rs
@@ -54,6 +54,9 @@
     pub seq: u64,
     pub versions: Vector,
     pub blueprint: Option<Blueprint>,
+    /// The one before, for going back.
+    #[serde(default)]
+    pub before: Option<Blueprint>,
     pub keys: BTreeMap<String, Key>,
     pub replicas: Vec<Replica>,
     pub members: BTreeMap<String, Node>,
--- a/crates/control-chain/tests/sim/mod.rs
+++ b/crates/control-chain/tests/sim/mod.rs
@@ -20,6 +20,11 @@
     Duration::from_millis(n)
 }
 
+/// A machine's own clock: it began elsewhere, and runs up to a hundredth faster.
+fn clock(now: Duration, skew: Duration) -> Duration {
+    now + skew + now * (skew.as_millis() % 10) as u32 / 1000
+}
+
 pub enum Event {
     Deliver(u8, Sent),
     Synced(u8, u64, u64),
@@ -107,7 +112,7 @@
         let found = node.disk.found();
         let incarnation = found.meta.as_ref().map_or(0, |m| m.incarnation);
         let me = Member { id, incarnation };
-        let core = Core::start(now + node.skew, me, places(), found).expect("a simulated disk is never damaged");
+        let core = Core::start(clock(now, node.skew), me, places(), found).expect("a simulated disk is never damaged");
         node.core = Some(core.capture_every(20));
         let boot = node.boot;
         self.at(now, Event::Tick(id, boot));
@@ -147,7 +152,7 @@
         let now = self.now;
         let Some(node) = self.nodes.get_mut(&id) else { return };
         let Some(core) = node.core.as_mut() else { return };
-        let (outputs, boot) = (core.step(now + node.skew, input), node.boot);
+        let (outputs, boot) = (core.step(clock(now, node.skew), input), node.boot);
         for output in outputs {
             match output {
                 Output::Send(to, message) => self.send(id, to, message),
--- /dev/null
+++ b/crates/control-core/src/explain.rs
@@ -0,0 +1,59 @@
+//! A request's story, gathered from whoever knows a part of it: its router, the index nodes, the claims.
+use crate::drive::Driver;
+use control_chain::command::Node;
+use fleet_common::Mishap;
+use fleet_common::ask::{Answer, Ask};
+use fleet_common::frame::Caller;
+use fleet_common::json::quote;
+use sonic_rs::JsonValueTrait;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const ASK_WAIT: Duration = Duration::from_millis(900);
+
+fn json(answer: Answer) -> Option<String> {
+    match answer {
+        Answer::Json(text) => Some(String::from_utf8_lossy(text.as_slice()).into_owned()),
+        _ => None,
+    }
+}
+
+/// Asks all members at once; who does not answer in time knows nothing.
+pub fn story(driver: &Driver, request: &str, wait: Duration) -> Result<String, Mishap> {
+    let query = |text: &str| Ok(json(driver.ask_fleet(Ask::Query(text.into()), wait)?).unwrap_or_default());
+    let control = query(&format!("explain/{request}"))?;
+    let members = query("source/members")?;
+    let members: BTreeMap<String, Node> = sonic_rs::get(&members, ["value"])
+        .ok()
+        .and_then(|v| sonic_rs::from_str(v.as_raw_str()).ok())
+        .unwrap_or_default();
+    let ask = Ask::Query(format!("explain/{request}").as_str().into());
+    let told: Vec<(&String, &Node, Option<String>)> = std::thread::scope(|scope| {
+        let asked: Vec<_> = members
+            .iter()
+            .map(|(name, node)| {
+                let ask = &ask;
+                let thread = scope.spawn(move || json(Caller::new(node.at.parse().ok()?, ASK_WAIT).ask(ask).ok()?));
+                (name, node, thread)
+            })
+            .collect();
+        asked.into_iter().map(|(name, node, thread)| (name, node, thread.join().ok().flatten())).collect()
+    });
+    let of = |kind: &str| -> Vec<String> {
+        let known = told.iter().filter(|(_, node, words)| node.kind == kind && words.is_some());
+        known.map(|(name, _, words)| format!("{}:{}", quote(name), words.as_deref().unwrap_or("null"))).collect()
+    };
+    let (router, index) = (of("edge"), of("index"));
+    let edge = sonic_rs::get(&control, ["edge"]).ok().and_then(|v| v.as_str().map(str::to_string)).unwrap_or_default();
+    let note = match router.is_empty() {
+        true => format!("router {edge} is gone, started anew or has forgotten: only what the others know"),
+        false => String::new(),
+    };
+    Ok(format!(
+        "{{\"request\":{},\"router\":{{{}}},\"index\":{{{}}},\"control\":{control},\"note\":{}}}",
+        quote(request),
+        router.join(","),
+        index.join(","),
+        quote(&note)
+    ))
+}
--- a/crates/control-core/src/main.rs
+++ b/crates/control-core/src/main.rs
@@ -3,6 +3,7 @@
 #[cfg(test)]
 mod disk_test;
 mod drive;
+mod explain;
 mod links;
 mod listing;
 mod operators;
--- a/crates/control-core/src/operators.rs
+++ b/crates/control-core/src/operators.rs
@@ -1,5 +1,6 @@
 //! What operators ask over HTTP: commands at /commands, queries everywhere else.
 use crate::drive::Driver;
+use crate::explain::story;
 use control_chain::command::Envelope;
 use fleet_common::ask::{Answer, Ask, CoresWish};
 use fleet_common::http_in::Incoming;
@@ -23,7 +24,10 @@
         ("GET", "log") => incoming.log(),
         ("GET", "self") => query(driver, incoming, "self"),
         ("GET", "metrics") => metrics(driver, incoming),
-        ("GET", _) => query(driver, incoming, &path),
+        ("GET", _) => match path.strip_prefix("explain/") {
+            Some(request) => explain(driver, incoming, request),
+            None => query(driver, incoming, &path),
+        },
         _ => refuse(incoming, 405, &Fault { pointer: String::new(), what: "GET, or POST /commands".into() }),
     }
 }
@@ -78,6 +82,13 @@
     }
 }
 
+fn explain(driver: &Driver, incoming: Incoming, request: &str) {
+    match story(driver, request, WAIT) {
+        Ok(words) => incoming.json(200, &words, vec![]),
+        Err(mishap) => refuse(incoming, 503, &Fault { pointer: String::new(), what: mishap.to_string() }),
+    }
+}
+
 fn query(driver: &Driver, incoming: Incoming, path: &str) {
     match driver.ask_fleet(Ask::Query(path.into()), WAIT) {
         Ok(Answer::Json(text)) => {
--- a/crates/fleet-query/src/commands.rs
+++ b/crates/fleet-query/src/commands.rs
@@ -16,7 +16,7 @@
 
 pub fn apply(cores: &Cores, path: &Path, id: Option<String>, expect: Option<u64>, wait: bool) -> i32 {
     match std::fs::read_to_string(path) {
-        Ok(text) => send(cores, "blueprint", &format!("\"blueprint\":{}", text.trim()), id, expect, wait),
+        Ok(text) => send(cores, "blueprint", &format!(",\"blueprint\":{}", text.trim()), id, expect, wait),
         Err(e) => {
             eprintln!("fleet-query: {}: {e}", path.display());
             64
@@ -27,8 +27,8 @@
 type Fields<'a> = &'a [(&'a str, String)];
 
 pub fn run(cores: &Cores, kind: &str, fields: Fields, id: Option<String>, expect: Option<u64>, wait: bool) -> i32 {
-    let rest: Vec<String> = fields.iter().map(|(name, value)| format!("{}:{}", quote(name), quote(value))).collect();
-    send(cores, kind, &rest.join(","), id, expect, wait)
+    let rest: Vec<String> = fields.iter().map(|(name, value)| format!(",{}:{}", quote(name), quote(value))).collect();
+    send(cores, kind, &rest.concat(), id, expect, wait)
 }
 
 fn send(cores: &Cores, kind: &str, rest: &str, id: Option<String>, expect: Option<u64>, wait: bool) -> i32 {
@@ -37,7 +37,7 @@
         eprintln!("fleet-query: no core can say which version holds");
         return 2;
     };
-    let body = format!("{{\"id\":{},\"expect\":{expect},\"kind\":{},{rest}}}", quote(&id), quote(kind));
+    let body = format!("{{\"id\":{},\"expect\":{expect},\"kind\":{}{rest}}}", quote(&id), quote(kind));
     let (status, text) = match cores.post(&body) {
         Ok(answer) => answer,
         Err(mishap) => {
--- a/crates/fleet-query/src/main.rs
+++ b/crates/fleet-query/src/main.rs
@@ -32,11 +32,11 @@
             cmd node { required at: SocketAddr }
             /// A node's log ring.
             cmd log { required at: SocketAddr }
-            /// The story of a request, asked of the routers named.
+            /// The story of a request, from all who know a part of it, or from the routers named.
             cmd explain {
                 required request: String
                 /// Operators' addresses of routers, parted by commas.
-                required --routers list: String
+                optional --routers list: String
             }
             /// What came of a command.
             cmd outcome { required id: String }
@@ -51,6 +51,13 @@
                 /// Wait until it is in force everywhere.
                 optional --wait
             }
+            /// Have the blueprint (and weights) before this one hold again, as a new version.
+            cmd back {
+                optional --id id: String
+                /// The version it replaces; by default the one that holds.
+                optional --expect version: u64
+                optional --wait
+            }
             /// Replace the list of control machines: id@chain/node/http, parted by commas.
             cmd cores {
                 required list: String
@@ -108,10 +115,14 @@
         Cmd::Source(s) => queries::show(cores.get(&format!("/source/{}", s.name))),
         Cmd::Node(n) => queries::show(queries::ask(n.at, "/self")),
         Cmd::Log(l) => queries::show(queries::ask(l.at, "/log")),
-        Cmd::Explain(e) => queries::explain(&addresses(&e.routers), &e.request),
+        Cmd::Explain(e) => match e.routers {
+            Some(routers) => queries::explain(&addresses(&routers), &e.request),
+            None => queries::show(cores.get(&format!("/explain/{}", e.request))),
+        },
         Cmd::Outcome(o) => queries::show(cores.get(&format!("/command/{}", o.id))),
         Cmd::Claim(c) => queries::show(cores.get(&format!("/claim/{}/{}", c.tenant, c.key))),
         Cmd::Apply(a) => commands::apply(&cores, &a.path, a.id, a.expect, a.wait),
+        Cmd::Back(b) => commands::run(&cores, "back", &[], b.id, b.expect, b.wait),
         Cmd::Cores(c) => commands::cores(&cores, &c.list, c.expect),
         Cmd::Weights(w) => {
             let fields = [("model", w.model), ("weights", w.weights)];
--- a/crates/prefix-table/src/keeper.rs
+++ b/crates/prefix-table/src/keeper.rs
@@ -8,7 +8,7 @@
 use control_chain::fleet::Fleet;
 use fleet_common::ask::{Ask, Pulled, SeatNews, TERM, TableCopy, Vector};
 use fleet_common::node::Identity;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// What an index node reacts to.
@@ -62,6 +62,8 @@
     pub(crate) told: BTreeMap<String, (SeatNews, Duration)>,
     pub(crate) known: BTreeSet<String>,
     pub(crate) halted: BTreeMap<String, String>,
+    /// What was said of the latest hand-over tries, by request.
+    pub(crate) audited: VecDeque<(String, String)>,
     pub(crate) round_at: Duration,
     leaving: bool,
     pub(crate) out: Vec<Output>,
@@ -96,6 +98,7 @@
             told: BTreeMap::new(),
             known: BTreeSet::new(),
             halted: BTreeMap::new(),
+            audited: VecDeque::new(),
             round_at: Duration::ZERO,
             leaving: false,
             out: Vec::new(),
--- a/crates/prefix-table/src/news.rs
+++ b/crates/prefix-table/src/news.rs
@@ -2,10 +2,12 @@
 //! and colleagues; and what it answers when it is asked.
 use crate::keeper::{Keeper, Output, shape};
 use crate::table::Table;
-use fleet_common::ask::{Answer, Ask, Filter, SeatNews, audit};
+use fleet_common::ask::{Answer, Ask, Filter, Handover, SeatNews, audit};
+use fleet_common::json::quote;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+const AUDITS_KEPT: usize = 2048;
 const SEATS_ANEW: Duration = Duration::from_millis(1000);
 
 impl Keeper {
@@ -77,6 +79,22 @@
         }
     }
 
+    /// What an operator may ask of a try after its router is gone.
+    fn remember(&mut self, tried: &Handover, verdict: u8) {
+        let words = format!(
+            "{{\"router\":{},\"source\":{},\"verdict\":\"{}\",\"firstPieceMs\":{},\"expectedMs\":{}}}",
+            quote(tried.router.as_str()),
+            quote(tried.source.as_str()),
+            ["held", "collision", "stale", "not mine"].get(verdict as usize).unwrap_or(&"odd"),
+            tried.first_piece_ms,
+            tried.expected_ms
+        );
+        self.audited.push_back((tried.request.to_string(), words));
+        if self.audited.len() > AUDITS_KEPT {
+            self.audited.pop_front();
+        }
+    }
+
     /// Answers routers and colleagues.
     /// ```
     /// # use fleet_common::node::Identity;
@@ -102,8 +120,18 @@
                     }
                     _ => audit::NOT_MINE,
                 };
+                self.remember(&tried, verdict);
                 Answer::Audit(verdict)
             }
+            Ask::Query(text) => {
+                let id = text.as_str().strip_prefix("explain/").unwrap_or_default();
+                let said: Vec<&str> =
+                    self.audited.iter().filter(|(request, _)| request == id).map(|(_, words)| words.as_str()).collect();
+                match said.is_empty() {
+                    true => Answer::Refused("no such request here".into()),
+                    false => Answer::Json(format!("[{}]", said.join(",")).into_bytes().into()),
+                }
+            }
             Ask::TablePull(replica) => match self.kept.get(replica.as_str()) {
                 Some(kept) => Answer::Table(kept.table.copy(replica.as_str(), kept.fence.unwrap_or(kept.copied_under))),
                 None => Answer::Refused("no such table here".into()),
--- a/crates/request-router/src/claims.rs
+++ b/crates/request-router/src/claims.rs
@@ -3,12 +3,16 @@
 use crate::passage::{Flow, Passage, Reply};
 use crate::shared::Shared;
 use control_chain::command::{Command, Envelope, Outcome, Ran};
+use crossbeam::channel::unbounded;
 use fleet_common::ask::{Answer, Ask};
 use fleet_common::ring;
 use std::sync::Arc;
 use std::time::Duration;
 use way_choice::trip::{Claimed, Do, Heard, Trip};
 
+const SENDERS: usize = 4;
+const TICK: Duration = Duration::from_millis(20);
+
 /// Puts a command through the agent. `None` when nobody can say what came of it.
 fn command(shared: &Shared, command: Command) -> Option<Outcome> {
     let mut agent = shared.agent();
@@ -53,19 +57,35 @@
     Flow::Next
 }
 
-/// Settles the passage's claim, trying for a while in the background: a lapse of this edge would
+/// Hands the claim's settlement to those who send it until somebody answers: a lapse of this edge would
 /// only call it unknown.
-pub fn settle(shared: &Arc<Shared>, passage: &mut Passage, ran: Ran) {
+pub fn settle(shared: &Shared, passage: &mut Passage, ran: Ran) {
     let Some(key) = passage.once.clone() else { return };
     passage.explain.step(format!("settled as {ran:?}"));
     let settle = Command::Settle { tenant: passage.tenant.clone(), key, request: passage.id.clone(), ran };
+    let now = shared.now();
+    shared.settling().add(now, settle);
+}
+
+/// Sends what is due, a few at a time so that one that hangs holds none up.
+pub fn start(shared: &Arc<Shared>) {
+    let (sender, receiver) = unbounded();
+    for _ in 0..SENDERS {
+        let (shared, receiver) = (shared.clone(), receiver.clone());
+        std::thread::spawn(move || {
+            for (number, settle) in receiver {
+                let answered = command(&shared, settle).is_some();
+                let now = shared.now();
+                shared.settling().heard(now, number, answered);
+            }
+        });
+    }
     let shared = shared.clone();
     std::thread::spawn(move || {
-        for turn in 1..40 {
-            if command(&shared, settle.clone()).is_some() {
-                return;
-            }
-            std::thread::sleep(Duration::from_millis(100 * turn));
+        loop {
+            std::thread::sleep(TICK);
+            let due = shared.settling().due(shared.now());
+            due.into_iter().for_each(|one| _ = sender.send(one));
         }
     });
 }
--- a/crates/request-router/src/main.rs
+++ b/crates/request-router/src/main.rs
@@ -72,6 +72,7 @@
         eprintln!("request-router: {e}");
         std::process::exit(EXIT_LISTEN);
     }
+    claims::start(&shared);
     reporting::start(shared.clone());
     feed::follow(&shared)
 }
@@ -84,7 +85,7 @@
             shared.draining.store(true, Ordering::Relaxed);
             ring::note("warned: draining");
             let until = Instant::now() + Duration::from_millis(shared.drain_ms.load(Ordering::Relaxed));
-            while shared.in_flight().total() > 0 && Instant::now() < until {
+            while (shared.in_flight().total() > 0 || !shared.settling().is_empty()) && Instant::now() < until {
                 std::thread::sleep(Duration::from_millis(20));
             }
             std::process::exit(0);
--- a/crates/request-router/src/mirrors.rs
+++ b/crates/request-router/src/mirrors.rs
@@ -36,6 +36,13 @@
             shared.news.change(|news| desk::take(news, now, seats.into_items()));
             Answer::Done
         }
+        Ask::Query(text) => {
+            let story = text.as_str().strip_prefix("explain/").and_then(|id| shared.explains().words(id));
+            match story {
+                Some(words) => Answer::Json(words.into_bytes().into()),
+                None => Answer::Refused("no such story here".into()),
+            }
+        }
         _ => Answer::Refused("not a router's to answer".into()),
     }
 }
--- a/crates/request-router/src/shared.rs
+++ b/crates/request-router/src/shared.rs
@@ -17,6 +17,7 @@
 use way_choice::let_in::InFlight;
 use way_choice::links::Learnt;
 use way_choice::place::Seat;
+use way_choice::settling::Settling;
 use way_choice::source::Mirrors;
 use way_choice::tokens::Tokens;
 
@@ -67,6 +68,7 @@
     tokens: Mutex<Tokens>,
     explains: Mutex<Explains>,
     learnt: Mutex<Learnt>,
+    settling: Mutex<Settling>,
     agents: Mutex<Vec<Caller>>,
     pub tried: (Sender<Tried>, Receiver<Tried>),
 }
@@ -98,6 +100,7 @@
             tokens: Mutex::new(Tokens::starting(1, 10)),
             explains: Mutex::default(),
             learnt: Mutex::default(),
+            settling: Mutex::default(),
             agents: Mutex::default(),
             tried: bounded(1024),
         }
@@ -111,6 +114,11 @@
         held(&self.tokens)
     }
 
+    /// Settlements that nobody answered yet.
+    pub fn settling(&self) -> MutexGuard<'_, Settling> {
+        held(&self.settling)
+    }
+
     /// What links cost, as learnt. Held while a source is chosen; nothing else is taken meanwhile.
     pub fn learnt(&self) -> MutexGuard<'_, Learnt> {
         held(&self.learnt)
--- a/crates/run-fleet/src/layout.rs
+++ b/crates/run-fleet/src/layout.rs
@@ -65,6 +65,18 @@
         self.add(&format!("core-{id}"), "control-core", args, http);
     }
 
+    /// Kills an edge's processes; callers know of it no more.
+    /// ```no_run
+    /// # use run_fleet::{fleet::{Fleet, Size}, shape::rahguzar};
+    /// Fleet::start(rahguzar(), Size { edges: 3, replicas: 6 }, "/tmp/fleet".into()).lose_edge(1);
+    /// ```
+    pub fn lose_edge(&mut self, number: usize) {
+        for name in [format!("edge-{number}"), format!("agent-{number}"), format!("index-{number}")] {
+            self.process(&name).kill();
+        }
+        self.edges.remove(0);
+    }
+
     pub(crate) fn add_edge(&mut self, at: usize, seeds: &str, ports: &mut Ports) {
         let (name, district) = (format!("edge-{}", at + 1), DISTRICTS[at % 4].to_string());
         let (callers, pages, frames) = (ports.next(), ports.next(), ports.next());
--- a/crates/run-fleet/src/main.rs
+++ b/crates/run-fleet/src/main.rs
@@ -18,6 +18,8 @@
             optional --folder path: PathBuf
             /// Bring faults about and measure instead of letting callers loose.
             optional --measure
+            /// Kill so many edges before the callers begin.
+            optional --lose-edges n: usize
             /// Keep the fleet running until interrupted.
             optional --stay
             /// Show the version.
@@ -46,11 +48,15 @@
     let pages: Vec<String> = fleet.processes.iter().map(|p| format!("{}={}", p.name, p.http)).collect();
     println!("  pages: {}", pages.join(" "));
     println!("  callers reach: {:?}", fleet.edges);
+    for at in 1..=flags.lose_edges.unwrap_or(0).min(size.edges - 1) {
+        fleet.lose_edge(at);
+    }
     let callers = fleet.callers(flags.seconds.unwrap_or(6), per_second, flags.seed.unwrap_or(1));
     let output = callers.wait_with_output().map_err(|e| e.to_string())?;
     let words = String::from_utf8_lossy(&output.stdout).into_owned();
     println!("  callers saw: {}", words.trim());
-    for at in 1..=fleet.edges.len() {
+    let lost = size.edges - fleet.edges.len();
+    for at in lost + 1..=size.edges {
         let counts =
             fleet.page(&format!("edge-{at}"), "/metrics").replace("coursebend_router_", "").replace('\n', "; ");
         println!("  edge-{at}: {counts}");
--- a/crates/run-fleet/src/measure.rs
+++ b/crates/run-fleet/src/measure.rs
@@ -183,23 +183,30 @@
     println!("  short call through a router: ms {}", spread(through));
     println!("  the same straight to a replica: ms {}", spread(straight));
     roll_outs(fleet);
-    let owner = sonic_rs::get(
-        &String::from_utf8_lossy(&fleet.query(&["holds"]).stdout).into_owned(),
-        ["duties", "r1", "owner"],
-    )
-    .ok()
-    .and_then(|v| v.as_str().map(str::to_string));
-    if let Some(owner) = owner {
-        let begun = Instant::now();
-        fleet.process(&owner).kill();
-        let moved =
-            || !String::from_utf8_lossy(&fleet.query(&["holds"]).stdout).contains(&format!("\"owner\":\"{owner}\""));
-        Fleet::until(WAIT, moved);
-        println!(
-            "  index node killed: seconds until all its duties were held elsewhere {:.2}",
-            begun.elapsed().as_secs_f64()
-        );
-    }
+    let lost: Vec<f64> = (0..5).filter_map(|_| owner_lost(fleet)).collect();
+    println!("  index node killed: seconds until all its duties were held elsewhere {}", spread(lost));
+    let bytes: Vec<f64> = (1..=4).map(|n| size_of(&fleet.folder().join(format!("core-{n}"))) as f64 / 1e6).collect();
+    println!("  disk used by each core after all this: MB {}", spread(bytes));
+}
+
+fn size_of(path: &std::path::Path) -> u64 {
+    let entries = std::fs::read_dir(path).into_iter().flatten().flatten();
+    entries.map(|e| if e.path().is_dir() { size_of(&e.path()) } else { e.metadata().map_or(0, |m| m.len()) }).sum()
+}
+
+/// Kills whoever holds the duty for r1, waits until all its duties are held elsewhere, starts it again.
+fn owner_lost(fleet: &mut Fleet) -> Option<f64> {
+    let holds = |fleet: &Fleet| String::from_utf8_lossy(&fleet.query(&["holds"]).stdout).into_owned();
+    let owner = sonic_rs::get(&holds(fleet), ["duties", "r1", "owner"]).ok()?.as_str()?.to_string();
+    let begun = Instant::now();
+    fleet.process(&owner).kill();
+    Fleet::until(WAIT, || !holds(fleet).contains(&format!("\"owner\":\"{owner}\"")));
+    let took = begun.elapsed().as_secs_f64();
+    fleet.process(&owner).start();
+    Fleet::until(WAIT, || {
+        sonic_rs::get(&holds(fleet), ["duties", "r1", "owner"]).is_ok_and(|v| v.as_str() == Some(&owner))
+    });
+    Some(took)
 }
 
 fn seconds(act: impl FnOnce()) -> f64 {
@@ -225,7 +232,7 @@
     }
     println!("  key withdrawn, one agent frozen: seconds until in force {}", spread(cut_off));
     let mut rolled = Vec::new();
-    for weights in ["w2", "w3", "w4"] {
+    for weights in ["w2", "w3", "w4", "w5", "w6"] {
         rolled.push(seconds(|| {
             let _ = fleet.query(&["weights", "m1", weights, "--wait"]);
             let wanted = format!("\"weights\":\"{weights}\"");
--- a/crates/run-fleet/tests/faults.rs
+++ b/crates/run-fleet/tests/faults.rs
@@ -200,4 +200,8 @@
     assert!(Fleet::until(LONG, unknown));
     assert_eq!(call(&again).status, 409);
     assert_eq!(runs_there(&fleet), 1);
+    // Its router is dead; the others still tell what they know.
+    let id = result.header("x-request-id").unwrap();
+    let story = said(&fleet.query(&["explain", id]));
+    assert!(story.contains("router edge-1 is gone") && story.contains("\"ran\":\"unknown\""), "{story}");
 }
--- a/crates/run-fleet/tests/leaving.rs
+++ b/crates/run-fleet/tests/leaving.rs
@@ -84,10 +84,25 @@
 #[test]
 fn settings_are_checked_whole_and_read_again_when_told() {
     let run = |program: &str, args: &[&str]| Command::new(programs().join(program)).args(args).output().unwrap();
-    let bad = run("request-router", &["--check", "--set", "listen=here", "--set", "odd=1", "--set", "drainMs=x"]);
+    let bad = run(
+        "request-router",
+        &["--check", "--set", "listen=here", "--set", "odd=1", "--set", "drainMs=x", "--set", "workers=1"],
+    );
     let words = String::from_utf8(bad.stderr).unwrap();
     assert_eq!(bad.status.code(), Some(64));
-    for fault in ["/odd: unknown", "/listen: here", "/name: missing", "/agent: missing", "/drainMs: a whole number"] {
+    for fault in [
+        "/odd: unknown",
+        "/listen: here",
+        "/name: missing",
+        "/agent: missing",
+        "/drainMs: a whole number",
+        "/workers: a whole number",
+    ] {
+        assert!(words.contains(fault), "{fault} is not in {words}");
+    }
+    let bad = run("control-core", &["--check", "--set", "id=1", "--set", "listenChain=here", "--set", "cores=1@x"]);
+    let words = String::from_utf8(bad.stderr).unwrap();
+    for fault in ["/listenChain: here", "/cores: 1@x", "/data: missing"] {
         assert!(words.contains(fault), "{fault} is not in {words}");
     }
     for program in ["request-router", "router-agent", "prefix-index", "control-core", "fleet-query", "run-fleet"] {
@@ -114,4 +129,11 @@
     write(&format!("\"{seeds}\""));
     fleet.process("agent-1").signal(libc::SIGHUP);
     assert!(calls_until(LONG, &job(&fleet, 0, "canal", &text(300), 4), good));
+    // A faulty file changes nothing and is noted with its fault.
+    write("\"nowhere\"");
+    fleet.process("agent-1").signal(libc::SIGHUP);
+    let log = fleet.folder().join("agent-1.log");
+    let noted = || std::fs::read_to_string(&log).is_ok_and(|text| text.contains("/seeds: nowhere"));
+    assert!(Fleet::until(LONG, noted));
+    assert!(good(&call(&job(&fleet, 0, "canal", &text(300), 4))));
 }
--- a/crates/run-fleet/tests/losses.rs
+++ b/crates/run-fleet/tests/losses.rs
@@ -117,3 +117,23 @@
     }
     assert!(calls_until(LONG, &job(&fleet, 0, "canal", &text(300), 4), good));
 }
+
+/// Listings that cannot be right change nothing, and say so; one that shrank is taken when it stays so.
+#[test]
+fn faulty_and_shrunken_listings_do_no_harm() {
+    let fleet = fleet("listings");
+    let good_one = listing(&fleet);
+    let call_it = job(&fleet, 0, "canal", &text(300), 4);
+    let said_by_a_core = |what: &str| (1..=4).any(|n| fleet.page(&format!("core-{n}"), "/self").contains(what));
+    put_listing(&fleet, &good_one.replace("\"r2\"", "\"r1\""));
+    assert!(Fleet::until(LONG, || said_by_a_core("r1 is listed twice")));
+    put_listing(&fleet, "{\"replicas\":[{\"id\":\"r1\",\"odd\":1}]}");
+    assert!(Fleet::until(LONG, || said_by_a_core("/replicas/0")));
+    assert!(good(&stand_in::checks::call(&call_it)));
+    put_listing(&fleet, "{\"replicas\":[]}");
+    assert!(Fleet::until(LONG, || said_by_a_core("\"heldBack\":8")));
+    assert!(good(&stand_in::checks::call(&call_it)), "what was lost at once is kept for a while");
+    assert!(calls_until(LONG, &call_it, |r| r.status == 503 && r.header("retry-after").is_some()));
+    put_listing(&fleet, &good_one);
+    assert!(calls_until(LONG, &call_it, good));
+}
--- a/crates/run-fleet/tests/serving.rs
+++ b/crates/run-fleet/tests/serving.rs
@@ -52,6 +52,9 @@
     let story = fleet.query(&["explain", id, "--routers", &routers.join(",")]);
     let story = String::from_utf8_lossy(&story.stdout).into_owned();
     assert!(story.contains("placed on") && story.contains("\"outcome\":\"whole\""), "{story}");
+    // Without being told its router, and with what the index nodes said of a hand-over.
+    let found = String::from_utf8(fleet.query(&["explain", id]).stdout).unwrap();
+    assert!(found.contains("placed on") && found.contains("\"note\":\"\""), "{found}");
     let same = || fleet.query(&["compare", &routers[0], &routers[1]]).status.code() == Some(0);
     assert!(run_fleet::fleet::Fleet::until(LONG, same), "{:?}", fleet.query(&["compare", &routers[0], &routers[1]]));
 }
@@ -114,6 +117,12 @@
     let (status, _, text) = raw(edge, "key-canal", long, &[]);
     assert!(status == 403 && text.contains("rule short: no long hints"), "{status} {text}");
     assert_eq!(raw(edge, "key-bazaar", long, &[]).0, 200);
+    // Going back is a new version: the rule is gone, and going back once more brings it again.
+    let back = || fleet.query(&["back", "--wait"]);
+    assert!(back().status.success());
+    assert_eq!(raw(edge, "key-canal", long, &[]).0, 200);
+    assert!(back().status.success());
+    assert_eq!(raw(edge, "key-canal", long, &[]).0, 403);
     assert_eq!(raw(edge, "key-canal", fine, &[]).0, 200);
 }
 
--- a/crates/simulate-fleet/src/letting.rs
+++ b/crates/simulate-fleet/src/letting.rs
@@ -3,10 +3,11 @@
 use crate::router::Going;
 use crate::wire::{Message, Place};
 use crate::world::World;
+use fleet_common::ask::Answer;
 use fleet_common::hash::key_print;
 use std::time::Duration;
 use way_choice::let_in::Wish;
-use way_choice::trip::{Heard, Trip};
+use way_choice::trip::{Claimed, Heard, Trip};
 
 impl World {
     /// The filters before the trip: term, key, kind, room.
@@ -61,3 +62,18 @@
         self.trip(at, call, Heard::Start);
     }
 }
+
+/// What a claim brought, as the core answered it.
+pub(crate) fn claimed(answer: Option<&Answer>) -> Claimed {
+    use control_chain::command::Outcome;
+    let outcome: Option<Outcome> = match answer {
+        Some(Answer::Json(text)) => sonic_rs::from_slice(text.as_slice()).ok(),
+        _ => None,
+    };
+    match outcome {
+        Some(outcome) if outcome.accepted() => Claimed::Yes,
+        Some(outcome) if outcome.code == 409 => Claimed::Taken(outcome.detail),
+        Some(outcome) => Claimed::Refused(outcome.detail),
+        None => Claimed::Lost,
+    }
+}
--- a/crates/simulate-fleet/src/router.rs
+++ b/crates/simulate-fleet/src/router.rs
@@ -3,9 +3,11 @@
 use crate::calls::Call;
 use crate::cores::edges::{Edge, Off as EdgeOff};
 use crate::cores::ms;
+use crate::letting::claimed;
 use crate::shape::{EDGES, Off};
 use crate::wire::{Message, Place};
 use crate::world::World;
+use control_chain::command::Envelope;
 use fleet_common::ask::{Answer, Ask, audit};
 use prefix_table::filter::Mirror;
 use std::collections::BTreeMap;
@@ -15,6 +17,7 @@
 use way_choice::let_in::InFlight;
 use way_choice::links::{Learnt, Seconds};
 use way_choice::placing::Found;
+use way_choice::settling::Settling;
 use way_choice::source::Mirrors;
 use way_choice::tokens::Tokens;
 use way_choice::trip::{Claimed, Heard, Stop, Trip, may_go_on};
@@ -59,7 +62,9 @@
     pub(crate) flight: InFlight,
     pub(crate) going: BTreeMap<u64, Going>,
     pub(crate) tried: Vec<Tried>,
-    /// Settlements, and claims that were given up but are still on their way.
+    pub(crate) settling: Settling,
+    sending: Vec<(u64, Call)>,
+    /// Claims that were given up but are still on their way.
     pub(crate) strays: Vec<Call>,
 }
 
@@ -78,6 +83,8 @@
             flight: InFlight::default(),
             going: BTreeMap::new(),
             tried: Vec::new(),
+            settling: Settling::default(),
+            sending: Vec::new(),
             strays: Vec::new(),
         }
     }
@@ -87,6 +94,7 @@
         self.up = false;
         self.going.clear();
         self.strays.clear();
+        (self.settling, self.sending) = (Settling::default(), Vec::new());
     }
 
     pub(crate) fn start(&mut self) {
@@ -119,6 +127,18 @@
             return;
         }
         let reached = now >= router.edge.cut_until && now >= router.edge.agent_frozen;
+        for (number, command) in router.settling.due(now) {
+            let ask = Ask::Command(Envelope::bare(command).pack().into());
+            router.sending.push((number, Call::new(ask, now, now + CLAIM_WAIT)));
+        }
+        let settling = &mut router.settling;
+        router.sending.retain_mut(|(number, call)| match call.step(&mut self.cores, reached) {
+            None => true,
+            Some(answer) => {
+                settling.heard(now, *number, matches!(answer, Some(Answer::Json(_))));
+                false
+            }
+        });
         router.strays.retain_mut(|stray| stray.step(&mut self.cores, reached).is_none());
         let mut heard: Vec<(u64, Heard)> = Vec::new();
         for (call, going) in &mut router.going {
@@ -226,17 +246,3 @@
         self.now() + CLAIM_WAIT
     }
 }
-
-fn claimed(answer: Option<&Answer>) -> Claimed {
-    use control_chain::command::Outcome;
-    let outcome: Option<Outcome> = match answer {
-        Some(Answer::Json(text)) => sonic_rs::from_slice(text.as_slice()).ok(),
-        _ => None,
-    };
-    match outcome {
-        Some(outcome) if outcome.accepted() => Claimed::Yes,
-        Some(outcome) if outcome.code == 409 => Claimed::Taken(outcome.detail),
-        Some(outcome) => Claimed::Refused(outcome.detail),
-        None => Claimed::Lost,
-    }
-}
--- a/crates/simulate-fleet/src/serving.rs
+++ b/crates/simulate-fleet/src/serving.rs
@@ -107,8 +107,7 @@
         let Some(key) = going.request.once.clone() else { return };
         let ran = if self.off == Off::Unknown { Ran::NotRun } else { ran };
         let command = Command::Settle { tenant: going.tenant.clone(), key, request: going.id.clone(), ran };
-        let ask = Ask::Command(Envelope::bare(command).pack().into());
-        router.strays.push(Call::new(ask, now, now + SETTLE_FOR));
+        router.settling.add(now, command);
     }
 
     fn place(&mut self, at: usize, call: u64) -> Option<String> {
