--- a/crates/simulate-fleet/src/router.rs
+++ b/crates/simulate-fleet/src/router.rs
@@ -20,7 +20,7 @@
 use way_choice::settling::Settling;
 use way_choice::source::Mirrors;
 use way_choice::tokens::Tokens;
-use way_choice::trip::{Claimed, Heard, Stop, Trip, may_go_on};
+use way_choice::trip::{Heard, Stop, Trip, may_go_on};
 
 /// How long a router waits for what comes of a claim.
 const CLAIM_WAIT: Duration = Duration::from_secs(5);
