Events told late are drilled on real processes

Cause: late events were simulated only; the replica stand-in could lose but not delay them. It can now (late_events_ms), and the drill of a dying store runs with three replicas that lose events and three that tell them 1.5 s late: every answer whole, none wrong.

--- a/crates/run-fleet/tests/faults.rs
+++ b/crates/run-fleet/tests/faults.rs
@@ -172,6 +172,10 @@
     for (id, _) in fleet.replicas.clone().iter().take(3) {
         post(&fleet, id, "/faults?break_handover=1&lose_events=5");
     }
+    // Half of the replicas tell of their events late.
+    for (id, _) in fleet.replicas.clone().iter().skip(3) {
+        post(&fleet, id, "/faults?late_events_ms=1500");
+    }
     fleet.process("store").kill();
     assert!(Fleet::until(LONG, || runs(&fleet).len() > 90));
     fleet.process("store").start();
--- a/crates/stand-in/src/events.rs
+++ b/crates/stand-in/src/events.rs
@@ -4,7 +4,7 @@
 use prefix_table::event::{Batch, Event, Numbered};
 use std::collections::VecDeque;
 use std::sync::{Condvar, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const KEPT: usize = 20_000;
 const BATCH: usize = 2000;
@@ -12,8 +12,10 @@
 #[derive(Default)]
 struct Held {
     next: u64,
-    events: VecDeque<Numbered>,
+    /// Each with when it may be told.
+    events: VecDeque<(Instant, Numbered)>,
     lose: u64,
+    late: Duration,
 }
 
 pub struct Events {
@@ -27,6 +29,14 @@
     query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
 }
 
+impl Held {
+    /// Whether the next event from there on may not be told yet.
+    fn untold(&self, from: u64) -> bool {
+        let next = self.events.iter().find(|(_, e)| e.seq >= from);
+        next.is_some_and(|(due, _)| *due > Instant::now())
+    }
+}
+
 impl Events {
     pub fn new() -> Self {
         Events { incarnation: hash::unique().to_string(), held: Mutex::default(), news: Condvar::new() }
@@ -39,7 +49,8 @@
         if held.lose > 0 {
             held.lose -= 1;
         } else {
-            held.events.push_back(Numbered { seq, event });
+            let due = Instant::now() + held.late;
+            held.events.push_back((due, Numbered { seq, event }));
         }
         if held.events.len() > KEPT {
             held.events.pop_front();
@@ -47,6 +58,11 @@
         self.news.notify_all();
     }
 
+    /// Tells of events only so much later.
+    pub fn late(&self, by: Duration) {
+        self.held.lock().unwrap().late = by;
+    }
+
     /// Loses the next events, numbers and all, as a bad network would.
     pub fn lose(&self, events: u64) {
         self.held.lock().unwrap().lose = events;
@@ -76,10 +92,14 @@
         let from = if same { number("from") } else { 0 };
         let wait = Duration::from_millis(number("wait_ms").min(2000));
         let held = self.held.lock().unwrap();
-        let (held, _) = self.news.wait_timeout_while(held, wait, |held| held.next <= from).unwrap();
-        let start = held.events.partition_point(|e| e.seq < from);
-        let events: Vec<Numbered> = held.events.iter().skip(start).take(BATCH).cloned().collect();
-        let next = if events.len() == BATCH { events.last().map_or(held.next, |e| e.seq + 1) } else { held.next };
+        let (held, _) =
+            self.news.wait_timeout_while(held, wait, |held| held.next <= from || held.untold(from)).unwrap();
+        let start = held.events.partition_point(|(_, e)| e.seq < from);
+        let now = Instant::now();
+        let told = held.events.iter().skip(start).take_while(|(due, _)| *due <= now).take(BATCH);
+        let events: Vec<Numbered> = told.map(|(_, e)| e.clone()).collect();
+        // What is not told yet is asked for again.
+        let next = held.events.get(start + events.len()).map_or(held.next, |(_, e)| e.seq);
         drop(held);
         let (weights, load) = facts();
         let batch = Batch { incarnation: self.incarnation.clone(), weights, load, next, events };
--- a/crates/stand-in/src/replica.rs
+++ b/crates/stand-in/src/replica.rs
@@ -138,6 +138,7 @@
             replica.break_after.store(number("break_after"), Ordering::Relaxed);
             replica.break_handover.store(number("break_handover"), Ordering::Relaxed);
             replica.events.lose(number("lose_events"));
+            replica.events.late(Duration::from_millis(number("late_events_ms")));
             incoming.json(200, "{}", vec![]);
         }
         _ => incoming.json(404, "{}", vec![]),
