One piece takes replicas' news; retries are counted by tries, not by words; unused names go

The router counted retries by looking for its own explanation's text; it counts a place asked for after a failed try, which is the same moment. A list of guards and a record of calls in the simulator were read by nobody. A comment said that the learnt costs are held while a source is chosen; they are copied.

--- a/crates/prefix-table/src/keeper.rs
+++ b/crates/prefix-table/src/keeper.rs
@@ -3,6 +3,7 @@
 //! simulator drive it.
 use crate::event::Batch;
 pub use crate::kept::{Kept, Order};
+use crate::seats::News;
 use crate::table::Shape;
 use control_chain::command::Command;
 use control_chain::fleet::Fleet;
@@ -53,7 +54,7 @@
     pub fleet: Fleet,
     pub kept: BTreeMap<String, Kept>,
     /// What colleagues told of the replicas that they hold.
-    pub news: BTreeMap<String, (SeatNews, Duration)>,
+    pub news: News,
     pub(crate) now: Duration,
     confirmed: Option<Duration>,
     pub(crate) fetching: BTreeMap<String, Fetching>,
@@ -90,7 +91,7 @@
             me,
             fleet: Fleet::default(),
             kept: BTreeMap::new(),
-            news: BTreeMap::new(),
+            news: News::new(),
             now: Duration::ZERO,
             confirmed: None,
             fetching: BTreeMap::new(),
--- a/crates/prefix-table/src/lib.rs
+++ b/crates/prefix-table/src/lib.rs
@@ -13,4 +13,5 @@
 mod news;
 mod ordering;
 pub mod rolling;
+pub mod seats;
 pub mod table;
--- a/crates/prefix-table/src/news.rs
+++ b/crates/prefix-table/src/news.rs
@@ -1,6 +1,7 @@
 //! What an index node tells: filters to routers after beta events, the state of its replicas to routers
 //! and colleagues; and what it answers when it is asked.
 use crate::keeper::{Keeper, Output, shape};
+use crate::seats;
 use crate::table::Table;
 use fleet_common::ask::{Answer, Ask, Filter, Handover, SeatNews, audit};
 use fleet_common::json::quote;
@@ -145,13 +146,8 @@
                 self.keep_copy(&replica, table, copy.fence);
                 Answer::Done
             }
-            Ask::Seats(seats) => {
-                for told in seats.into_items() {
-                    let replica = told.replica.to_string();
-                    if self.news.get(&replica).is_none_or(|(held, _)| held.fence <= told.fence) {
-                        self.news.insert(replica, (told, self.now));
-                    }
-                }
+            Ask::Seats(told) => {
+                seats::take(&mut self.news, self.now, told.into_items());
                 Answer::Done
             }
             _ => Answer::Refused("not an index node's to answer".into()),
--- a/crates/request-router/src/ferry.rs
+++ b/crates/request-router/src/ferry.rs
@@ -124,6 +124,9 @@
         for act in todo {
             let more = match act {
                 Do::Place => {
+                    if !self.passage.trip.tried.is_empty() {
+                        count(&self.shared.counters.retries);
+                    }
                     self.this = placing::next(self.shared, self.passage);
                     let id = self.this.as_ref().map(|this| this.seat.id.clone());
                     self.step(Heard::Placed(id))
@@ -174,9 +177,6 @@
             (Do::Settle(ran), _) => settle(self.shared, self.passage, ran),
             (Do::Tell(told), _) => self.flow = Flow::Reply(told.into()),
             (Do::Explain(what), _) => {
-                if what == "tries again" {
-                    count(&self.shared.counters.retries);
-                }
                 self.passage.explain.step(what);
             }
             _ => {}
--- a/crates/request-router/src/shared.rs
+++ b/crates/request-router/src/shared.rs
@@ -119,7 +119,7 @@
         held(&self.settling)
     }
 
-    /// What links cost, as learnt. Held while a source is chosen; nothing else is taken meanwhile.
+    /// What links cost, as learnt. Whoever chooses a source copies it, a few numbers, and lets go.
     pub fn learnt(&self) -> MutexGuard<'_, Learnt> {
         held(&self.learnt)
     }
--- a/crates/simulate-fleet/src/callers.rs
+++ b/crates/simulate-fleet/src/callers.rs
@@ -120,7 +120,6 @@
         self.next_call += 1;
         request.call = self.next_call;
         let (call, edge, now) = (request.call, request.edge, self.now());
-        self.saw.push((now, Saw::Called { call }));
         let open = Open { request: request.clone(), at: now, pieces: Vec::new(), ended: false, repeats };
         self.calls.insert(call, open);
         self.send(Place::Caller, Place::Router(edge), Message::Request(request));
--- a/crates/simulate-fleet/src/shape.rs
+++ b/crates/simulate-fleet/src/shape.rs
@@ -43,22 +43,6 @@
     Shut,
 }
 
-pub const ALL_OFF: [Off; 13] = [
-    Off::Term,
-    Off::KeyInStream,
-    Off::Claim,
-    Off::Unknown,
-    Off::Splice,
-    Off::Cut,
-    Off::Tokens,
-    Off::Leaving,
-    Off::Weights,
-    Off::Fence,
-    Off::Wall,
-    Off::InForce,
-    Off::Shut,
-];
-
 /// The blueprint of a run's nth change: its number shows in the kinds' budgets, so that whoever gets a
 /// request sees under which blueprint it was let in.
 /// ```
--- a/crates/simulate-fleet/src/world.rs
+++ b/crates/simulate-fleet/src/world.rs
@@ -18,8 +18,6 @@
 /// What somebody outside the fleet saw; judges read nothing else.
 #[derive(Clone, Debug)]
 pub enum Saw {
-    /// A caller asked: which call, for which once-key if any, at which edge.
-    Called { call: u64 },
     /// A caller was told something instead of an answer.
     Told { call: u64, status: u16, outcome: &'static str, retry_after: bool },
     /// A caller's stream ended: whole or cut, with these pieces by run.
