Configurations of routes and named weights go through the chain; nodes pull them as sources

Cause: the users' operators send routes, services and tenants with their keys under numbers of their own, and weights apart from them; blueprints know neither.

--- a/crates/control-chain/src/command.rs
+++ b/crates/control-chain/src/command.rs
@@ -1,17 +1,24 @@
 //! Commands: what should hold. Read strictly from JSON; every fault names its pointer.
 use crate::blueprint::Blueprint;
+use crate::configuration::Change;
 use fleet_common::hash::key_print;
 use fleet_common::json::{self, Fault, Place};
 use serde::{Deserialize, Serialize};
 
 /// A replica as the platform lists it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Replica {
     pub id: String,
     pub at: String,
     pub model: String,
     pub district: String,
     pub leaving: bool,
+    /// The service it belongs to, where a configuration of routes names services.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub service: String,
+    /// How many requests it works on at once; 0 where unknown.
+    #[serde(default)]
+    pub slots: u64,
 }
 
 /// A node that holds a term.
@@ -83,6 +90,16 @@
         request: String,
         ran: Ran,
     },
+    /// A configuration of routes, whole or in parts, on top of the operator's version `over`.
+    Configure {
+        over: u64,
+        change: Change,
+    },
+    /// A version of a model's weights; versions rise.
+    NameWeights {
+        model: String,
+        revision: u64,
+    },
     /// The blueprint before this one holds again, as a new version.
     Back,
     /// A minute of the head's monotonic clock has passed: old claims may go.
--- a/crates/control-chain/src/core.rs
+++ b/crates/control-chain/src/core.rs
@@ -189,7 +189,7 @@
     /// ```
     /// # use control_chain::{core::{Core, Found}, view::Member};
     /// # let core = Core::start(Default::default(), Member { id: 1, incarnation: 9 }, vec![], Found::default()).unwrap();
-    /// assert_eq!(core.vector(), [0; 6]);
+    /// assert_eq!(core.vector(), [0; 8]);
     /// ```
     pub fn vector(&self) -> Vector {
         let mut vector = self.state.versions;
--- a/crates/control-chain/src/fleet.rs
+++ b/crates/control-chain/src/fleet.rs
@@ -1,11 +1,15 @@
 //! The fleet as a node last pulled it: whole versions of each source, never an older one.
 use crate::blueprint::Blueprint;
 use crate::command::{Node, Replica};
+use crate::configuration::Configuration;
 use crate::state::{Duty, Key};
-use fleet_common::ask::{BLUEPRINT, DUTIES, KEYS, MEMBERS, REPLICAS, SOURCES, Vector, Versioned};
+use fleet_common::ask::{
+    BLUEPRINT, CONFIGURATION, DUTIES, KEYS, MEMBERS, REPLICAS, SOURCES, Vector, Versioned, WEIGHTS,
+};
 use fleet_common::node::Identity;
 use fleet_common::{hash, ring};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// The model name under which the platform lists a prefix store: a source, never a place.
@@ -24,6 +28,10 @@
     pub replicas: Vec<Replica>,
     pub members: BTreeMap<String, Node>,
     pub duties: BTreeMap<String, Duty>,
+    /// The configuration of routes, where operators sent one: tenants, keys and models are then its.
+    pub configuration: Option<Arc<Configuration>>,
+    /// The newest version of each model's weights that was named.
+    pub weights: BTreeMap<String, u64>,
 }
 
 fn parse<T: serde::de::DeserializeOwned>(news: &Versioned) -> Option<T> {
@@ -57,8 +65,11 @@
             return;
         }
         let taken = match at {
+            BLUEPRINT | KEYS if self.configuration.is_some() => Some(()),
             BLUEPRINT => parse::<Option<Blueprint>>(news).map(|blueprint| self.take_blueprint(now, blueprint)),
             KEYS => parse(news).map(|v| self.keys = v),
+            CONFIGURATION => parse::<Option<Configuration>>(news).map(|v| self.take_configuration(now, v)),
+            WEIGHTS => parse(news).map(|v| self.take_weights(now, v)),
             REPLICAS => parse(news).map(|v| self.replicas = v),
             MEMBERS => parse(news).map(|v| self.members = v),
             DUTIES => parse(news).map(|v| self.duties = v),
@@ -82,6 +93,21 @@
         news.iter().all(|one| self.vector.get(one.source as usize).is_some_and(|held| *held >= one.version))
     }
 
+    fn take_configuration(&mut self, now: Duration, configuration: Option<Configuration>) {
+        let Some(configuration) = configuration else { return };
+        self.keys = configuration.key_table();
+        let blueprint = configuration.blueprint(&self.weights);
+        self.configuration = Some(Arc::new(configuration));
+        self.take_blueprint(now, Some(blueprint));
+    }
+
+    fn take_weights(&mut self, now: Duration, weights: BTreeMap<String, u64>) {
+        self.weights = weights;
+        if let Some(configuration) = self.configuration.clone() {
+            self.take_blueprint(now, Some(configuration.blueprint(&self.weights)));
+        }
+    }
+
     fn take_blueprint(&mut self, now: Duration, blueprint: Option<Blueprint>) {
         for (name, model) in blueprint.iter().flat_map(|b| &b.models) {
             if self.weights_since.get(name).is_none_or(|(weights, _)| *weights != model.weights) {
--- a/crates/control-chain/src/lib.rs
+++ b/crates/control-chain/src/lib.rs
@@ -4,6 +4,8 @@
 mod chores;
 mod claiming;
 pub mod command;
+pub mod configuration;
+mod configuring;
 pub mod core;
 pub mod fleet;
 pub mod lister;
--- a/crates/control-chain/src/lister.rs
+++ b/crates/control-chain/src/lister.rs
@@ -39,7 +39,7 @@
 /// What is wrong with a listing's rows as a whole.
 /// ```
 /// use control_chain::{command::Replica, lister::fault_in};
-/// let row = |id: &str| Replica { id: id.into(), at: "127.0.0.1:1".into(), model: "m".into(), district: "a".into(), leaving: false };
+/// let row = |id: &str| Replica { id: id.into(), at: "127.0.0.1:1".into(), model: "m".into(), district: "a".into(), leaving: false, ..Replica::default() };
 /// assert_eq!(fault_in(&[row("r1"), row("r2")]), None);
 /// assert!(fault_in(&[row("r1"), row("r1")]).unwrap().contains("r1"));
 /// ```
--- a/crates/control-chain/src/relay.rs
+++ b/crates/control-chain/src/relay.rs
@@ -37,7 +37,7 @@
 
     /// The versions held.
     /// ```
-    /// assert_eq!(control_chain::relay::Relay::default().vector(), [0; 6]);
+    /// assert_eq!(control_chain::relay::Relay::default().vector(), [0; 8]);
     /// ```
     pub fn vector(&self) -> Vector {
         std::array::from_fn(|at| self.sources[at].as_ref().map_or(0, |v| v.version))
@@ -45,7 +45,7 @@
 
     /// What the router said it uses.
     /// ```
-    /// assert_eq!(control_chain::relay::Relay::default().confirmed(), [0; 6]);
+    /// assert_eq!(control_chain::relay::Relay::default().confirmed(), [0; 8]);
     /// ```
     pub fn confirmed(&self) -> Vector {
         self.router_has
@@ -124,7 +124,7 @@
     /// The router asks: from now on it may hold a term.
     /// ```
     /// let mut relay = control_chain::relay::Relay::default();
-    /// relay.asked(std::time::Duration::ZERO, [0; 6]);
+    /// relay.asked(std::time::Duration::ZERO, [0; 8]);
     /// assert!(relay.router_may_hold(std::time::Duration::ZERO));
     /// ```
     pub fn asked(&mut self, now: Duration, have: Vector) {
@@ -134,7 +134,7 @@
 
     /// Whether something newer than `have` is held.
     /// ```
-    /// assert!(!control_chain::relay::Relay::default().lacks([0; 6]));
+    /// assert!(!control_chain::relay::Relay::default().lacks([0; 8]));
     /// ```
     pub fn lacks(&self, have: Vector) -> bool {
         let holds = self.vector();
@@ -144,7 +144,7 @@
     /// The answer to the router: what it lacks, and how old the confirmation is that comes with it.
     /// ```
     /// let mut relay = control_chain::relay::Relay::default();
-    /// assert_eq!(relay.answer(std::time::Duration::ZERO, [0; 6]).member, 0);
+    /// assert_eq!(relay.answer(std::time::Duration::ZERO, [0; 8]).member, 0);
     /// ```
     pub fn answer(&mut self, now: Duration, have: Vector) -> Pulled {
         let newer = self.sources.iter().flatten().filter(|v| have[v.source as usize] < v.version);
--- a/crates/control-chain/src/ruling.rs
+++ b/crates/control-chain/src/ruling.rs
@@ -1,7 +1,7 @@
 //! What each command does to the state, or why it is refused.
 use crate::command::Command;
 use crate::state::{Duty, Key, State};
-use fleet_common::ask::{BLUEPRINT, DUTIES, KEYS, MEMBERS, REPLICAS};
+use fleet_common::ask::{BLUEPRINT, CONFIGURATION, DUTIES, KEYS, MEMBERS, REPLICAS, WEIGHTS};
 
 pub(crate) type Ruling = Result<String, (u16, String)>;
 
@@ -13,6 +13,8 @@
     pub(crate) fn source_of(command: &Command) -> Option<usize> {
         match command {
             Command::Blueprint { .. } | Command::Weights { .. } | Command::Back => Some(BLUEPRINT),
+            Command::Configure { .. } => Some(CONFIGURATION),
+            Command::NameWeights { .. } => Some(WEIGHTS),
             Command::KeyAdd { .. } | Command::KeyWithdraw { .. } => Some(KEYS),
             Command::Listing { .. } => Some(REPLICAS),
             Command::Join { .. } | Command::Lapse { .. } => Some(MEMBERS),
@@ -46,6 +48,8 @@
                 }
                 None => no(404, "there was no blueprint before"),
             },
+            Command::Configure { over, change } => self.configure(*over, change),
+            Command::NameWeights { model, revision } => self.name_weights(model, *revision),
             Command::KeyAdd { key, tenant } => {
                 if !self.blueprint.as_ref().is_some_and(|b| b.tenants.contains_key(tenant)) {
                     return no(404, format!("no tenant {tenant}"));
--- a/crates/control-chain/src/state.rs
+++ b/crates/control-chain/src/state.rs
@@ -1,8 +1,9 @@
 //! The control state: every chain member applies the same commands in the same order to it.
 use crate::blueprint::Blueprint;
 use crate::command::{Envelope, Node, Outcome, Ran, Replica};
+use crate::configuration::Configuration;
 use crate::ruling::no;
-use fleet_common::ask::{BLUEPRINT, CORES, DUTIES, KEYS, MEMBERS, REPLICAS, SOURCES, Vector};
+use fleet_common::ask::{BLUEPRINT, CONFIGURATION, CORES, DUTIES, KEYS, MEMBERS, REPLICAS, SOURCES, Vector, WEIGHTS};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -65,6 +66,14 @@
     pub claims: BTreeMap<String, Claim>,
     #[serde(default)]
     pub minute: u64,
+    /// The configuration of routes that holds, and a digest of each change that was taken, by its number.
+    #[serde(default)]
+    pub configuration: Option<Configuration>,
+    #[serde(default)]
+    pub taken: BTreeMap<u64, u64>,
+    /// The newest version of each model's weights that was named.
+    #[serde(default)]
+    pub weights: BTreeMap<String, u64>,
     pub outcomes: BTreeMap<String, (u64, Outcome)>,
     pub outcome_order: VecDeque<String>,
 }
@@ -128,6 +137,8 @@
             REPLICAS => sonic_rs::to_string(&self.replicas),
             MEMBERS => sonic_rs::to_string(&self.members),
             DUTIES => sonic_rs::to_string(&self.duties),
+            CONFIGURATION => sonic_rs::to_string(&self.configuration.as_ref().map(Configuration::bare)),
+            WEIGHTS => sonic_rs::to_string(&self.weights),
             CORES => return "[]".into(),
             _ => return "null".into(),
         };
--- a/crates/control-chain/tests/listing_sim.rs
+++ b/crates/control-chain/tests/listing_sim.rs
@@ -16,6 +16,7 @@
         model: number.to_string(),
         district: "a".into(),
         leaving: at <= leaving,
+        ..Replica::default()
     };
     (1..=6).map(row).collect()
 }
--- a/crates/control-core/src/listing.rs
+++ b/crates/control-core/src/listing.rs
@@ -23,6 +23,7 @@
             model: text("model")?,
             district: text("district")?,
             leaving: row.need("leaving")?.truth()?,
+            ..Replica::default()
         });
     }
     Ok(replicas)
--- a/crates/fleet-common/src/ask.rs
+++ b/crates/fleet-common/src/ask.rs
@@ -2,13 +2,16 @@
 use crate::{Bytes, List, Text};
 
 /// Where news comes from; a version vector holds one entry for each.
-pub const SOURCES: [&str; 6] = ["blueprint", "keys", "replicas", "members", "duties", "cores"];
+pub const SOURCES: [&str; 8] =
+    ["blueprint", "keys", "replicas", "members", "duties", "cores", "configuration", "weights"];
 pub const BLUEPRINT: usize = 0;
 pub const KEYS: usize = 1;
 pub const REPLICAS: usize = 2;
 pub const MEMBERS: usize = 3;
 pub const DUTIES: usize = 4;
 pub const CORES: usize = 5;
+pub const CONFIGURATION: usize = 6;
+pub const WEIGHTS: usize = 7;
 
 /// How long a node's term lasts, counted from when its pull was sent.
 pub const TERM: std::time::Duration = std::time::Duration::from_secs(3);
--- a/crates/fleet-common/src/node.rs
+++ b/crates/fleet-common/src/node.rs
@@ -104,7 +104,7 @@
     /// ```
     /// # use fleet_common::node::{Identity, Link};
     /// # let me = Identity { name: "e1".into(), kind: "edge", incarnation: 1, at: "".into(), district: "a".into() };
-    /// assert!(Link::new(me, Default::default()).pull([0; 6], [0; 6], true, 10).is_err());
+    /// assert!(Link::new(me, Default::default()).pull([0; 8], [0; 6], true, 10).is_err());
     /// ```
     pub fn pull(
         &mut self,
@@ -144,7 +144,7 @@
 /// ```no_run
 /// # use fleet_common::node::{Identity, Link, follow};
 /// # let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
-/// follow(Link::new(me, Default::default()), |_sent, _pulled| [0; 6]);
+/// follow(Link::new(me, Default::default()), |_sent, _pulled| [0; 8]);
 /// ```
 pub fn follow(mut link: Link, mut apply: impl FnMut(Instant, Pulled) -> Vector) {
     let mut have: Vector = [0; SOURCES.len()];
--- a/crates/prefix-table/src/keeper.rs
+++ b/crates/prefix-table/src/keeper.rs
@@ -133,7 +133,7 @@
     /// # use fleet_common::node::Identity;
     /// # let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
     /// # let keeper = prefix_table::keeper::Keeper::new(me);
-    /// assert_eq!(keeper.vector(), [0; 6]);
+    /// assert_eq!(keeper.vector(), [0; 8]);
     /// ```
     pub fn vector(&self) -> Vector {
         self.fleet.vector
--- a/crates/simulate-fleet/src/world.rs
+++ b/crates/simulate-fleet/src/world.rs
@@ -79,6 +79,7 @@
             model: model.into(),
             district: DISTRICTS[at % 4].into(),
             leaving: false,
+            ..Row::default()
         };
         let mut listing: Vec<Row> = (0..REPLICAS).map(|at| row(at, "m")).collect();
         listing.push(row(STORE, control_chain::fleet::STORE));
