--- /dev/null
+++ b/crates/http-streams/src/inbound.rs
@@ -0,0 +1,258 @@
+//! A caller's connection: requests read whole within bounds, answers written whole or event by event.
+use crate::framing::{Framing, of_request};
+use crate::head::{self, RequestHead};
+use crate::wait::{Came, bound, cut, wait};
+use std::io::{self, Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+const WRITE_WAIT: Duration = Duration::from_secs(5);
+const UNHEARD: Duration = Duration::from_secs(5);
+
+/// What a caller may send, and how long it may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    pub header_bytes: usize,
+    pub body_bytes: usize,
+    pub header: Duration,
+    pub body: Duration,
+    pub idle: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        let second = Duration::from_secs(1);
+        Limits { header_bytes: 16 << 10, body_bytes: 4 << 20, header: second * 3, body: second * 10, idle: second * 15 }
+    }
+}
+
+/// What came on a caller's connection.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Got {
+    Request(RequestHead, Vec<u8>),
+    /// Nothing more, or nothing in time: to be closed without an answer.
+    Ended,
+    /// Not to be served: a status and what is wrong.
+    Bad(u16, String),
+}
+
+/// A caller's connection.
+pub struct Inbound {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+    chunks: bool,
+}
+
+impl Inbound {
+    /// Takes a connection that was accepted.
+    /// ```
+    /// use http_streams::inbound::{Got, Inbound, Limits};
+    /// let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    /// let caller = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    /// let mut inbound = Inbound::new(listener.accept().unwrap().0);
+    /// drop(caller);
+    /// assert_eq!(inbound.next(&Limits::default()), Got::Ended);
+    /// ```
+    pub fn new(stream: TcpStream) -> Self {
+        bound(&stream, UNHEARD);
+        let _ = stream.set_write_timeout(Some(WRITE_WAIT));
+        Inbound { stream, buffer: Vec::new(), chunks: false }
+    }
+
+    /// The socket, to watch whether its caller left.
+    /// ```no_run
+    /// # fn show(inbound: &http_streams::inbound::Inbound) {
+    /// assert!(http_streams::wait::quiet(inbound.socket()));
+    /// # }
+    /// ```
+    pub fn socket(&self) -> &TcpStream {
+        &self.stream
+    }
+
+    /// Reads what is there, waiting until then at the most: `false` when nothing more comes.
+    fn fill(&mut self, until: Instant) -> bool {
+        if wait(&self.stream, None, until) != Came::Readable {
+            return false;
+        }
+        let mut bytes = [0u8; 16 << 10];
+        loop {
+            match (&self.stream).read(&mut bytes) {
+                Ok(0) => return false,
+                Ok(got) => {
+                    self.buffer.extend_from_slice(&bytes[..got]);
+                    return true;
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return false,
+            }
+        }
+    }
+
+    /// The next request, whole.
+    /// ```
+    /// use http_streams::inbound::{Got, Inbound, Limits};
+    /// use std::io::Write;
+    /// let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    /// let mut caller = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    /// caller.write_all(b"POST /x HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi").unwrap();
+    /// let mut inbound = Inbound::new(listener.accept().unwrap().0);
+    /// assert!(matches!(inbound.next(&Limits::default()), Got::Request(_, body) if body == b"hi"));
+    /// ```
+    pub fn next(&mut self, limits: &Limits) -> Got {
+        if self.buffer.is_empty() && !self.fill(Instant::now() + limits.idle) {
+            return Got::Ended;
+        }
+        let until = Instant::now() + limits.header;
+        let (length, head) = loop {
+            match head::request(&self.buffer) {
+                Err(what) => return Got::Bad(400, what),
+                Ok(Some((length, _))) if length > limits.header_bytes => return Got::Bad(431, "head too large".into()),
+                Ok(Some(read)) => break read,
+                Ok(None) if self.buffer.len() > limits.header_bytes => return Got::Bad(431, "head too large".into()),
+                Ok(None) if Instant::now() >= until => return Got::Bad(408, "the head did not come in time".into()),
+                Ok(None) => {
+                    if !self.fill(until) && Instant::now() < until {
+                        return Got::Ended;
+                    }
+                }
+            }
+        };
+        self.buffer.drain(..length);
+        match self.body(&head, limits) {
+            Ok(Some(body)) => Got::Request(head, body),
+            Ok(None) => Got::Ended,
+            Err((status, what)) => Got::Bad(status, what),
+        }
+    }
+
+    fn body(&mut self, head: &RequestHead, limits: &Limits) -> Result<Option<Vec<u8>>, (u16, String)> {
+        let mut framing = of_request(&head.headers).map_err(|what| (400, what))?;
+        let most = limits.body_bytes as u64;
+        if matches!(framing, Framing::Length(length) if length > most) {
+            return Err((413, "body too large".into()));
+        }
+        let until = Instant::now() + limits.body;
+        let mut body = Vec::new();
+        let mut told = !head.headers.lists("expect", "100-continue");
+        loop {
+            framing.take(&mut self.buffer, &mut body).map_err(|what| (400, what))?;
+            if body.len() as u64 > most {
+                return Err((413, "body too large".into()));
+            }
+            if framing == Framing::Ended {
+                return Ok(Some(body));
+            }
+            if !std::mem::replace(&mut told, true) && self.put(b"HTTP/1.1 100 Continue\r\n\r\n").is_err() {
+                return Ok(None);
+            }
+            if !self.fill(until) {
+                return if Instant::now() >= until {
+                    Err((408, "the body did not come in time".into()))
+                } else {
+                    Ok(None)
+                };
+            }
+        }
+    }
+
+    fn put(&mut self, bytes: &[u8]) -> io::Result<()> {
+        (&self.stream).write_all(bytes)
+    }
+
+    /// Answers whole, in one write.
+    /// ```no_run
+    /// # fn show(mut inbound: http_streams::inbound::Inbound) -> std::io::Result<()> {
+    /// inbound.whole(503, "Service Unavailable", &[("Retry-After".into(), "0.5".into())], b"", false)?;
+    /// # Ok(()) }
+    /// ```
+    pub fn whole(
+        &mut self,
+        status: u16,
+        reason: &str,
+        headers: &[(String, String)],
+        body: &[u8],
+        close: bool,
+    ) -> io::Result<()> {
+        let mut out = Vec::with_capacity(256 + body.len());
+        head::write(&mut out, &format!("HTTP/1.1 {status} {reason}"), headers.iter());
+        if close {
+            out.extend_from_slice(b"Connection: close\r\n");
+        }
+        if status != 204 && status != 304 {
+            out.extend_from_slice(format!("Content-Length: {}\r\n", body.len()).as_bytes());
+        }
+        out.extend_from_slice(b"\r\n");
+        out.extend_from_slice(body);
+        self.put(&out)
+    }
+
+    /// Begins an answer in pieces, with the first of them. Without `end` it looks cut once it is closed.
+    /// ```no_run
+    /// # fn show(mut inbound: http_streams::inbound::Inbound) -> std::io::Result<()> {
+    /// inbound.begin(200, "OK", &[], b"id: 1\n\n", false)?;
+    /// inbound.piece(b"id: 2\n\n")?;
+    /// inbound.end(b"")?;
+    /// # Ok(()) }
+    /// ```
+    pub fn begin(
+        &mut self,
+        status: u16,
+        reason: &str,
+        headers: &[(String, String)],
+        first: &[u8],
+        close: bool,
+    ) -> io::Result<()> {
+        let mut out = Vec::with_capacity(512 + first.len());
+        head::write(&mut out, &format!("HTTP/1.1 {status} {reason}"), headers.iter());
+        out.extend_from_slice(if close { b"Connection: close\r\n" } else { b"" });
+        out.extend_from_slice(b"Transfer-Encoding: chunked\r\n\r\n");
+        self.chunks = true;
+        frame(&mut out, first);
+        self.put(&out)
+    }
+
+    /// Sends a piece.
+    /// ```no_run
+    /// # fn show(mut inbound: http_streams::inbound::Inbound) -> std::io::Result<()> {
+    /// inbound.piece(b"id: 2\n\n")?;
+    /// # Ok(()) }
+    /// ```
+    pub fn piece(&mut self, piece: &[u8]) -> io::Result<()> {
+        let mut out = Vec::with_capacity(piece.len() + 16);
+        frame(&mut out, piece);
+        if out.is_empty() { Ok(()) } else { self.put(&out) }
+    }
+
+    /// Sends the last pieces and ends the answer: it came whole.
+    /// ```no_run
+    /// # fn show(mut inbound: http_streams::inbound::Inbound) -> std::io::Result<()> {
+    /// inbound.end(b"id: 3\n\n")?;
+    /// # Ok(()) }
+    /// ```
+    pub fn end(&mut self, last: &[u8]) -> io::Result<()> {
+        let mut out = Vec::with_capacity(last.len() + 24);
+        frame(&mut out, last);
+        out.extend_from_slice(b"0\r\n\r\n");
+        self.chunks = false;
+        self.put(&out)
+    }
+}
+
+impl Drop for Inbound {
+    fn drop(&mut self) {
+        // An answer that was begun and not ended must not look complete.
+        if self.chunks
+            && let Ok(stream) = self.stream.try_clone()
+        {
+            cut(stream);
+        }
+    }
+}
+
+fn frame(out: &mut Vec<u8>, piece: &[u8]) {
+    if !piece.is_empty() {
+        out.extend_from_slice(format!("{:x}\r\n", piece.len()).as_bytes());
+        out.extend_from_slice(piece);
+        out.extend_from_slice(b"\r\n");
+    }
+}
--- /dev/null
+++ b/crates/http-streams/src/outbound.rs
@@ -0,0 +1,210 @@
+//! A connection to a replica: a request goes out in one write, its answer is read piece by piece while the
+//! caller is watched.
+use crate::framing::{Framing, of_answer};
+use crate::head::{self, AnswerHead};
+use crate::wait::{Came, bound, cut, wait};
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+const WRITE_WAIT: Duration = Duration::from_secs(3);
+/// Bytes that a replica's machine has not acknowledged for so long are given up.
+const UNHEARD: Duration = Duration::from_millis(1500);
+const HEAD_MOST: usize = 64 << 10;
+
+/// What came of waiting for an answer.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Heard {
+    Head(AnswerHead),
+    /// Bytes of the body; the framing tells whether more is to come.
+    Body(Vec<u8>),
+    /// The body came whole.
+    Whole,
+    CallerLeft,
+    TimedOut,
+    Broken(String),
+}
+
+/// A connection to a replica.
+pub struct Outbound {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+    framing: Framing,
+    method: String,
+    /// When it was last used.
+    pub used: Instant,
+    /// For how long the replica keeps it idle, where it says so.
+    pub keep: Option<Duration>,
+    /// Whether it may be used again after this answer.
+    pub good: bool,
+    /// Whether this is its first request.
+    pub fresh: bool,
+}
+
+impl Outbound {
+    /// Connects, within `patience`.
+    /// ```
+    /// use http_streams::outbound::Outbound;
+    /// assert!(Outbound::connect("127.0.0.1:1".parse().unwrap(), std::time::Duration::from_millis(50)).is_err());
+    /// ```
+    pub fn connect(to: SocketAddr, patience: Duration) -> io::Result<Self> {
+        let stream = TcpStream::connect_timeout(&to, patience.max(Duration::from_millis(1)))?;
+        bound(&stream, UNHEARD);
+        stream.set_write_timeout(Some(WRITE_WAIT))?;
+        let (used, framing) = (Instant::now(), Framing::Ended);
+        let (buffer, method) = (Vec::new(), String::new());
+        Ok(Outbound { stream, buffer, framing, method, used, keep: None, good: true, fresh: true })
+    }
+
+    /// The socket.
+    /// ```no_run
+    /// # fn show(outbound: &http_streams::outbound::Outbound) {
+    /// assert!(http_streams::wait::quiet(outbound.socket()));
+    /// # }
+    /// ```
+    pub fn socket(&self) -> &TcpStream {
+        &self.stream
+    }
+
+    /// Sends a request in one write. An error tells whether any byte may have left.
+    /// ```no_run
+    /// # fn show(mut outbound: http_streams::outbound::Outbound) {
+    /// outbound.send("GET", b"GET / HTTP/1.1\r\n\r\n").unwrap();
+    /// # }
+    /// ```
+    pub fn send(&mut self, method: &str, bytes: &[u8]) -> Result<(), (bool, io::Error)> {
+        self.method = method.to_string();
+        self.used = Instant::now();
+        let mut sent = 0;
+        while sent < bytes.len() {
+            match self.stream.write(&bytes[sent..]) {
+                Ok(0) => return Err((sent > 0, io::ErrorKind::WriteZero.into())),
+                Ok(now) => sent += now,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err((sent > 0, e)),
+            }
+        }
+        Ok(())
+    }
+
+    fn fill(&mut self, caller: Option<&TcpStream>, until: Instant) -> Result<bool, Heard> {
+        match wait(&self.stream, caller, until) {
+            Came::Left => return Err(Heard::CallerLeft),
+            Came::TimedOut => return Err(Heard::TimedOut),
+            Came::Readable => {}
+        }
+        let mut bytes = [0u8; 16 << 10];
+        loop {
+            match self.stream.read(&mut bytes) {
+                Ok(got) => {
+                    self.buffer.extend_from_slice(&bytes[..got]);
+                    return Ok(got > 0);
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(self.broken(e)),
+            }
+        }
+    }
+
+    fn broken(&mut self, what: impl ToString) -> Heard {
+        self.good = false;
+        Heard::Broken(what.to_string())
+    }
+
+    /// Waits for the head of the next answer. Interim answers are passed over.
+    /// ```no_run
+    /// # fn show(mut outbound: http_streams::outbound::Outbound) {
+    /// let _head = outbound.head(None, std::time::Instant::now());
+    /// # }
+    /// ```
+    pub fn head(&mut self, caller: Option<&TcpStream>, until: Instant) -> Heard {
+        loop {
+            match head::answer(&self.buffer) {
+                Err(what) => return self.broken(what),
+                Ok(Some((length, head))) => {
+                    self.buffer.drain(..length);
+                    if head.status < 200 {
+                        continue;
+                    }
+                    self.framing = match of_answer(&self.method, head.status, &head.headers) {
+                        Ok(framing) => framing,
+                        Err(what) => return self.broken(what),
+                    };
+                    self.note(&head);
+                    return Heard::Head(head);
+                }
+                Ok(None) if self.buffer.len() > HEAD_MOST => return self.broken("a head without an end"),
+                Ok(None) => match self.fill(caller, until) {
+                    Ok(true) => {}
+                    Ok(false) => return self.broken("closed before an answer"),
+                    Err(heard) => return heard,
+                },
+            }
+        }
+    }
+
+    fn note(&mut self, head: &AnswerHead) {
+        let stated = head.headers.0.iter().find(|(n, _)| n.eq_ignore_ascii_case("keep-alive")).map(|(_, v)| v);
+        let seconds = stated.and_then(|v| {
+            let part = v.split(',').find_map(|p| p.trim().strip_prefix("timeout=")).unwrap_or(v.trim());
+            part.parse::<u64>().ok()
+        });
+        self.keep = seconds.map(Duration::from_secs).or(self.keep);
+        if head.headers.lists("connection", "close") || head.old || self.framing == Framing::UntilClose {
+            self.good = false;
+        }
+    }
+
+    /// Waits for more of the body.
+    /// ```no_run
+    /// # fn show(mut outbound: http_streams::outbound::Outbound) {
+    /// let _body = outbound.body(None, std::time::Instant::now());
+    /// # }
+    /// ```
+    pub fn body(&mut self, caller: Option<&TcpStream>, until: Instant) -> Heard {
+        let mut out = Vec::new();
+        loop {
+            let before = self.framing;
+            if let Err(what) = self.framing.take(&mut self.buffer, &mut out) {
+                return self.broken(what);
+            }
+            if !out.is_empty() {
+                return Heard::Body(out);
+            }
+            if self.framing == Framing::Ended {
+                // More than the answer came: it belongs to no request, and what comes next cannot be told.
+                self.good &= self.buffer.is_empty();
+                self.used = Instant::now();
+                return Heard::Whole;
+            }
+            match self.fill(caller, until) {
+                Ok(true) => {}
+                Ok(false) if before == Framing::UntilClose => {
+                    return self.broken("closed: nobody can tell whether whole");
+                }
+                Ok(false) => return self.broken("closed inside an answer"),
+                Err(heard) => return heard,
+            }
+        }
+    }
+
+    /// Whether the body has come whole already, without waiting.
+    /// ```no_run
+    /// # fn show(outbound: &http_streams::outbound::Outbound) {
+    /// assert!(!outbound.ended());
+    /// # }
+    /// ```
+    pub fn ended(&self) -> bool {
+        self.framing == Framing::Ended
+    }
+
+    /// Ends it at once, with a reset.
+    /// ```no_run
+    /// # fn show(outbound: http_streams::outbound::Outbound) {
+    /// outbound.cut();
+    /// # }
+    /// ```
+    pub fn cut(self) {
+        cut(self.stream);
+    }
+}
--- a/crates/prefix-table/src/blocks.rs
+++ b/crates/prefix-table/src/blocks.rs
@@ -29,3 +29,21 @@
         })
         .collect()
 }
+
+/// The text under which a wall's parts are kept for a version of the weights; the model is told beside it.
+/// ```
+/// use prefix_table::blocks::salt_text;
+/// assert_ne!(salt_text("t:a", "1"), salt_text("t:a", "11"));
+/// ```
+pub fn salt_text(wall: &str, weights: &str) -> String {
+    format!("{weights}/{wall}")
+}
+
+/// The hash of a part under a salt, for a model.
+/// ```
+/// use prefix_table::blocks::part;
+/// assert_ne!(part("1/all", "m", "a"), part("2/all", "m", "a"));
+/// ```
+pub fn part(salt: &str, model: &str, id: &str) -> u64 {
+    [salt, model, id].iter().fold(0x70_6172_7473, |seed, text| hash::bytes(seed, text.as_bytes()))
+}
--- /dev/null
+++ b/crates/stream-router/src/feed.rs
@@ -0,0 +1,152 @@
+//! The router's links: whole versions and freshness from the agent beside it, applied together; filters and
+//! news that the index pushes, and filters pulled anew when false hits made them stale.
+use crate::shared::{Shared, count};
+use fleet_common::ask::{Answer, Ask, Filter, Pull};
+use fleet_common::frame::Caller;
+use fleet_common::{Mishap as Error, ring};
+use prefix_table::filter::Mirror;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use way_choice::desk;
+
+const PARK_MS: u32 = 400;
+const PRUNE: Duration = Duration::from_secs(2);
+
+fn pull(shared: &Shared, caller: &mut Caller) -> Result<bool, Error> {
+    let have = shared.fleet.read().vector.to_vec();
+    let ask = Ask::Pull(Pull {
+        node: shared.setup.name.as_str().into(),
+        kind: "edge".into(),
+        incarnation: shared.start,
+        at: "".into(),
+        district: shared.setup.zone.as_str().into(),
+        have: have.clone().into(),
+        confirmed: have.into(),
+        holding: 1,
+        wait_ms: PARK_MS,
+    });
+    let asked = Instant::now();
+    let Answer::Pulled(pulled) = caller.ask(&ask)? else { return Ok(false) };
+    let news = pulled.changed.items();
+    let taken = news.is_empty() || shared.fleet.change(|fleet| fleet.take_all(shared.now(), news));
+    if !news.is_empty() {
+        let edges = shared.fleet.read().members.values().filter(|m| m.kind == "edge").count();
+        shared.budget().share(edges);
+    }
+    if pulled.member != 0 && taken {
+        // What came with the confirmation is in use by now, so the freshness may count.
+        shared.fresh.confirm(asked, Duration::from_millis(pulled.age_ms));
+    }
+    Ok(pulled.member != 0 && taken)
+}
+
+/// Follows the agent for ever.
+/// ```no_run
+/// # fn show(shared: &stream_router::shared::Shared) {
+/// stream_router::feed::follow(shared);
+/// # }
+/// ```
+pub fn follow(shared: &Shared) -> ! {
+    let mut caller = Caller::new(shared.setup.agent, Duration::from_millis(1500));
+    let mut pruned = Instant::now();
+    loop {
+        match pull(shared, &mut caller) {
+            Ok(true) => {}
+            Ok(false) => std::thread::sleep(Duration::from_millis(30)),
+            Err(error) => {
+                ring::note(&error.to_string());
+                std::thread::sleep(Duration::from_millis(60));
+            }
+        }
+        if pruned.elapsed() > PRUNE {
+            pruned = Instant::now();
+            prune(shared);
+        }
+    }
+}
+
+/// Lets go of what belongs to replicas that are listed no more.
+fn prune(shared: &Shared) {
+    let fleet = shared.fleet.read();
+    let listed = |id: &str| fleet.replicas.iter().any(|r| r.id == id);
+    let at: Vec<_> = fleet.replicas.iter().filter_map(|r| r.at.parse().ok()).collect();
+    shared.pool.prune(|to| at.contains(to));
+    if shared.mirrors.read().keys().any(|id| !listed(id)) {
+        shared.mirrors.change(|mirrors| mirrors.retain(|id, _| listed(id)));
+    }
+    if shared.news.read().keys().any(|id| !listed(id)) {
+        shared.news.change(|news| news.retain(|id, _| listed(id)));
+    }
+    shared.own().retain(|id, own| own.running > 0 || listed(id));
+}
+
+/// Takes a filter unless a later fence or version is held, or the core knows a later fence.
+fn take(shared: &Shared, filter: Filter) -> bool {
+    let fence = shared.fleet.read().duties.get(filter.replica.as_str()).map_or(0, |duty| duty.fence);
+    let Some(mirror) = Mirror::from_filter(filter) else { return false };
+    if mirror.fence < fence {
+        return false;
+    }
+    shared.mirrors.change(|mirrors| {
+        let newer = mirrors.get(&mirror.replica).is_none_or(|held| held.older_than(&mirror));
+        if newer {
+            mirrors.insert(mirror.replica.clone(), Arc::new(mirror));
+        }
+        newer
+    })
+}
+
+/// What others may ask of a router: to take filters and news.
+/// ```no_run
+/// # fn show(shared: &stream_router::shared::Shared) {
+/// use fleet_common::ask::Ask;
+/// stream_router::feed::answer(shared, Ask::Query("self".into()));
+/// # }
+/// ```
+pub fn answer(shared: &Shared, ask: Ask) -> Answer {
+    match ask {
+        Ask::FilterPush(filter) => {
+            count(&shared.counters.filter_pushes);
+            if take(shared, filter) { Answer::Done } else { Answer::Refused("an older filter".into()) }
+        }
+        Ask::Seats(told) => {
+            let now = shared.now();
+            let told = told.into_items();
+            let replicas: Vec<String> = told.iter().map(|one| one.replica.to_string()).collect();
+            shared.news.change(|news| desk::take(news, now, told));
+            let mut own = shared.own();
+            replicas.iter().filter_map(|id| own.get_mut(id).map(|one| one.since = 0)).count();
+            Answer::Done
+        }
+        Ask::Query(_) => Answer::Json(shared.counters.words().into_bytes().into()),
+        _ => Answer::Refused("not a router's to answer".into()),
+    }
+}
+
+/// Counts a false hit on a replica's mirror; at alpha the mirror is stale and a fresh one is pulled.
+/// ```no_run
+/// # fn show(shared: &stream_router::shared::Shared) {
+/// stream_router::feed::false_hit(shared, "r1");
+/// # }
+/// ```
+pub fn false_hit(shared: &Shared, replica: &str) {
+    count(&shared.counters.false_hits);
+    let alpha = shared.fleet.read().blueprint.as_ref().map_or(5, |b| b.index.alpha);
+    let stale = shared
+        .mirrors
+        .change(|mirrors| mirrors.get_mut(replica).is_some_and(|mirror| Arc::make_mut(mirror).false_hit(alpha)));
+    if stale {
+        pull_filter(shared, replica);
+    }
+}
+
+fn pull_filter(shared: &Shared, replica: &str) {
+    let fleet = shared.fleet.read();
+    let Some(at) = fleet.holder(replica).and_then(|at| at.parse().ok()) else { return };
+    count(&shared.counters.filter_pulls);
+    match Caller::new(at, Duration::from_millis(1000)).ask(&Ask::FilterPull(replica.into())) {
+        Ok(Answer::Filter(filter)) => _ = take(shared, filter),
+        Ok(_) => {}
+        Err(error) => ring::note(&error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/stream-router/src/lib.rs
@@ -0,0 +1,16 @@
+//! The router of a fleet with a configuration of routes: takes callers' requests by host and path, places
+//! them by what replicas keep and how busy they are, and passes their streams on event by event. How the
+//! callers and replicas name things is a dialect's business; everything decided is decided here.
+
+pub mod auditing;
+pub mod budget;
+pub mod chain;
+pub mod deliver;
+pub mod dialect;
+pub mod events;
+pub mod feed;
+pub mod passage;
+pub mod placing;
+pub mod progress;
+pub mod run;
+pub mod shared;
--- /dev/null
+++ b/crates/stream-router/src/passage.rs
@@ -0,0 +1,120 @@
+//! A request on its way through the filters.
+use crate::dialect::Asked;
+use crate::progress::Progress;
+use control_chain::configuration::Route;
+use http_streams::head::RequestHead;
+use std::time::{Duration, Instant};
+
+/// A request and what has been found out about it.
+pub struct Passage {
+    pub head: RequestHead,
+    pub body: Vec<u8>,
+    pub begun: Instant,
+    pub until: Instant,
+    pub asked: Asked,
+    pub route: Route,
+    pub service: String,
+    /// The print of its key, and whose it is.
+    pub print: Option<String>,
+    pub tenant: Option<String>,
+    pub wall: String,
+    pub urgency: Option<u8>,
+    pub tried: Vec<String>,
+    pub progress: Progress,
+    /// Whether the caller's connection ends with this answer.
+    pub close: bool,
+}
+
+impl Passage {
+    /// A request as it came.
+    /// ```
+    /// let passage = stream_router::passage::Passage::new(Default::default(), Vec::new());
+    /// assert!(passage.tenant.is_none());
+    /// ```
+    pub fn new(head: RequestHead, body: Vec<u8>) -> Self {
+        let now = Instant::now();
+        let close = head.old || head.headers.lists("connection", "close");
+        Passage {
+            head,
+            body,
+            begun: now,
+            until: now + Duration::from_secs(30),
+            asked: Asked::default(),
+            route: Route::default(),
+            service: String::new(),
+            print: None,
+            tenant: None,
+            wall: String::new(),
+            urgency: None,
+            tried: Vec::new(),
+            progress: Progress::new(false, false, 1),
+            close,
+        }
+    }
+}
+
+/// An answer of the router's own.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reply {
+    pub status: u16,
+    pub what: String,
+    pub after: Option<Duration>,
+}
+
+impl Reply {
+    /// A plain answer.
+    /// ```
+    /// assert_eq!(stream_router::passage::Reply::new(404, "no route").status, 404);
+    /// ```
+    pub fn new(status: u16, what: impl ToString) -> Self {
+        Reply { status, what: what.to_string(), after: None }
+    }
+
+    /// It has not run: the caller may come back after a while.
+    /// ```
+    /// use std::time::Duration;
+    /// assert!(stream_router::passage::Reply::later("busy", Duration::from_millis(100)).after.is_some());
+    /// ```
+    pub fn later(what: impl ToString, after: Duration) -> Self {
+        Reply { after: Some(after), ..Reply::new(503, what) }
+    }
+
+    /// Its headers and body.
+    /// ```
+    /// let (headers, body) = stream_router::passage::Reply::new(404, "no route").parts();
+    /// assert!(headers.len() == 1 && body.contains("no route"));
+    /// ```
+    pub fn parts(&self) -> (Vec<(String, String)>, String) {
+        let mut headers = vec![("Content-Type".to_string(), "application/json".to_string())];
+        if let Some(after) = self.after {
+            headers.push(("Retry-After".into(), format!("{:.2}", after.as_secs_f64())));
+        }
+        (headers, format!("{{\"error\":{}}}", fleet_common::json::quote(&self.what)))
+    }
+
+    /// The words of its status.
+    /// ```
+    /// assert_eq!(stream_router::passage::Reply::new(503, "").reason(), "Service Unavailable");
+    /// ```
+    pub fn reason(&self) -> &'static str {
+        match self.status {
+            400 => "Bad Request",
+            401 => "Unauthorized",
+            404 => "Not Found",
+            408 => "Request Timeout",
+            413 => "Content Too Large",
+            431 => "Request Header Fields Too Large",
+            502 => "Bad Gateway",
+            503 => "Service Unavailable",
+            504 => "Gateway Timeout",
+            _ => "Error",
+        }
+    }
+}
+
+/// What a filter says: go on, answer this, or it has answered already.
+pub enum Flow {
+    Next,
+    Reply(Reply),
+    Answered,
+}
--- /dev/null
+++ b/crates/stream-router/src/placing.rs
@@ -0,0 +1,138 @@
+//! Placing a request among the replicas of a service, with what this router knows.
+use crate::passage::Passage;
+use crate::shared::{Shared, count};
+use control_chain::fleet::STORE;
+use fleet_common::hash;
+use prefix_table::blocks;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use way_choice::place::Seat;
+use way_choice::rank::{Candidate, Held, Parts, Prices, Source, choose};
+
+/// Where a try goes.
+#[derive(Clone, Debug)]
+pub struct Place {
+    pub id: String,
+    pub at: SocketAddr,
+    pub weights: String,
+    pub salt: String,
+    pub parts: Parts,
+    pub source: Option<(String, String)>,
+    pub own: u64,
+    pub handed: u64,
+    pub anew: u64,
+}
+
+fn parts_of(passage: &Passage, salt: &str) -> Parts {
+    let model = &passage.asked.model;
+    passage.asked.parts.iter().map(|(id, tokens)| (blocks::part(salt, model, id), *tokens)).collect()
+}
+
+/// What of a service's replicas may take the request: listed, up, not leaving, of weights that may still serve.
+fn fit(shared: &Shared, passage: &Passage, seats: &[Seat]) -> Vec<usize> {
+    let fleet = shared.fleet.read();
+    let model = &passage.asked.model;
+    let named = fleet.blueprint.as_ref().and_then(|b| b.models.get(model)).map(|m| m.weights.clone());
+    let since = fleet.weights_since.get(model).map(|(_, at)| shared.now().saturating_sub(*at));
+    let old_too = since.is_some_and(|since| since < shared.setup.old_weights);
+    let service = |at: usize| fleet.replicas.get(at).is_some_and(|r| r.service == passage.service);
+    let runs = |seat: &Seat| match &named {
+        Some(named) => seat.weights.is_empty() || seat.weights == *named || old_too,
+        None => true,
+    };
+    let open = |at: &usize| {
+        let seat = &seats[*at];
+        service(*at) && !seat.leaving && !passage.tried.contains(&seat.id) && runs(seat)
+    };
+    let all: Vec<usize> = (0..seats.len()).filter(open).collect();
+    let up: Vec<usize> = all.iter().copied().filter(|at| !seats[*at].down).collect();
+    // With none that is known to be up, one that is taken for down may be better than its name.
+    if up.is_empty() { all } else { up }
+}
+
+/// Finds a place for the next try.
+/// ```no_run
+/// # fn show(shared: &stream_router::shared::Shared, passage: &stream_router::passage::Passage) {
+/// assert!(stream_router::placing::find(shared, passage).is_none());
+/// # }
+/// ```
+pub fn find(shared: &Shared, passage: &Passage) -> Option<Place> {
+    let seats = shared.seats();
+    let fit = fit(shared, passage, &seats);
+    let fleet = shared.fleet.read();
+    let named = fleet.blueprint.as_ref().and_then(|b| b.models.get(&passage.asked.model)).map(|m| m.weights.clone());
+    let weights_of = |seat: &Seat| match seat.weights.is_empty() {
+        true => named.clone().unwrap_or_default(),
+        false => seat.weights.clone(),
+    };
+    let salted = |weights: String| {
+        let salt = blocks::salt_text(&passage.wall, &weights);
+        let parts = parts_of(passage, &salt);
+        (weights, (salt, parts))
+    };
+    let by_weights: BTreeMap<String, (String, Parts)> = fit
+        .iter()
+        .map(|at| weights_of(&seats[*at]))
+        .collect::<std::collections::BTreeSet<_>>()
+        .into_iter()
+        .map(salted)
+        .collect();
+    let (own, news) = (shared.own().clone(), shared.news.read());
+    let candidates: Vec<Candidate> = fit
+        .iter()
+        .filter_map(|at| {
+            let seat = &seats[*at];
+            let (_, parts) = by_weights.get(&weights_of(seat))?;
+            let mine = own.get(&seat.id).copied().unwrap_or_default();
+            let told = news.get(&seat.id).map(|(_, at)| *at);
+            let load = match mine.heard {
+                Some((load, at)) if told.is_none_or(|told| at > told) => load,
+                _ => seat.load,
+            };
+            let busy = (load + mine.since).max(mine.running) as f64;
+            Some(Candidate { seat, parts, busy, near: seat.district == shared.setup.zone })
+        })
+        .collect();
+    let sources: Vec<Source> = seats
+        .iter()
+        .filter(|s| !s.down && !s.leaving && (s.model == passage.asked.model || s.model == STORE))
+        .map(|seat| Source { seat, slower: 1.0 })
+        .collect();
+    let prices = costs(shared, passage);
+    let mirrors = shared.mirrors.read();
+    let recent = shared.recent().clone();
+    let held = Held { mirrors: &mirrors, recent: &recent, now: shared.now() };
+    let first = candidates.first().and_then(|c| c.parts.first()).map_or(0, |(hash, _)| *hash);
+    let spread = if passage.tried.is_empty() { first } else { hash::unique() };
+    let choice = choose(&candidates, &sources, &held, &prices, spread)?;
+    let candidate = &candidates[choice.at];
+    let weights = weights_of(candidate.seat);
+    let (salt, parts) = by_weights.get(&weights)?.clone();
+    if choice.source.is_some() {
+        count(&shared.counters.handovers);
+    }
+    shared.counters.parts_held.fetch_add(choice.own + choice.handed, std::sync::atomic::Ordering::Relaxed);
+    shared.counters.parts_anew.fetch_add(choice.anew, std::sync::atomic::Ordering::Relaxed);
+    Some(Place {
+        id: candidate.seat.id.clone(),
+        at: candidate.seat.at.parse().ok()?,
+        weights,
+        salt,
+        parts,
+        source: choice.source.map(|at| (sources[at].seat.id.clone(), sources[at].seat.at.clone())),
+        own: choice.own,
+        handed: choice.handed,
+        anew: choice.anew,
+    })
+}
+
+/// Prices as learnt, with what the configuration says of links.
+fn costs(shared: &Shared, passage: &Passage) -> Prices {
+    let mut prices = *shared.prices();
+    let fleet = shared.fleet.read();
+    let service = fleet.configuration.as_ref().and_then(|c| c.services.get(&passage.service));
+    if let Some(engine) = service.and_then(|s| s.row.engine.as_ref()).filter(|e| e.link_mbps > 0) {
+        prices.move_us = engine.token_bytes as f64 * 8.0 / engine.link_mbps as f64;
+    }
+    prices
+}
--- /dev/null
+++ b/crates/stream-router/src/shared.rs
@@ -0,0 +1,295 @@
+//! What all workers of a router share. Tables are read-copy-update; the rest is behind short locks, none of
+//! which is taken while another is held.
+use crate::auditing::Tried;
+use crate::budget::{Bound, Budget};
+use crate::dialect::Dialect;
+use control_chain::fleet::Fleet;
+use crossbeam::channel::{Receiver, Sender, bounded};
+use fleet_common::{Rcu, hash};
+use http_streams::inbound::Limits;
+use http_streams::pool::Pool;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+use way_choice::desk::{Down, News, seats};
+use way_choice::fresh::Fresh;
+use way_choice::place::Seat;
+use way_choice::rank::{Prices, Recent};
+use way_choice::source::Mirrors;
+
+macro_rules! counters {
+    ($($name:ident),* $(,)?) => {
+        /// Plain counts.
+        #[derive(Default)]
+        pub struct Counters { $(pub $name: AtomicU64),* }
+        impl Counters {
+            /// Names and counts, one a line.
+            /// ```
+            /// assert!(stream_router::shared::Counters::default().words().contains("requests 0"));
+            /// ```
+            pub fn words(&self) -> String {
+                let mut text = String::new();
+                $(text += &format!("coursebend_router_{} {}\n", stringify!($name), self.$name.load(Ordering::Relaxed));)*
+                text
+            }
+        }
+    };
+}
+
+counters! {
+    requests, whole, cut, refused, passed_on, retries, resumed, handovers, false_hits, filter_pushes,
+    filter_pulls, parts_held, parts_anew, not_fresh, misdirected, caller_left, late_answers, connections,
+}
+
+/// Counts one.
+/// ```
+/// let counter = Default::default();
+/// stream_router::shared::count(&counter);
+/// assert_eq!(counter.into_inner(), 1);
+/// ```
+pub fn count(counter: &AtomicU64) {
+    counter.fetch_add(1, Ordering::Relaxed);
+}
+
+/// How a router is set.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    pub name: String,
+    pub zone: String,
+    /// Where the agent beside it listens.
+    pub agent: SocketAddr,
+    pub bound: Bound,
+    /// How long after new weights were named replicas may go on with old ones.
+    pub old_weights: Duration,
+    /// How long a warned router may finish what it has.
+    pub grace: Duration,
+}
+
+/// What this router has running and waiting at a replica by its own doing.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Own {
+    pub running: u64,
+    /// Of those, sent since the index last told of the replica's load.
+    pub since: u64,
+    /// Running and waiting there by its own word, and when it said so.
+    pub heard: Option<(u64, Duration)>,
+}
+
+/// A router's state.
+pub struct Shared {
+    pub setup: Setup,
+    pub dialect: Box<dyn Dialect>,
+    pub start: u64,
+    begun: Instant,
+    pub fleet: Rcu<Fleet>,
+    pub mirrors: Rcu<Mirrors>,
+    pub news: Rcu<News>,
+    pub down: Rcu<Down>,
+    /// Weights that replicas said they run, newer than the index's word.
+    pub heard: Rcu<HashMap<String, (String, Duration)>>,
+    pub fresh: Fresh,
+    pub pool: Pool,
+    pub counters: Counters,
+    pub draining: AtomicBool,
+    pub running: AtomicU64,
+    budget: Mutex<Budget>,
+    recent: Mutex<Recent>,
+    own: Mutex<HashMap<String, Own>>,
+    prices: Mutex<Prices>,
+    pub(crate) tried: (Sender<Tried>, Receiver<Tried>),
+}
+
+fn held<T>(lock: &Mutex<T>) -> MutexGuard<'_, T> {
+    lock.lock().unwrap_or_else(|held| held.into_inner())
+}
+
+impl Shared {
+    /// A router that knows nothing yet.
+    /// ```no_run
+    /// # fn show(setup: stream_router::shared::Setup, dialect: Box<dyn stream_router::dialect::Dialect>) {
+    /// assert!(!stream_router::shared::Shared::new(setup, dialect).is_fresh());
+    /// # }
+    /// ```
+    pub fn new(setup: Setup, dialect: Box<dyn Dialect>) -> Self {
+        let bound = setup.bound;
+        Shared {
+            setup,
+            dialect,
+            start: hash::unique(),
+            begun: Instant::now(),
+            fleet: Rcu::new(Fleet::default()),
+            mirrors: Rcu::new(Mirrors::new()),
+            news: Rcu::new(News::new()),
+            down: Rcu::new(Down::new()),
+            heard: Rcu::default(),
+            fresh: Fresh::default(),
+            pool: Pool::new(Duration::from_millis(500)),
+            counters: Counters::default(),
+            draining: false.into(),
+            running: 0.into(),
+            budget: Mutex::new(Budget::new(bound)),
+            recent: Mutex::default(),
+            own: Mutex::default(),
+            prices: Mutex::default(),
+            tried: bounded(256),
+        }
+    }
+
+    /// The time since this router started, by the monotonic clock.
+    /// ```no_run
+    /// # fn show(shared: &stream_router::shared::Shared) {
+    /// let _now: std::time::Duration = shared.now();
+    /// # }
+    /// ```
+    pub fn now(&self) -> Duration {
+        self.begun.elapsed()
+    }
+
+    /// Whether this router may work: a confirmed pull is young enough.
+    /// ```no_run
+    /// # fn show(shared: &stream_router::shared::Shared) {
+    /// assert!(shared.is_fresh());
+    /// # }
+    /// ```
+    pub fn is_fresh(&self) -> bool {
+        self.fresh.holds(Instant::now())
+    }
+
+    /// Whether callers should come: fresh, with a configuration, not leaving.
+    /// ```no_run
+    /// # fn show(shared: &stream_router::shared::Shared) {
+    /// assert!(shared.is_ready());
+    /// # }
+    /// ```
+    pub fn is_ready(&self) -> bool {
+        !self.draining.load(Ordering::Relaxed) && self.is_fresh() && self.fleet.read().configuration.is_some()
+    }
+
+    /// The budget of further tries.
+    /// ```no_run
+    /// # fn show(shared: &stream_router::shared::Shared) {
+    /// assert!(shared.budget().spend());
+    /// # }
+    /// ```
+    pub fn budget(&self) -> MutexGuard<'_, Budget> {
+        held(&self.budget)
+    }
+
+    /// What was sent where lately.
+    /// ```no_run
+    /// # fn show(shared: &stream_router::shared::Shared) {
+    /// assert!(!shared.recent().has(shared.now(), "r1", 7));
+    /// # }
+    /// ```
+    pub fn recent(&self) -> MutexGuard<'_, Recent> {
+        held(&self.recent)
+    }
+
+    /// What runs where by this router's doing.
+    /// ```no_run
+    /// # fn show(shared: &stream_router::shared::Shared) {
+    /// assert!(shared.own().is_empty());
+    /// # }
+    /// ```
+    pub fn own(&self) -> MutexGuard<'_, HashMap<String, Own>> {
+        held(&self.own)
+    }
+
+    /// What things cost, as learnt.
+    /// ```no_run
+    /// # fn show(shared: &stream_router::shared::Shared) {
+    /// assert!(shared.prices().read_us > 0.0);
+    /// # }
+    /// ```
+    pub fn prices(&self) -> MutexGuard<'_, Prices> {
+        held(&self.prices)
+    }
+
+    /// What callers may send, by the configuration that holds.
+    /// ```no_run
+    /// # fn show(shared: &stream_router::shared::Shared) {
+    /// assert!(shared.limits().header_bytes > 0);
+    /// # }
+    /// ```
+    pub fn limits(&self) -> Limits {
+        let fleet = self.fleet.read();
+        let Some(configuration) = &fleet.configuration else { return Limits::default() };
+        let bounds = &configuration.bounds.row;
+        let ms = Duration::from_millis;
+        Limits {
+            header_bytes: bounds.header_bytes as usize,
+            body_bytes: bounds.body_bytes as usize,
+            header: ms(bounds.header_ms),
+            idle: ms(bounds.idle_ms),
+            ..Limits::default()
+        }
+    }
+
+    /// Replicas as they look now; weights by their own word where that is newer than the index's.
+    /// ```no_run
+    /// # fn show(shared: &stream_router::shared::Shared) {
+    /// assert!(shared.seats().is_empty());
+    /// # }
+    /// ```
+    pub fn seats(&self) -> Vec<Seat> {
+        let (news, heard) = (self.news.read(), self.heard.read());
+        let mut seats = seats(&self.fleet.read(), &news, &self.down.read(), self.now());
+        for seat in &mut seats {
+            let told = news.get(&seat.id).map(|(_, at)| *at).unwrap_or_default();
+            if let Some((weights, _)) = heard.get(&seat.id).filter(|(_, at)| *at >= told || seat.weights.is_empty()) {
+                seat.weights = weights.clone();
+            }
+        }
+        seats
+    }
+
+    /// A request was sent to a replica.
+    pub(crate) fn starts_at(&self, replica: &str) {
+        let mut all = self.own();
+        let own = all.entry(replica.to_string()).or_default();
+        (own.running, own.since) = (own.running + 1, own.since + 1);
+    }
+
+    /// It ended there.
+    pub(crate) fn ends_at(&self, replica: &str) {
+        if let Some(own) = self.own().get_mut(replica) {
+            own.running = own.running.saturating_sub(1);
+        }
+    }
+
+    /// A replica said how much it has running and waiting.
+    pub(crate) fn hear_load(&self, replica: &str, load: u64) {
+        let now = self.now();
+        let mut all = self.own();
+        let own = all.entry(replica.to_string()).or_default();
+        (own.heard, own.since) = (Some((load, now)), 0);
+    }
+
+    /// A hand-over try is to be audited; with too many waiting it is passed over.
+    pub(crate) fn audit(&self, tried: Tried) {
+        let _ = self.tried.0.try_send(tried);
+    }
+
+    /// A replica said which weights it runs.
+    /// ```no_run
+    /// # fn show(shared: &stream_router::shared::Shared) {
+    /// shared.hear_weights("r1", "2");
+    /// # }
+    /// ```
+    pub fn hear_weights(&self, replica: &str, weights: &str) {
+        let now = self.now();
+        let known =
+            self.heard.read().get(replica).is_some_and(|(w, at)| w == weights && now.saturating_sub(*at) < KNOWN);
+        if !known {
+            self.heard.change(|heard| {
+                heard.retain(|_, (_, at)| now.saturating_sub(*at) < Duration::from_secs(60));
+                heard.insert(replica.to_string(), (weights.to_string(), now))
+            });
+        }
+    }
+}
+
+/// A word that says what was known lately is not noted again.
+const KNOWN: Duration = Duration::from_secs(1);
--- a/crates/way-choice/src/lib.rs
+++ b/crates/way-choice/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod links;
 pub mod place;
 pub mod placing;
+pub mod rank;
 pub mod settling;
 pub mod source;
 pub mod tokens;
--- /dev/null
+++ b/crates/way-choice/src/rank.rs
@@ -0,0 +1,175 @@
+//! Which replica a prompt of parts goes to: the one with the least cost in microseconds, counting what
+//! waits there, what must be read anew, what can be handed over, and the way there.
+use crate::place::Seat;
+use crate::source::Mirrors;
+use fleet_common::hash::mix;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// A prompt's parts: hashes under one salt, with their tokens, in order.
+pub type Parts = Vec<(u64, u64)>;
+
+/// What things cost, in microseconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Prices {
+    /// Reading one token anew.
+    pub read_us: f64,
+    /// Handing one token over inside a zone; twice that across.
+    pub move_us: f64,
+    /// Beginning a hand-over, and what keeping a copy more is worth avoiding.
+    pub handover_us: f64,
+    /// Each request that runs or waits there.
+    pub busy_us: f64,
+    /// The way to another zone and back.
+    pub far_us: f64,
+}
+
+impl Default for Prices {
+    fn default() -> Self {
+        Prices { read_us: 9.0, move_us: 0.4, handover_us: 18_000.0, busy_us: 9000.0, far_us: 3000.0 }
+    }
+}
+
+/// What this router sent lately, before any filter tells of it: a replica's parts, until when it counts.
+#[derive(Clone, Debug, Default)]
+pub struct Recent {
+    sent: HashMap<(String, u64), Duration>,
+}
+
+/// For how long a part counts as held where this router sent it.
+const LATELY: Duration = Duration::from_secs(2);
+const RECENT_MOST: usize = 8192;
+
+impl Recent {
+    /// A prompt's parts were read at a replica.
+    /// ```
+    /// use std::time::Duration;
+    /// let mut recent = way_choice::rank::Recent::default();
+    /// recent.note(Duration::ZERO, "r1", &vec![(7, 100)]);
+    /// assert!(recent.has(Duration::from_secs(1), "r1", 7) && !recent.has(Duration::from_secs(9), "r1", 7));
+    /// ```
+    pub fn note(&mut self, now: Duration, replica: &str, parts: &Parts) {
+        if self.sent.len() > RECENT_MOST {
+            self.sent.retain(|_, until| *until > now);
+        }
+        for (hash, _) in parts {
+            self.sent.insert((replica.to_string(), *hash), now + LATELY);
+        }
+    }
+
+    /// Whether a part was sent there lately.
+    /// ```
+    /// assert!(!way_choice::rank::Recent::default().has(std::time::Duration::ZERO, "r1", 7));
+    /// ```
+    pub fn has(&self, now: Duration, replica: &str, hash: u64) -> bool {
+        self.sent.get(&(replica.to_string(), hash)).is_some_and(|until| *until > now)
+    }
+}
+
+/// A replica that would do, with the prompt's parts under the salt of its weights.
+pub struct Candidate<'a> {
+    pub seat: &'a Seat,
+    pub parts: &'a Parts,
+    /// Running and waiting there, as far as this router knows.
+    pub busy: f64,
+    pub near: bool,
+}
+
+/// What is known of who holds what.
+pub struct Held<'a> {
+    pub mirrors: &'a Mirrors,
+    pub recent: &'a Recent,
+    pub now: Duration,
+}
+
+impl Held<'_> {
+    /// How many tokens of the leading parts a replica or store holds.
+    /// ```
+    /// # use way_choice::{place::Seat, rank::{Held, Recent}};
+    /// # let seat = Seat { id: "r1".into(), at: "".into(), district: "a".into(), model: "m".into(), weights: "w".into(),
+    /// #     leaving: false, down: false, load: 0, floor: (0, 0) };
+    /// let held = Held { mirrors: &Default::default(), recent: &Recent::default(), now: Default::default() };
+    /// assert_eq!(held.tokens(&seat, &vec![(7, 100)]), 0);
+    /// ```
+    pub fn tokens(&self, seat: &Seat, parts: &Parts) -> u64 {
+        let mirror = self.mirrors.get(&seat.id).filter(|m| !m.stale && (m.fence, m.version) >= seat.floor);
+        let has = |hash: u64| mirror.is_some_and(|m| m.bits.has(hash)) || self.recent.has(self.now, &seat.id, hash);
+        parts.iter().take_while(|(hash, _)| has(*hash)).map(|(_, tokens)| tokens).sum()
+    }
+}
+
+/// What was chosen.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// Its place among the candidates.
+    pub at: usize,
+    /// Among the sources, whom to take a prefix from.
+    pub source: Option<usize>,
+    /// Tokens held there, handed over, and read anew.
+    pub own: u64,
+    pub handed: u64,
+    pub anew: u64,
+    pub cost_us: f64,
+}
+
+/// A replica or store that may hand a prefix over; its link is so many times as slow as one inside a zone.
+pub struct Source<'a> {
+    pub seat: &'a Seat,
+    pub slower: f64,
+}
+
+/// Chooses. `sources` gives for a candidate who may hand over to it; `spread` parts equal costs, the same way
+/// for equal prompts from every router.
+/// ```
+/// # use way_choice::{place::Seat, rank::{Candidate, Held, Prices, Recent, choose}};
+/// # let seat = |id: &str| Seat { id: id.into(), at: "".into(), district: "a".into(), model: "m".into(), weights: "w".into(),
+/// #     leaving: false, down: false, load: 0, floor: (0, 0) };
+/// let (one, two) = (seat("r1"), seat("r2"));
+/// let parts = vec![(7u64, 5000u64)];
+/// let mut recent = Recent::default();
+/// recent.note(Default::default(), "r2", &parts);
+/// let held = Held { mirrors: &Default::default(), recent: &recent, now: Default::default() };
+/// let with = |seat, busy| Candidate { seat, parts: &parts, busy, near: true };
+/// let choice = choose(&[with(&one, 0.0), with(&two, 0.0)], &[], &held, &Prices::default(), 0).unwrap();
+/// assert_eq!((choice.at, choice.own, choice.anew), (1, 5000, 0), "r2 holds it");
+/// let choice = choose(&[with(&one, 0.0), with(&two, 40.0)], &[], &held, &Prices::default(), 0).unwrap();
+/// assert_eq!((choice.at, choice.anew), (0, 5000), "too much waits at r2");
+/// ```
+pub fn choose(
+    candidates: &[Candidate],
+    sources: &[Source],
+    held: &Held,
+    prices: &Prices,
+    spread: u64,
+) -> Option<Choice> {
+    let mut best: Option<Choice> = None;
+    for (at, candidate) in candidates.iter().enumerate() {
+        let total: u64 = candidate.parts.iter().map(|(_, tokens)| tokens).sum();
+        let own = held.tokens(candidate.seat, candidate.parts);
+        let mut choice = Choice { at, source: None, own, handed: 0, anew: total - own, cost_us: 0.0 };
+        let mut prompt_us = choice.anew as f64 * prices.read_us;
+        for (from, source) in sources.iter().enumerate().filter(|(_, s)| s.seat.id != candidate.seat.id) {
+            let has = held.tokens(source.seat, candidate.parts);
+            let gained = has.saturating_sub(own);
+            if gained == 0 {
+                continue;
+            }
+            let slower = if source.seat.district == candidate.seat.district { 1.0 } else { 2.0 } * source.slower;
+            let us =
+                prices.handover_us + gained as f64 * prices.move_us * slower + (total - has) as f64 * prices.read_us;
+            if us < prompt_us {
+                prompt_us = us;
+                choice = Choice { source: Some(from), handed: gained, anew: total - has, ..choice };
+            }
+        }
+        let way_us = if candidate.near { 0.0 } else { prices.far_us };
+        // A small part that differs by prompt and replica: equal costs are parted alike by all routers.
+        let weight = fleet_common::hash::bytes(spread, candidate.seat.id.as_bytes());
+        let parted_us = (mix(weight) % 4000) as f64;
+        choice.cost_us = prompt_us + way_us + parted_us + candidate.busy * prices.busy_us;
+        if best.as_ref().is_none_or(|b| choice.cost_us < b.cost_us) {
+            best = Some(choice);
+        }
+    }
+    best
+}
