A core is a library, and its id a number of 32 bits

Cause: other programs are to run a core with their own settings and their own listing of replicas; ids of 8 bits leave no room for ids taken from addresses. What was done: control-core is a library (Start, start, leave, Listing, Driver, operators::answer) with a thin program around it; its disk tests moved to a test file. Ballots carry the id in their low 32 bits. The wait before a proposer tries again went by its id, which with large ids would be years: it goes by its place among the voters now. Seen: a head without a platform now hears that none is named instead of waiting for its ask to time out.

--- a/crates/control-chain/src/agreeing.rs
+++ b/crates/control-chain/src/agreeing.rs
@@ -18,9 +18,9 @@
     n: u64,
     ballot: u64,
     wish: View,
-    promises: BTreeMap<u8, Option<Accepted>>,
+    promises: BTreeMap<u32, Option<Accepted>>,
     asked: Option<View>,
-    votes: BTreeSet<u8>,
+    votes: BTreeSet<u32>,
     begun: Duration,
 }
 
@@ -119,7 +119,8 @@
         let ahead =
             self.meta.view.voters.items().iter().take_while(|m| **m != self.me).filter(|m| self.alive(m)).count();
         let turn = TURN * ahead as u32;
-        let again = AGAIN + TURN * self.me.id as u32;
+        let own = self.meta.view.voters.items().iter().position(|m| *m == self.me).unwrap_or(0);
+        let again = AGAIN + TURN * (own as u32 + 1);
         let due = match &self.proposal {
             Some(proposal) => self.now.saturating_sub(proposal.begun) > again,
             None => {
@@ -133,8 +134,8 @@
     }
 
     fn propose(&mut self, wish: View) {
-        self.ballot_round = self.ballot_round.max(self.meta.promised >> 8) + 1;
-        let (n, ballot) = (wish.n, self.ballot_round << 8 | self.me.id as u64);
+        self.ballot_round = self.ballot_round.max(self.meta.promised >> 32) + 1;
+        let (n, ballot) = (wish.n, self.ballot_round << 32 | self.me.id as u64);
         self.note(format!("proposes {} under ballot {ballot}", wish.words()));
         self.proposal = Some(Proposal {
             n,
@@ -154,7 +155,7 @@
         }
     }
 
-    fn next_decree(&mut self, from: u8, n: u64) -> bool {
+    fn next_decree(&mut self, from: u32, n: u64) -> bool {
         if n <= self.meta.view.n {
             let view = self.meta.view.clone();
             self.send(from, Chain::ViewIs(view));
@@ -162,8 +163,8 @@
         n == self.meta.view.n + 1 && self.votes(&self.me) && !self.sick
     }
 
-    pub(crate) fn on_prepare(&mut self, from: u8, incarnation: u64, prepare: Prepare) {
-        self.ballot_round = self.ballot_round.max(prepare.ballot >> 8);
+    pub(crate) fn on_prepare(&mut self, from: u32, incarnation: u64, prepare: Prepare) {
+        self.ballot_round = self.ballot_round.max(prepare.ballot >> 32);
         if !self.next_decree(from, prepare.n) || !self.votes(&Member { id: from, incarnation }) {
             return;
         }
@@ -180,7 +181,7 @@
         self.promise(from, prepare);
     }
 
-    fn promise(&mut self, from: u8, prepare: Prepare) {
+    fn promise(&mut self, from: u32, prepare: Prepare) {
         if prepare.n != self.meta.view.n + 1 || prepare.ballot <= self.meta.promised {
             return;
         }
@@ -190,7 +191,7 @@
         self.keep(vec![Record::Meta(meta)], After::Say(from, Chain::Promise(promise)));
     }
 
-    pub(crate) fn on_promise(&mut self, from: u8, incarnation: u64, promise: Promise) {
+    pub(crate) fn on_promise(&mut self, from: u32, incarnation: u64, promise: Promise) {
         let voter = self.votes(&Member { id: from, incarnation });
         let majority = self.meta.view.majority();
         let Some(proposal) = self.proposal.as_mut() else {
@@ -210,8 +211,8 @@
         self.tell_voters(Chain::Accept(accept));
     }
 
-    pub(crate) fn on_accept(&mut self, from: u8, accept: Accept) {
-        self.ballot_round = self.ballot_round.max(accept.ballot >> 8);
+    pub(crate) fn on_accept(&mut self, from: u32, accept: Accept) {
+        self.ballot_round = self.ballot_round.max(accept.ballot >> 32);
         if !self.next_decree(from, accept.n) || accept.ballot < self.meta.promised {
             return;
         }
@@ -222,7 +223,7 @@
         self.keep(vec![Record::Meta(meta)], After::Say(from, Chain::Vote(vote)));
     }
 
-    pub(crate) fn on_vote(&mut self, from: u8, incarnation: u64, vote: Vote) {
+    pub(crate) fn on_vote(&mut self, from: u32, incarnation: u64, vote: Vote) {
         let voter = self.votes(&Member { id: from, incarnation });
         let majority = self.meta.view.majority();
         let Some(proposal) = self.proposal.as_mut() else {
@@ -238,7 +239,7 @@
         let Some(view) = proposal.asked.clone() else {
             return;
         };
-        let ids: BTreeSet<u8> = self.meta.view.cores.items().iter().chain(view.cores.items()).map(|c| c.id).collect();
+        let ids: BTreeSet<u32> = self.meta.view.cores.items().iter().chain(view.cores.items()).map(|c| c.id).collect();
         self.install(view.clone());
         for id in ids {
             if id != self.me.id {
--- a/crates/control-chain/src/answering.rs
+++ b/crates/control-chain/src/answering.rs
@@ -42,7 +42,7 @@
         self.answer_json(token, sonic_rs::to_string(outcome).unwrap_or_default());
     }
 
-    fn elsewhere(&mut self, token: u64, place: Option<u8>) {
+    fn elsewhere(&mut self, token: u64, place: Option<u32>) {
         let at = place.filter(|id| *id != self.me.id).and_then(|id| self.meta.view.at(id));
         let at = at.map(|c| c.node.clone()).unwrap_or_default();
         self.answer(token, Answer::Elsewhere(at));
--- a/crates/control-chain/src/appending.rs
+++ b/crates/control-chain/src/appending.rs
@@ -22,7 +22,7 @@
     }
 
     /// Who gets this core's entries: the next in the chain, or from the tail every spare.
-    pub(crate) fn followers(&self) -> Vec<u8> {
+    pub(crate) fn followers(&self) -> Vec<u32> {
         let chain = self.meta.view.chain.items();
         match self.place() {
             Some(p) if p + 1 < chain.len() => vec![chain[p + 1].id],
@@ -31,7 +31,7 @@
         }
     }
 
-    pub(crate) fn leader(&self) -> Option<u8> {
+    pub(crate) fn leader(&self) -> Option<u32> {
         let chain = self.meta.view.chain.items();
         match self.place() {
             Some(0) => None,
@@ -74,7 +74,7 @@
         }
     }
 
-    pub(crate) fn on_append(&mut self, from: u8, append: Append) {
+    pub(crate) fn on_append(&mut self, from: u32, append: Append) {
         if append.view != self.meta.view.n || self.leader() != Some(from) {
             return;
         }
@@ -95,7 +95,7 @@
         }
     }
 
-    pub(crate) fn on_capture(&mut self, from: u8, capture: Capture) {
+    pub(crate) fn on_capture(&mut self, from: u32, capture: Capture) {
         if capture.view != self.meta.view.n || self.leader() != Some(from) || capture.seq <= self.last {
             return;
         }
@@ -172,7 +172,7 @@
     }
 
     /// Sends entries from `first` on, or a capture when they are no longer kept. Gives the last sent.
-    pub(crate) fn send_from(&mut self, to: u8, first: u64) -> u64 {
+    pub(crate) fn send_from(&mut self, to: u32, first: u64) -> u64 {
         let view = self.meta.view.n;
         let base = self.base();
         let (message, last) = if first <= base {
@@ -208,7 +208,7 @@
         self.wake_parked();
     }
 
-    pub(crate) fn on_ack(&mut self, from: u8, ack: Ack) {
+    pub(crate) fn on_ack(&mut self, from: u32, ack: Ack) {
         let next = self.place().and_then(|p| self.meta.view.chain.items().get(p + 1));
         if ack.view != self.meta.view.n || next.is_none_or(|m| m.id != from) || ack.seq <= self.committed {
             return;
--- a/crates/control-chain/src/hearing.rs
+++ b/crates/control-chain/src/hearing.rs
@@ -28,14 +28,14 @@
             full: self.meta.full,
             sick: (self.sick || stalled).into(),
         };
-        let others: Vec<u8> =
+        let others: Vec<u32> =
             self.meta.view.cores.items().iter().map(|c| c.id).filter(|id| *id != self.me.id).collect();
         for to in others {
             self.send(to, Chain::Beat(beat.clone()));
         }
     }
 
-    pub(crate) fn on_beat(&mut self, from: u8, incarnation: u64, beat: Beat) {
+    pub(crate) fn on_beat(&mut self, from: u32, incarnation: u64, beat: Beat) {
         let heard = Heard { at: self.now, incarnation, beat: beat.clone() };
         let before = self.heard.insert(from, heard).map(|h| h.beat.seq);
         let view = self.meta.view.n;
--- a/crates/control-chain/src/message.rs
+++ b/crates/control-chain/src/message.rs
@@ -30,5 +30,5 @@
     }
 
     /// A message with its sender's id and incarnation.
-    pub struct Sent { pub from: u8, pub incarnation: u64, pub message: Chain }
+    pub struct Sent { pub from: u32, pub incarnation: u64, pub message: Chain }
 }
--- a/crates/control-chain/src/steps.rs
+++ b/crates/control-chain/src/steps.rs
@@ -35,7 +35,7 @@
 /// What a core wants done.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Output {
-    Send(u8, Chain),
+    Send(u32, Chain),
     Keep(u64, Vec<Record>),
     Answer(u64, Answer),
     /// The platform is to be asked for its listing.
@@ -47,7 +47,7 @@
 pub(crate) enum After {
     Entries(u64),
     Captured(u64, Bytes),
-    Say(u8, Chain),
+    Say(u32, Chain),
     Nothing,
 }
 
@@ -66,7 +66,7 @@
 }
 
 impl Core {
-    pub(crate) fn send(&mut self, to: u8, message: Chain) {
+    pub(crate) fn send(&mut self, to: u32, message: Chain) {
         if to == self.me.id {
             let sent = Sent { from: to, incarnation: self.me.incarnation, message };
             self.on_heard(sent);
--- a/crates/control-chain/src/terms.rs
+++ b/crates/control-chain/src/terms.rs
@@ -22,7 +22,7 @@
         }
     }
 
-    pub(crate) fn on_term_ask(&mut self, from: u8, term: Term) {
+    pub(crate) fn on_term_ask(&mut self, from: u32, term: Term) {
         let tail = self.meta.view.chain.items().last().map(|m| m.id);
         let free = self.meta.promised == 0 && self.held_prepare.is_none() && !self.sick;
         if term.view == self.meta.view.n && tail == Some(from) && self.votes(&self.me) && free {
@@ -31,7 +31,7 @@
         }
     }
 
-    pub(crate) fn on_term_grant(&mut self, from: u8, incarnation: u64, term: Term) {
+    pub(crate) fn on_term_grant(&mut self, from: u32, incarnation: u64, term: Term) {
         if term.view == self.meta.view.n && self.votes(&Member { id: from, incarnation }) {
             let sent = Duration::from_micros(term.sent_us);
             let held = self.grants.entry(from).or_default();
--- a/crates/control-chain/src/view.rs
+++ b/crates/control-chain/src/view.rs
@@ -3,10 +3,10 @@
 
 fleet_common::messages! {
     /// One core machine with one disk: an emptied disk is another member.
-    pub struct Member { pub id: u8, pub incarnation: u64 }
+    pub struct Member { pub id: u32, pub incarnation: u64 }
 
     /// Where a core machine is reached: by other cores, by nodes, by operators.
-    pub struct CoreAt { pub id: u8, pub chain: Text, pub node: Text, pub http: Text }
+    pub struct CoreAt { pub id: u32, pub chain: Text, pub node: Text, pub http: Text }
 
     /// An agreed view.
     pub struct View {
@@ -86,7 +86,7 @@
     /// ```
     /// assert!(control_chain::view::View::outside(vec![]).at(3).is_none());
     /// ```
-    pub fn at(&self, id: u8) -> Option<&CoreAt> {
+    pub fn at(&self, id: u32) -> Option<&CoreAt> {
         self.cores.items().iter().find(|c| c.id == id)
     }
 
--- a/crates/control-chain/tests/chain_sim.rs
+++ b/crates/control-chain/tests/chain_sim.rs
@@ -23,8 +23,8 @@
 }
 
 fn bring_about(fault: Fault, world: &mut World) {
-    let id = 1 + world.dice.next(4) as u8;
-    let other = 1 + world.dice.next(4) as u8;
+    let id = 1 + world.dice.next(4) as u32;
+    let other = 1 + world.dice.next(4) as u32;
     match fault {
         Fault::Crash => {
             world.power_loss(id);
@@ -41,8 +41,8 @@
             world.cut.insert((o, id));
         }),
         Fault::Split => {
-            let side = |n: u8| n == id || n == id % 4 + 1;
-            let pairs = (1..=4u8).flat_map(|a| (1..=4u8).map(move |b| (a, b)));
+            let side = |n: u32| n == id || n == id % 4 + 1;
+            let pairs = (1..=4u32).flat_map(|a| (1..=4u32).map(move |b| (a, b)));
             world.cut.extend(pairs.filter(|(a, b)| side(*a) != side(*b)));
         }
         Fault::OneWay => _ = world.cut.insert((id, other)),
--- a/crates/control-chain/tests/freshness_sim.rs
+++ b/crates/control-chain/tests/freshness_sim.rs
@@ -76,11 +76,11 @@
         2 => edges[at].cut_until = until,
         3 => edges[at].restart_agent(world.now),
         4 => {
-            let id = 1 + world.dice.next(4) as u8;
+            let id = 1 + world.dice.next(4) as u32;
             world.nodes.get_mut(&id).unwrap().frozen_until = until;
         }
         5 => {
-            let id = 1 + world.dice.next(4) as u8;
+            let id = 1 + world.dice.next(4) as u32;
             world.power_loss(id);
             world.start(id);
         }
--- a/crates/control-chain/tests/listing_sim.rs
+++ b/crates/control-chain/tests/listing_sim.rs
@@ -50,7 +50,7 @@
     for number in 1..=30u64 {
         let slowest = if world.dice.next(3) == 0 { 4000 } else { 60 };
         world.platform = Some((rows(number, (number % 5) as usize), slowest));
-        let id = 1 + world.dice.next(4) as u8;
+        let id = 1 + world.dice.next(4) as u32;
         match world.dice.next(5) {
             0 => {
                 let until = world.now + ms(300 + world.dice.next(3000));
--- a/crates/control-chain/tests/sim/edges.rs
+++ b/crates/control-chain/tests/sim/edges.rs
@@ -25,7 +25,7 @@
     incarnation: u64,
     relay: Relay,
     asking: Option<(u64, Duration, Plan)>,
-    next_core: u8,
+    next_core: u32,
     again: Duration,
     pub agent_frozen: Duration,
     pub cut_until: Duration,
--- a/crates/control-chain/tests/sim/history.rs
+++ b/crates/control-chain/tests/sim/history.rs
@@ -44,7 +44,7 @@
 
     fn send(&mut self, world: &mut World, told: &mut Told) {
         let ask = Ask::Command(told.envelope.pack().into());
-        let first = 1 + world.dice.next(4) as u8;
+        let first = 1 + world.dice.next(4) as u32;
         for id in (first..=4).chain(1..first) {
             if let Some(token) = world.ask(id, ask.clone()) {
                 match world.answers.get(&token) {
@@ -75,7 +75,7 @@
     /// Reads at every core that answers: an answer must know all that was told before.
     pub fn read(&mut self, world: &mut World) {
         let newest = self.newest;
-        for id in 1..=4u8 {
+        for id in 1..=4u32 {
             if let Some(token) = world.ask(id, Ask::Query("source/blueprint".into())) {
                 self.reads.push((token, newest));
             }
--- a/crates/control-chain/tests/sim/mod.rs
+++ b/crates/control-chain/tests/sim/mod.rs
@@ -26,10 +26,10 @@
 }
 
 pub enum Event {
-    Deliver(u8, Sent),
-    Synced(u8, u64, u64),
-    Tick(u8, u64),
-    Listed(u8, u64, u64, Vec<Replica>),
+    Deliver(u32, Sent),
+    Synced(u32, u64, u64),
+    Tick(u32, u64),
+    Listed(u32, u64, u64, Vec<Replica>),
 }
 
 pub struct Node {
@@ -51,12 +51,12 @@
 pub struct World {
     pub dice: Dice,
     pub now: Duration,
-    pub nodes: BTreeMap<u8, Node>,
-    pub cut: BTreeSet<(u8, u8)>,
+    pub nodes: BTreeMap<u32, Node>,
+    pub cut: BTreeSet<(u32, u32)>,
     pub drop_percent: u64,
     queue: BTreeMap<(Duration, u64), Event>,
     order: u64,
-    last_on_wire: BTreeMap<(u8, u8), Duration>,
+    last_on_wire: BTreeMap<(u32, u32), Duration>,
     pub answers: BTreeMap<u64, Answer>,
     next_token: u64,
     disks: Disks,
@@ -67,7 +67,7 @@
 }
 
 pub fn places() -> Vec<CoreAt> {
-    let at = |id: u8| CoreAt { id, chain: "".into(), node: format!("{id}").into(), http: "".into() };
+    let at = |id: u32| CoreAt { id, chain: "".into(), node: format!("{id}").into(), http: "".into() };
     (1..=4).map(at).collect()
 }
 
@@ -88,7 +88,7 @@
             platform: None,
             bare_listing: false,
         };
-        for id in 1..=4u8 {
+        for id in 1..=4u32 {
             let founding =
                 Meta { incarnation: 1, view: View::founding(places()), promised: 0, accepted: vec![].into(), full: 1 };
             let skew = ms(world.dice.next(100_000));
@@ -105,7 +105,7 @@
         self.queue.insert((when, self.order), event);
     }
 
-    pub fn start(&mut self, id: u8) {
+    pub fn start(&mut self, id: u32) {
         let now = self.now;
         let node = self.nodes.get_mut(&id).unwrap();
         node.boot += 1;
@@ -119,7 +119,7 @@
     }
 
     /// The power goes: the process ends and of what was not synced only some first part is there.
-    pub fn power_loss(&mut self, id: u8) {
+    pub fn power_loss(&mut self, id: u32) {
         let keep = self.dice.next(4);
         let node = self.nodes.get_mut(&id).unwrap();
         node.core = None;
@@ -129,7 +129,7 @@
     }
 
     /// The machine is swapped for one with an empty disk.
-    pub fn empty(&mut self, id: u8) {
+    pub fn empty(&mut self, id: u32) {
         let incarnation = 100 + self.order;
         self.power_loss(id);
         let meta = Meta { incarnation, view: View::outside(places()), promised: 0, accepted: vec![].into(), full: 0 };
@@ -137,7 +137,7 @@
         self.start(id);
     }
 
-    pub fn ask(&mut self, id: u8, ask: Ask) -> Option<u64> {
+    pub fn ask(&mut self, id: u32, ask: Ask) -> Option<u64> {
         let frozen = self.nodes[&id].frozen_until > self.now;
         if self.nodes[&id].core.is_none() || frozen {
             return None;
@@ -148,7 +148,7 @@
         Some(token)
     }
 
-    pub(super) fn step(&mut self, id: u8, input: Input) {
+    pub(super) fn step(&mut self, id: u32, input: Input) {
         let now = self.now;
         let Some(node) = self.nodes.get_mut(&id) else { return };
         let Some(core) = node.core.as_mut() else { return };
@@ -171,7 +171,7 @@
         }
     }
 
-    fn send(&mut self, from: u8, to: u8, message: Chain) {
+    fn send(&mut self, from: u32, to: u32, message: Chain) {
         if self.cut.contains(&(from, to)) || self.dice.next(100) < self.drop_percent {
             return;
         }
@@ -232,7 +232,7 @@
     pub fn heal(&mut self) {
         self.cut.clear();
         self.drop_percent = 0;
-        for id in 1..=4u8 {
+        for id in 1..=4u32 {
             let node = self.nodes.get_mut(&id).unwrap();
             node.frozen_until = ms(0);
             node.disk.stalled_until = ms(0);
--- a/crates/control-chain/tests/sim/platform.rs
+++ b/crates/control-chain/tests/sim/platform.rs
@@ -6,14 +6,14 @@
 
 impl World {
     /// The platform is asked: it says what holds now, and the answer may be long on its way.
-    pub(super) fn poll(&mut self, id: u8, boot: u64, number: u64) {
+    pub(super) fn poll(&mut self, id: u32, boot: u64, number: u64) {
         let Some((rows, slowest)) = self.platform.clone() else { return };
         let took = ms(1 + self.dice.next(slowest.max(1)));
         let when = self.now + took;
         self.at(when, Event::Listed(id, boot, number, rows));
     }
 
-    pub(super) fn listed(&mut self, id: u8, number: u64, rows: Vec<Replica>) {
+    pub(super) fn listed(&mut self, id: u32, number: u64, rows: Vec<Replica>) {
         if self.bare_listing {
             let command = Envelope::bare(Command::Listing { replicas: rows });
             let _ = self.ask(id, Ask::Command(command.pack().into()));
--- a/crates/control-core/src/disk.rs
+++ b/crates/control-core/src/disk.rs
@@ -58,6 +58,9 @@
 }
 
 /// Syncs the files into which sled puts large values.
+/// ```
+/// control_core::disk::sync_blobs(std::path::Path::new("/nonexistent")).unwrap();
+/// ```
 pub fn sync_blobs(folder: &Path) -> io::Result<()> {
     let blobs = std::fs::read_dir(folder).into_iter().flatten().flatten();
     for blob in blobs {
@@ -85,10 +88,26 @@
     Err("another process uses this data folder".into())
 }
 
+/// Whether a core's state was ever kept in this folder.
+/// ```
+/// assert!(!control_core::disk::used(std::path::Path::new("/nonexistent")));
+/// ```
+pub fn used(folder: &Path) -> bool {
+    folder.join("mark").exists()
+}
+
+/// Opens the state in a folder, formatting an empty one.
+/// ```
+/// let path = std::env::temp_dir().join(format!("coursebend-open-{}", std::process::id()));
+/// let (_store, found) = control_core::disk::open(&path, true, &[]).unwrap();
+/// assert_eq!(found.meta.unwrap().incarnation, 1);
+/// assert!(control_core::disk::used(&path));
+/// # std::fs::remove_dir_all(path).unwrap();
+/// ```
 pub fn open(folder: &Path, found_fleet: bool, cores: &[CoreAt]) -> Result<(SledStore, Found), String> {
     std::fs::create_dir_all(folder).map_err(fault)?;
     let mark_path = folder.join("mark");
-    let used = mark_path.exists();
+    let used = used(folder);
     if used && found_fleet {
         return Err("this disk has held a core before: --found is only for an empty one".into());
     }
--- a/crates/control-core/src/drive.rs
+++ b/crates/control-core/src/drive.rs
@@ -30,21 +30,43 @@
 }
 
 impl Driver {
+    /// What another core said.
+    /// ```no_run
+    /// # fn example(driver: &control_core::drive::Driver) {
+    /// use control_chain::{message::{Chain, Sent}, view::View};
+    /// driver.heard(Sent { from: 2, incarnation: 1, message: Chain::ViewIs(View::outside(vec![])) });
+    /// # }
+    /// ```
     pub fn heard(&self, sent: Sent) {
         let _ = self.inbox.send(Inbox::Heard(sent));
     }
 
     /// What the platform listed when it was asked under this number.
+    /// ```no_run
+    /// # fn example(driver: &control_core::drive::Driver) {
+    /// driver.listed(1, Err("the platform is down".into()));
+    /// # }
+    /// ```
     pub fn listed(&self, number: u64, listed: Listed) {
         let _ = self.inbox.send(Inbox::Listed(number, listed));
     }
 
     /// Has this core leave the chain.
+    /// ```no_run
+    /// # fn example(driver: &control_core::drive::Driver) {
+    /// driver.leave();
+    /// # }
+    /// ```
     pub fn leave(&self) {
         let _ = self.inbox.send(Inbox::Leave);
     }
 
     /// This core's place in the view it knows: head, chain N, tail, spare or outside.
+    /// ```no_run
+    /// # fn example(driver: &control_core::drive::Driver) {
+    /// assert_eq!(driver.place().as_deref(), Some("spare"));
+    /// # }
+    /// ```
     pub fn place(&self) -> Option<String> {
         use sonic_rs::JsonValueTrait;
         match self.ask(Ask::Query("self".into())) {
@@ -54,17 +76,35 @@
     }
 
     /// Whether this core is in the chain of the view it knows.
+    /// ```no_run
+    /// # fn example(driver: &control_core::drive::Driver) {
+    /// assert!(driver.in_chain());
+    /// # }
+    /// ```
     pub fn in_chain(&self) -> bool {
         self.place().is_some_and(|place| place != "spare" && place != "outside")
     }
 
+    /// Asks this core. `Elsewhere` names the core that would answer, if it is known.
+    /// ```no_run
+    /// # fn example(driver: &control_core::drive::Driver) {
+    /// use fleet_common::ask::Ask;
+    /// println!("{:?}", driver.ask(Ask::Query("self".into())));
+    /// # }
+    /// ```
     pub fn ask(&self, ask: Ask) -> Answer {
         let (sender, receiver) = bounded(1);
         let _ = self.inbox.send(Inbox::Asked(ask, sender));
         receiver.recv_timeout(ANSWER_WAIT).unwrap_or_else(|_| Answer::Refused("unknown".into()))
     }
 
-    /// Asks here or, when sent elsewhere, there. `fallen` tells what was sent and never answered.
+    /// Asks here or, when sent elsewhere, there.
+    /// ```no_run
+    /// # fn example(driver: &control_core::drive::Driver) {
+    /// use fleet_common::ask::Ask;
+    /// println!("{:?}", driver.ask_fleet(Ask::Query("holds".into()), std::time::Duration::from_secs(5)));
+    /// # }
+    /// ```
     pub fn ask_fleet(&self, ask: Ask, wait: Duration) -> Result<Answer, Mishap> {
         let until = Instant::now() + wait;
         let mut answer = self.ask(ask.clone());
@@ -114,7 +154,7 @@
     }
 }
 
-pub fn start(mut core: Core, store: impl Store + 'static, polls: Sender<u64>) -> Driver {
+pub(crate) fn start(mut core: Core, store: impl Store + 'static, polls: Sender<u64>) -> Driver {
     let (inbox, receiver) = unbounded();
     let (jobs, job_receiver) = unbounded();
     let for_disk = inbox.clone();
--- a/crates/control-core/src/explain.rs
+++ b/crates/control-core/src/explain.rs
@@ -19,7 +19,7 @@
 }
 
 /// Asks all members at once; who does not answer in time knows nothing.
-pub fn story(driver: &Driver, request: &str, wait: Duration) -> Result<String, Mishap> {
+pub(crate) fn story(driver: &Driver, request: &str, wait: Duration) -> Result<String, Mishap> {
     let query = |text: &str| Ok(json(driver.ask_fleet(Ask::Query(text.into()), wait)?).unwrap_or_default());
     let control = query(&format!("explain/{request}"))?;
     let members = query("source/members")?;
--- /dev/null
+++ b/crates/control-core/src/lib.rs
@@ -0,0 +1,89 @@
+//! A core machine: the chain's state machine with its threads, its disk and its streams. Programs that
+//! run one give it their listeners, their data folder and a listing of replicas.
+
+pub mod disk;
+pub mod drive;
+mod explain;
+mod links;
+pub mod listing;
+pub mod operators;
+
+use control_chain::core::Core;
+use control_chain::message::Sent;
+use control_chain::view::{CoreAt, Member};
+use drive::Driver;
+use fleet_common::ask::{Answer, Ask};
+use fleet_common::{frame, hash};
+use listing::Listing;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const LEAVE_LOOK: Duration = Duration::from_millis(50);
+
+/// What a core is started with.
+pub struct Start {
+    /// This core's id and where others reach it.
+    pub me: CoreAt,
+    /// The cores known beforehand, the same for all that found a fleet together.
+    pub seeds: Vec<CoreAt>,
+    /// Found a new fleet if the disk is empty.
+    pub found: bool,
+    pub data: PathBuf,
+    /// So many core machines may be lost at once together with their disks.
+    pub tolerance: u32,
+    pub listing: Box<dyn Listing>,
+    /// Where other cores are listened to.
+    pub chain: TcpListener,
+    /// Where nodes are listened to.
+    pub node: TcpListener,
+}
+
+/// Starts a core on its disk. It serves cores and nodes from here on; operators are the caller's to
+/// serve, with [`operators::answer`] or otherwise.
+/// ```
+/// use control_core::{Start, leave, listing::Platform, start};
+/// use std::{net::TcpListener, sync::Arc, time::Duration};
+/// let listen = || TcpListener::bind("127.0.0.1:0").unwrap();
+/// let (chain, node) = (listen(), listen());
+/// let at = |l: &TcpListener| l.local_addr().unwrap().to_string().into();
+/// let me = control_chain::view::CoreAt { id: 1, chain: at(&chain), node: at(&node), http: "".into() };
+/// let data = std::env::temp_dir().join(format!("coursebend-start-{}", std::process::id()));
+/// let listing = Box::new(Platform(Arc::new(fleet_common::Rcu::new(None))));
+/// let seeds = vec![me.clone()];
+/// let driver = start(Start { me, seeds, found: true, data, tolerance: 0, listing, chain, node }).unwrap();
+/// assert_eq!(driver.place().as_deref(), Some("head"));
+/// leave(&driver, Duration::ZERO);
+/// ```
+pub fn start(start: Start) -> Result<Arc<Driver>, String> {
+    let Start { me, seeds, found, data, tolerance: _, listing, chain, node } = start;
+    let (store, found) = disk::open(&data, found && !disk::used(&data), &seeds)?;
+    let member = Member { id: me.id, incarnation: found.meta.as_ref().map_or_else(hash::unique, |m| m.incarnation) };
+    let core = Core::start(Duration::ZERO, member, seeds, found).map_err(|e| format!("disk state is damaged: {e}"))?;
+    let (polls, polled) = crossbeam::channel::bounded(4);
+    let driver = Arc::new(drive::start(core, store, polls));
+    let inbox = driver.clone();
+    frame::serve(chain, move |sent: Sent| {
+        inbox.heard(sent);
+        None::<Answer>
+    });
+    let inbox = driver.clone();
+    frame::serve(node, move |ask: Ask| Some(inbox.ask(ask)));
+    listing::follow(driver.clone(), listing, polled);
+    Ok(driver)
+}
+
+/// Has a core leave the chain, and waits until the others go on without it or the bound is over.
+/// ```no_run
+/// # fn example(driver: &control_core::drive::Driver) {
+/// control_core::leave(driver, std::time::Duration::from_secs(4));
+/// # }
+/// ```
+pub fn leave(driver: &Driver, bound: Duration) {
+    driver.leave();
+    let until = Instant::now() + bound;
+    while driver.in_chain() && Instant::now() < until {
+        std::thread::sleep(LEAVE_LOOK);
+    }
+}
--- a/crates/control-core/src/listing.rs
+++ b/crates/control-core/src/listing.rs
@@ -29,15 +29,25 @@
     Ok(replicas)
 }
 
-/// Asks the platform whenever the core wants to know. Without a platform nothing is answered.
-pub fn follow(driver: Arc<Driver>, platform: Arc<Rcu<Option<String>>>, polls: Receiver<u64>) {
-    std::thread::spawn(move || {
-        for number in polls {
-            let Some(platform) = platform.read().as_ref().clone() else { continue };
-            let listed = http_out::json("GET", &format!("http://{platform}/replicas"), "", WAIT)
-                .map_err(|mishap| mishap.to_string())
-                .and_then(|text| read(text.as_bytes()).map_err(|fault| format!("{platform}: {fault}")));
-            driver.listed(number, listed);
-        }
-    });
+/// Where the listing of replicas comes from.
+pub trait Listing: Send {
+    /// Asks once; it may take its time, but not for ever.
+    fn list(&self) -> Result<Vec<Replica>, String>;
+}
+
+/// The fleet's own platform: one JSON document, whose address may change while the core runs.
+pub struct Platform(pub Arc<Rcu<Option<String>>>);
+
+impl Listing for Platform {
+    fn list(&self) -> Result<Vec<Replica>, String> {
+        let Some(platform) = self.0.read().as_ref().clone() else { return Err("no platform is named".into()) };
+        http_out::json("GET", &format!("http://{platform}/replicas"), "", WAIT)
+            .map_err(|mishap| mishap.to_string())
+            .and_then(|text| read(text.as_bytes()).map_err(|fault| format!("{platform}: {fault}")))
+    }
+}
+
+/// Asks the platform whenever the core wants to know.
+pub(crate) fn follow(driver: Arc<Driver>, listing: Box<dyn Listing>, polls: Receiver<u64>) {
+    std::thread::spawn(move || polls.into_iter().for_each(|number| driver.listed(number, listing.list())));
 }
--- a/crates/control-core/src/main.rs
+++ b/crates/control-core/src/main.rs
@@ -1,23 +1,19 @@
 //! A core machine: keeps the control state in a chain with its colleagues.
-mod disk;
-#[cfg(test)]
-mod disk_test;
-mod drive;
-mod explain;
-mod links;
-mod listing;
-mod operators;
 mod settings;
 
-use control_chain::core::Core;
+use control_core::drive::Driver;
+use control_core::listing::Platform;
+use control_core::{Start, disk, operators};
 use fleet_common::settings::{EXIT_DISK, EXIT_LISTEN};
 use fleet_common::signals::{self, Word};
-use fleet_common::{Rcu, frame, hash, http_in, ring};
+use fleet_common::{Rcu, http_in, ring};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// How long a warned core waits for the others to go on without it.
 const LEAVE_BOUND: Duration = Duration::from_secs(4);
+/// So many core machines may be lost at once together with their disks.
+const TOLERANCE: u32 = 1;
 
 mod flags {
     use std::path::PathBuf;
@@ -54,31 +50,26 @@
     let chain = listen(&or(settings.listen_chain, own.chain.as_str()));
     let node = listen(&or(settings.listen_node, own.node.as_str()));
     let http = listen(own.http.as_str());
-    let (disk, found) = disk::open(&settings.data, flags.found, &settings.cores).unwrap_or_else(|e| {
+    let refuse = |e: String| -> ! {
         eprintln!("control-core: {e}; refusing to start");
         std::process::exit(EXIT_DISK)
-    });
-    let me = control_chain::view::Member {
-        id: settings.id,
-        incarnation: found.meta.as_ref().map_or_else(hash::unique, |m| m.incarnation),
     };
-    let core = Core::start(Duration::ZERO, me, settings.cores.clone(), found).unwrap_or_else(|e| {
-        eprintln!("control-core: disk state is damaged: {e}; refusing to start");
-        std::process::exit(EXIT_DISK)
-    });
-    let (polls, polled) = crossbeam::channel::bounded(4);
-    let driver = drive::start(core, disk, polls);
-    let inbox = driver.clone();
-    frame::serve(chain, move |sent: control_chain::message::Sent| {
-        inbox.heard(sent);
-        None::<fleet_common::ask::Answer>
-    });
-    let inbox = driver.clone();
-    frame::serve(node, move |ask: fleet_common::ask::Ask| Some(inbox.ask(ask)));
-    let driver = Arc::new(driver);
+    if flags.found && disk::used(&settings.data) {
+        refuse("this disk has held a core before: --found is only for an empty one".into());
+    }
     let platform = Arc::new(Rcu::new(settings.platform.clone()));
-    heed(driver.clone(), platform.clone(), flags);
-    listing::follow(driver.clone(), platform, polled);
+    let driver = control_core::start(Start {
+        me: own.clone(),
+        seeds: settings.cores.clone(),
+        found: flags.found,
+        data: settings.data.clone(),
+        tolerance: TOLERANCE,
+        listing: Box::new(Platform(platform.clone())),
+        chain,
+        node,
+    });
+    let driver = driver.unwrap_or_else(|e| refuse(e));
+    heed(driver.clone(), platform, flags);
     let served = http_in::serve(http, http_in::WORKERS, move |incoming| operators::answer(&driver, incoming));
     if let Err(e) = served {
         eprintln!("control-core: {e}");
@@ -90,14 +81,10 @@
 }
 
 /// On a warning: out of the chain first, then the end. On changed settings: the platform's address.
-fn heed(driver: Arc<drive::Driver>, platform: Arc<Rcu<Option<String>>>, flags: flags::ControlCore) {
+fn heed(driver: Arc<Driver>, platform: Arc<Rcu<Option<String>>>, flags: flags::ControlCore) {
     signals::heed(move |word| match word {
         Word::Warning => {
-            driver.leave();
-            let until = Instant::now() + LEAVE_BOUND;
-            while driver.in_chain() && Instant::now() < until {
-                std::thread::sleep(Duration::from_millis(50));
-            }
+            control_core::leave(&driver, LEAVE_BOUND);
             std::process::exit(0);
         }
         Word::Settings => settings::reread(flags.settings.as_deref(), &flags.set, &platform),
--- a/crates/control-core/src/operators.rs
+++ b/crates/control-core/src/operators.rs
@@ -15,6 +15,13 @@
     incoming.json(status, &body, extra);
 }
 
+/// Answers one request of an operator.
+/// ```no_run
+/// # fn example(driver: std::sync::Arc<control_core::drive::Driver>, listener: std::net::TcpListener) {
+/// use fleet_common::http_in;
+/// http_in::serve(listener, 4, move |incoming| control_core::operators::answer(&driver, incoming)).unwrap();
+/// # }
+/// ```
 pub fn answer(driver: &Driver, incoming: Incoming) {
     let path = incoming.path.trim_matches('/').to_string();
     match (incoming.method.as_str(), path.as_str()) {
--- a/crates/control-core/src/settings.rs
+++ b/crates/control-core/src/settings.rs
@@ -8,7 +8,7 @@
 const NAMES: &[&str] = &["id", "data", "cores", "platform", "listenChain", "listenNode"];
 
 pub struct CoreSettings {
-    pub id: u8,
+    pub id: u32,
     pub data: PathBuf,
     pub cores: Vec<CoreAt>,
     pub platform: Option<String>,
@@ -25,7 +25,7 @@
 
 pub fn read(file: Option<&Path>, pairs: &[String], only_check: bool) -> CoreSettings {
     let mut settings = Settings::read(file, pairs, NAMES);
-    let id = settings.number("id", 0, 1, 200) as u8;
+    let id = settings.number("id", 0, 1, 200) as u32;
     let data = PathBuf::from(settings.text("data"));
     let mut cores = Vec::new();
     for part in settings.text("cores").split(',') {
--- a/crates/control-core/src/disk_test.rs
+++ b/crates/control-core/tests/disk.rs
@@ -1,7 +1,7 @@
 //! What the disk keeps, and that damage never passes for emptiness.
-use crate::disk::{SledStore, Store, open};
 use control_chain::core::Record;
 use control_chain::view::CoreAt;
+use control_core::disk::{SledStore, Store, open};
 use std::path::{Path, PathBuf};
 
 fn folder(name: &str) -> PathBuf {
@@ -122,7 +122,7 @@
             }
         }
     });
-    let synced: Result<Vec<()>, _> = (0..3000).map(|_| crate::disk::sync_blobs(&path)).collect();
+    let synced: Result<Vec<()>, _> = (0..3000).map(|_| control_core::disk::sync_blobs(&path)).collect();
     stop.send(()).unwrap();
     busy.join().unwrap();
     std::fs::remove_dir_all(path).unwrap();
--- a/crates/simulate-fleet/src/calls.rs
+++ b/crates/simulate-fleet/src/calls.rs
@@ -12,7 +12,7 @@
 #[derive(Clone, Debug)]
 pub struct Call {
     ask: Ask,
-    core: u8,
+    core: u32,
     token: Option<(u64, Duration)>,
     again: Duration,
     until: Duration,
--- a/crates/simulate-fleet/src/faults.rs
+++ b/crates/simulate-fleet/src/faults.rs
@@ -106,7 +106,7 @@
     pub fn bring_about(&mut self, fault: Fault) {
         let (edge, until) = (one(self, EDGES), self.for_a_while());
         let replica = one(self, REPLICAS);
-        let core = 1 + one(self, 4) as u8;
+        let core = 1 + one(self, 4) as u32;
         let now = self.now();
         match fault {
             Fault::Nothing | Fault::Storm => {}
@@ -158,8 +158,8 @@
                 self.cores.cut.extend(others.flat_map(|o| [(core, o), (o, core)]));
             }
             Fault::CoreSplit => {
-                let side = |n: u8| n == core || n == core % 4 + 1;
-                let pairs = (1..=4u8).flat_map(|a| (1..=4u8).map(move |b| (a, b)));
+                let side = |n: u32| n == core || n == core % 4 + 1;
+                let pairs = (1..=4u32).flat_map(|a| (1..=4u32).map(move |b| (a, b)));
                 self.cores.cut.extend(pairs.filter(|(a, b)| side(*a) != side(*b)));
             }
             Fault::CoreEmptied => {
@@ -188,7 +188,7 @@
                 let district = edge % 4;
                 (0..EDGES).filter(|at| at % 4 == district).for_each(|at| self.kill_edge(at));
                 (0..REPLICAS).filter(|at| at % 4 == district).for_each(|at| self.replicas[at].crash(now));
-                self.cores.power_loss(district as u8 + 1);
+                self.cores.power_loss(district as u32 + 1);
             }
             Fault::Anything => {
                 let all: Vec<Fault> = ALL.iter().copied().filter(|f| *f != Fault::Anything).collect();
