The index node and the agent become libraries with thin programs around them

Cause: another program is to run these roles, speaking with replicas in a way of its own. prefix_index::start, follow and leave run the node; how replicas are polled and ordered is a trait (Replicas), with this project's HTTP speech as one implementation. router_agent::start gives an Agent that follows and leaves. Pages, settings and signals stay in the programs.

A poll no longer starts a thread: each watched replica has one long-lived thread, which ends when nothing was asked of it for 10 s. Ruled out: the pool that fetches and orders share, because a poll that waits would hold them up; a pool of its own for polls, because 30 waiting polls need 30 threads all the same.

Orders now name their model, polls whether they go to a store, and an order's answer is one of taken, holds and busy; all three are treated as taken for now, as before.

--- a/crates/prefix-index/src/doing.rs
+++ b/crates/prefix-index/src/doing.rs
@@ -1,37 +1,54 @@
 //! The index node's I/O: polls, fetches, commands and orders, each told back to the state machine.
+use crate::replicas::{OrderAsk, PollAsk};
 use crate::shared::Shared;
 use control_chain::command::{Command, Envelope};
 use crossbeam::channel::{Sender, bounded};
 use fleet_common::ask::{Answer, Ask};
 use fleet_common::frame::Caller;
-use fleet_common::{http_out, json, ring};
-use prefix_table::event::Batch;
+use fleet_common::ring;
 use prefix_table::keeper::Input;
 use std::sync::Arc;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
-const POLL_MS: u64 = 200;
-const POLL_WAIT: Duration = Duration::from_millis(1500);
-const ORDER_WAIT: Duration = Duration::from_millis(800);
+/// A watching thread that was given nothing for so long ends.
+const WATCH_IDLE: Duration = Duration::from_secs(10);
+const WATCH_STACK: usize = 256 << 10;
 const COPY_WAIT: Duration = Duration::from_millis(1500);
 
 pub enum Job {
-    Poll { replica: String, at: String, fence: u64, incarnation: String, from: u64 },
     Fetch { replica: String, at: String },
     Command(String, Command),
-    Order { replica: String, at: String, fence: u64, weights: String },
+    Order(OrderAsk),
+}
+
+/// A poll of a replica, under the fence of its duty.
+pub type Watch = (u64, PollAsk);
+
+/// The thread that watches a replica, and how it is given polls.
+pub struct Watcher {
+    pub sender: Sender<Watch>,
+    pub thread: JoinHandle<()>,
+}
+
+/// One long-lived thread for each replica that is watched: a poll waits for events, and its answer
+/// brings the next. It ends when nothing was asked of it for a while.
+pub fn watcher(shared: &Arc<Shared>, first: Watch) -> Option<Watcher> {
+    let (sender, receiver) = bounded::<Watch>(2);
+    let _ = sender.try_send(first);
+    let shared = shared.clone();
+    let watch = move || {
+        while let Ok((fence, ask)) = receiver.recv_timeout(WATCH_IDLE) {
+            let polled = shared.replicas.poll(&ask);
+            shared.step(Input::Polled(ask.replica, fence, polled));
+        }
+    };
+    let thread = std::thread::Builder::new().stack_size(WATCH_STACK).spawn(watch).ok()?;
+    Some(Watcher { sender, thread })
 }
 
 pub fn job(shared: &Arc<Shared>, job: Job) {
     match job {
-        Job::Poll { replica, at, fence, incarnation, from } => {
-            // A long poll waits, so it has a thread of its own.
-            let shared = shared.clone();
-            std::thread::spawn(move || {
-                let polled = poll(&at, &incarnation, from);
-                shared.step(Input::Polled(replica, fence, polled));
-            });
-        }
         Job::Fetch { replica, at } => {
             let copy = at.parse().ok().and_then(|at| {
                 match Caller::new(at, COPY_WAIT).ask(&Ask::TablePull(replica.as_str().into())) {
@@ -45,24 +62,13 @@
             command(shared, order);
             shared.step(Input::Commanded(replica));
         }
-        Job::Order { replica, at, fence, weights } => {
-            let index = json::quote(&shared.keeper().me.name);
-            let body = format!(
-                "{{\"fence\":{fence},\"index\":{index},\"order\":\"load_weights\",\"weights\":{}}}",
-                json::quote(&weights)
-            );
-            let sent = http_out::json("POST", &format!("http://{at}/orders"), &body, ORDER_WAIT);
-            shared.step(Input::Ordered(replica, sent.map(|_| ()).map_err(|mishap| mishap.to_string())));
+        Job::Order(ask) => {
+            let taken = shared.replicas.order(&ask);
+            shared.step(Input::Ordered(ask.replica, taken));
         }
     }
 }
 
-fn poll(at: &str, incarnation: &str, from: u64) -> Result<Batch, String> {
-    let url = format!("http://{at}/events?from={from}&incarnation={incarnation}&wait_ms={POLL_MS}");
-    let text = http_out::json("GET", &url, "", POLL_WAIT).map_err(|mishap| mishap.to_string())?;
-    sonic_rs::from_str(&text).map_err(|e| format!("events cannot be read: {e}"))
-}
-
 pub fn command(shared: &Shared, command: Command) {
     let ask = Ask::Command(Envelope::bare(command).pack().into());
     let answer = shared.link.lock().unwrap_or_else(|held| held.into_inner()).ask(&ask);
--- a/crates/prefix-index/src/main.rs
+++ b/crates/prefix-index/src/main.rs
@@ -1,14 +1,11 @@
-//! An index node: holds duties for replicas, keeps their tables from their events, sends out only
-//! bit filters, audits hand-over tries, and gives its replicas orders under a fence.
-mod doing;
+//! The index node's program: settings, pages and signals around the library.
 mod pages;
-mod shared;
 
-use fleet_common::node::{Identity, Link, Seeds, follow};
+use fleet_common::node::{Identity, Seeds};
 use fleet_common::settings::{EXIT_LISTEN, Settings, listen as listen_on};
 use fleet_common::signals::{self, Word};
-use fleet_common::{Rcu, frame, hash, http_in, ring};
-use shared::Shared;
+use fleet_common::{Rcu, hash, http_in, ring};
+use prefix_index::{OwnSpeech, Shared, Start};
 use std::sync::Arc;
 
 mod flags {
@@ -45,24 +42,21 @@
     let bind = |at| listen_on("prefix-index", at);
     let (frames, pages) = (bind(listen), bind(http));
     let at = frames.local_addr().map(|a| a.to_string()).unwrap_or_default();
-    let identity = Identity { name: name.clone(), kind: "index", incarnation: hash::unique(), at, district };
-    let shared = Arc::new(Shared::new(identity.clone(), seeds.clone()));
-    heed(shared.clone(), seeds.clone(), flags);
-    let for_frames = shared.clone();
-    frame::serve(frames, move |ask| Some(for_frames.answer(ask)));
+    let identity = Identity { name, kind: "index", incarnation: hash::unique(), at, district };
+    let shared = prefix_index::start(Start { identity, seeds: seeds.clone(), frames, replicas: Arc::new(OwnSpeech) });
+    heed(shared.clone(), seeds, flags);
     let for_pages = shared.clone();
     if http_in::serve(pages, http_in::WORKERS, move |incoming| pages::page(&for_pages, incoming)).is_err() {
         std::process::exit(EXIT_LISTEN);
     }
-    shared::start(&shared);
-    follow(Link::new(identity, seeds), move |sent, pulled| shared.take(sent, pulled))
+    prefix_index::follow(&shared)
 }
 
 /// On a warning: hand tables and duties over, leave, end. On changed settings: the seeds.
 fn heed(shared: Arc<Shared>, seeds: Seeds, flags: flags::PrefixIndex) {
     signals::heed(move |word| match word {
         Word::Warning => {
-            shared.leave();
+            prefix_index::leave(&shared);
             std::process::exit(0);
         }
         Word::Settings => {
--- a/crates/prefix-index/src/pages.rs
+++ b/crates/prefix-index/src/pages.rs
@@ -1,7 +1,7 @@
 //! Pages of an index node for people.
-use crate::shared::Shared;
 use fleet_common::http_in::Incoming;
 use fleet_common::json::quote;
+use prefix_index::Shared;
 use prefix_table::keeper::Kept;
 
 pub fn page(shared: &Shared, incoming: Incoming) {
--- /dev/null
+++ b/crates/prefix-index/src/replicas.rs
@@ -0,0 +1,66 @@
+//! How an index node speaks with replicas and stores: a trait, so that another program can speak
+//! another way, and the speech of this project's own replicas.
+use fleet_common::{http_out, json};
+pub use prefix_table::event::Batch;
+pub use prefix_table::keeper::Ordered;
+use std::time::Duration;
+
+const POLL_MS: u64 = 200;
+const POLL_WAIT: Duration = Duration::from_millis(1500);
+const ORDER_WAIT: Duration = Duration::from_millis(800);
+
+/// What is wanted of a replica's or a store's events.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PollAsk {
+    pub replica: String,
+    pub at: String,
+    /// The incarnation known; empty when none is.
+    pub incarnation: String,
+    /// The number of the next event wanted.
+    pub from: u64,
+    pub is_store: bool,
+}
+
+/// An order to load weights.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OrderAsk {
+    pub replica: String,
+    pub at: String,
+    /// The index node that gives it.
+    pub owner: String,
+    pub fence: u64,
+    pub model: String,
+    pub weights: String,
+}
+
+/// Speech with replicas and stores.
+pub trait Replicas: Send + Sync {
+    /// Events of a replica or store since a place; may wait a while for some.
+    fn poll(&self, ask: &PollAsk) -> Result<Batch, String>;
+
+    /// Orders new weights under a fence.
+    fn order(&self, ask: &OrderAsk) -> Result<Ordered, String>;
+}
+
+/// The speech of this project's own replicas: JSON over HTTP.
+pub struct OwnSpeech;
+
+impl Replicas for OwnSpeech {
+    fn poll(&self, ask: &PollAsk) -> Result<Batch, String> {
+        let PollAsk { at, incarnation, from, .. } = ask;
+        let url = format!("http://{at}/events?from={from}&incarnation={incarnation}&wait_ms={POLL_MS}");
+        let text = http_out::json("GET", &url, "", POLL_WAIT).map_err(|mishap| mishap.to_string())?;
+        sonic_rs::from_str(&text).map_err(|e| format!("events of {at} cannot be read: {e}"))
+    }
+
+    fn order(&self, ask: &OrderAsk) -> Result<Ordered, String> {
+        let body = format!(
+            "{{\"fence\":{},\"index\":{},\"order\":\"load_weights\",\"weights\":{}}}",
+            ask.fence,
+            json::quote(&ask.owner),
+            json::quote(&ask.weights)
+        );
+        let sent = http_out::json("POST", &format!("http://{}/orders", ask.at), &body, ORDER_WAIT);
+        sent.map(|_| Ordered::Taken).map_err(|mishap| mishap.to_string())
+    }
+}
--- a/crates/prefix-index/src/shared.rs
+++ b/crates/prefix-index/src/shared.rs
@@ -1,8 +1,9 @@
 //! The index node's state machine behind one short lock, and the threads that do what it says: polls of
-//! each replica, asks of colleagues and orders by a pool, news by a sender for each colleague.
+//! each replica by a thread of its own, asks of colleagues and orders by a pool, news by a sender for each colleague.
 //! Lock order: the keeper's lock is never held while anything else is waited for or locked.
-use crate::doing::{self, Job};
-use crossbeam::channel::{Receiver, Sender, unbounded};
+use crate::doing::{self, Job, Watch, Watcher};
+use crate::replicas::{OrderAsk, PollAsk, Replicas};
+use crossbeam::channel::{Receiver, Sender, TrySendError, unbounded};
 use fleet_common::ask::{Answer, Ask, Pulled, Vector};
 use fleet_common::node::{Identity, Link, Seeds};
 use fleet_common::ring;
@@ -14,60 +15,90 @@
 const TICK: Duration = Duration::from_millis(50);
 const WORKERS: usize = 6;
 
+/// An index node at work.
 pub struct Shared {
     begun: Instant,
     keeper: Mutex<Keeper>,
-    pub link: Mutex<Link>,
+    pub(crate) identity: Identity,
+    pub(crate) seeds: Seeds,
+    pub(crate) replicas: Arc<dyn Replicas>,
+    pub(crate) link: Mutex<Link>,
     jobs: (Sender<Job>, Receiver<Job>),
     senders: Mutex<HashMap<String, Sender<Ask>>>,
+    watchers: Mutex<HashMap<String, Watcher>>,
 }
 
 impl Shared {
-    pub fn new(me: Identity, seeds: Seeds) -> Self {
+    pub(crate) fn new(identity: Identity, seeds: Seeds, replicas: Arc<dyn Replicas>) -> Self {
         Shared {
             begun: Instant::now(),
-            link: Mutex::new(Link::new(me.clone(), seeds)),
-            keeper: Mutex::new(Keeper::new(me)),
+            link: Mutex::new(Link::new(identity.clone(), seeds.clone())),
+            keeper: Mutex::new(Keeper::new(identity.clone())),
+            identity,
+            seeds,
+            replicas,
             jobs: unbounded(),
             senders: Mutex::default(),
+            watchers: Mutex::default(),
         }
     }
 
-    pub fn now(&self) -> Duration {
+    fn now(&self) -> Duration {
         self.begun.elapsed()
     }
 
-    /// The state machine, its clock set.
+    /// The state machine, its clock set. Its lock is to be held shortly.
+    /// ```
+    /// # use fleet_common::node::Identity;
+    /// # let identity = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
+    /// # let frames = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    /// # let replicas = std::sync::Arc::new(prefix_index::OwnSpeech);
+    /// # let shared = prefix_index::start(prefix_index::Start { identity, seeds: Default::default(), frames, replicas });
+    /// assert!(shared.keeper().kept.is_empty());
+    /// ```
     pub fn keeper(&self) -> MutexGuard<'_, Keeper> {
         let mut keeper = self.keeper.lock().unwrap_or_else(|held| held.into_inner());
         keeper.at(self.now());
         keeper
     }
 
+    /// Answers a router or a colleague.
+    /// ```
+    /// # use fleet_common::node::Identity;
+    /// # let identity = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
+    /// # let frames = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    /// # let replicas = std::sync::Arc::new(prefix_index::OwnSpeech);
+    /// # let shared = prefix_index::start(prefix_index::Start { identity, seeds: Default::default(), frames, replicas });
+    /// use fleet_common::ask::{Answer, Ask};
+    /// assert!(matches!(shared.answer(Ask::FilterPull("r1".into())), Answer::Refused(_)));
+    /// ```
     pub fn answer(&self, ask: Ask) -> Answer {
         self.keeper().answer(self.now(), ask)
     }
 
     /// Takes what a pull brought; gives the versions now in use.
-    pub fn take(&self, sent: Instant, pulled: Pulled) -> Vector {
+    pub(crate) fn take(self: &Arc<Self>, sent: Instant, pulled: Pulled) -> Vector {
         let sent = sent.saturating_duration_since(self.begun);
         self.step(Input::Pulled(sent, pulled));
         self.keeper().vector()
     }
 
     /// Steps the machine and has done what it says.
-    pub fn step(&self, input: Input) {
+    pub(crate) fn step(self: &Arc<Self>, input: Input) {
         let outputs = self.keeper().step(self.now(), input);
         for output in outputs {
             match output {
                 Output::Note(line) => ring::note(&line),
                 Output::Tell(at, ask) => self.tell(&at, ask),
-                Output::Poll { replica, at, fence, incarnation, from } => {
-                    self.job(Job::Poll { replica, at, fence, incarnation, from })
+                Output::Poll { replica, at, fence, incarnation, from, is_store } => {
+                    self.watch((fence, PollAsk { replica, at, incarnation, from, is_store }))
                 }
                 Output::Fetch { replica, at } => self.job(Job::Fetch { replica, at }),
                 Output::Command(replica, command) => self.job(Job::Command(replica, command)),
-                Output::Order { replica, at, fence, weights } => self.job(Job::Order { replica, at, fence, weights }),
+                Output::Order { replica, at, fence, model, weights } => {
+                    let owner = self.identity.name.clone();
+                    self.job(Job::Order(OrderAsk { replica, at, owner, fence, model, weights }))
+                }
             }
         }
     }
@@ -76,6 +107,24 @@
         let _ = self.jobs.0.send(job);
     }
 
+    /// Gives a poll to its replica's thread; one that has ended is replaced. A poll that finds its thread
+    /// held up by an older one is lost, and asked again by the state machine.
+    fn watch(self: &Arc<Self>, watch: Watch) {
+        let mut watchers = self.watchers.lock().unwrap_or_else(|held| held.into_inner());
+        let replica = watch.1.replica.clone();
+        let watch = match watchers.get(&replica) {
+            None => watch,
+            Some(watcher) => match watcher.sender.try_send(watch) {
+                Err(TrySendError::Disconnected(watch)) => watch,
+                Ok(()) | Err(TrySendError::Full(_)) => return,
+            },
+        };
+        watchers.retain(|_, watcher| !watcher.thread.is_finished());
+        if let Some(watcher) = doing::watcher(self, watch) {
+            watchers.insert(replica, watcher);
+        }
+    }
+
     /// One sender a colleague, so that a dead one holds nobody up. What it has no room for is told again.
     fn tell(&self, at: &str, ask: Ask) {
         let mut senders = self.senders.lock().unwrap_or_else(|held| held.into_inner());
@@ -87,7 +136,7 @@
     }
 
     /// Does the last commands itself and returns when they are done.
-    pub fn leave(&self) {
+    pub(crate) fn leave(&self) {
         let outputs = self.keeper().step(self.now(), Input::Leave);
         for output in outputs {
             match output {
@@ -99,7 +148,7 @@
     }
 }
 
-pub fn start(shared: &Arc<Shared>) {
+pub(crate) fn run(shared: &Arc<Shared>) {
     for _ in 0..WORKERS {
         let shared = shared.clone();
         std::thread::spawn(move || {
--- a/crates/prefix-table/src/keeper.rs
+++ b/crates/prefix-table/src/keeper.rs
@@ -25,18 +25,29 @@
     /// A command about a replica's duty was answered, one way or another.
     Commanded(String),
     /// An order was answered.
-    Ordered(String, Result<(), String>),
+    Ordered(String, Result<Ordered, String>),
     /// This node is to stop: duties are given up and tables handed over.
     Leave,
 }
 
+/// What a replica said to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ordered {
+    /// It loads them.
+    Taken,
+    /// It runs them already.
+    Holds,
+    /// Another order is under way: to be asked again.
+    Busy,
+}
+
 /// What an index node wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
-    Poll { replica: String, at: String, fence: u64, incarnation: String, from: u64 },
+    Poll { replica: String, at: String, fence: u64, incarnation: String, from: u64, is_store: bool },
     Fetch { replica: String, at: String },
     Command(String, Command),
-    Order { replica: String, at: String, fence: u64, weights: String },
+    Order { replica: String, at: String, fence: u64, model: String, weights: String },
     Tell(String, Ask),
     Note(String),
 }
--- a/crates/prefix-table/src/kept.rs
+++ b/crates/prefix-table/src/kept.rs
@@ -2,6 +2,7 @@
 use crate::event::Batch;
 use crate::keeper::{Keeper, Output};
 use crate::table::Table;
+use control_chain::fleet::STORE;
 use std::time::Duration;
 
 /// A replica is down when it could not be asked for so long.
@@ -72,9 +73,9 @@
     }
 
     pub(crate) fn watch_tick(&mut self) {
-        let rows: Vec<(String, String)> =
-            self.fleet.replicas.iter().map(|row| (row.id.clone(), row.at.clone())).collect();
-        for (replica, at) in rows {
+        let rows: Vec<(String, String, bool)> =
+            self.fleet.replicas.iter().map(|row| (row.id.clone(), row.at.clone(), row.model == STORE)).collect();
+        for (replica, at, is_store) in rows {
             let (Some(fence), now) = (self.held_now(&replica), self.now) else { continue };
             let Some(kept) = self.kept.get_mut(&replica) else { continue };
             let waiting = kept.polling.is_some_and(|since| now.saturating_sub(since) < POLL_LOST);
@@ -84,7 +85,7 @@
             kept.polling = Some(now);
             let (incarnation, from) = kept.table.wanted();
             let incarnation = incarnation.to_string();
-            self.out.push(Output::Poll { replica, at, fence, incarnation, from });
+            self.out.push(Output::Poll { replica, at, fence, incarnation, from, is_store });
         }
     }
 
--- a/crates/prefix-table/src/ordering.rs
+++ b/crates/prefix-table/src/ordering.rs
@@ -1,6 +1,6 @@
 //! Orders to replicas: load the weights that the blueprint names, when it is their turn. Each carries the
 //! fence, and a replica refuses an older one.
-use crate::keeper::{Keeper, Output};
+use crate::keeper::{Keeper, Ordered, Output};
 use crate::kept::Order;
 use crate::rolling::{LOAD_BOUND, Row, Turn, turn};
 use fleet_common::ask::{TERM, stage};
@@ -56,7 +56,7 @@
             let mut halted = None;
             for (replica, at, fence) in held {
                 match turn(&rows, &replica, &facts.weights, blueprint.limits.keep_serving) {
-                    Turn::Now => self.order(&replica, at, fence, &facts.weights),
+                    Turn::Now => self.order(&replica, at, fence, model, &facts.weights),
                     Turn::Halted(failed, of) => {
                         halted = Some(format!("{failed} of {of} replicas could not load {}", facts.weights));
                     }
@@ -74,7 +74,7 @@
         }
     }
 
-    fn order(&mut self, replica: &str, at: String, fence: u64, weights: &str) {
+    fn order(&mut self, replica: &str, at: String, fence: u64, model: &str, weights: &str) {
         // A holder that lapsed may have been given a term after its lapse was on its way: until that
         // has run out two might give orders.
         let after_lapse = self.fleet.duties.get(replica).is_some_and(|duty| duty.after_lapse);
@@ -90,15 +90,15 @@
             Some(order) => order.last = now,
             None => kept.order = Some(Order { weights: weights.into(), first: now, last: now, refused: 0 }),
         }
-        let (replica, weights) = (replica.to_string(), weights.to_string());
-        self.out.push(Output::Order { replica, at, fence, weights });
+        let (replica, model, weights) = (replica.to_string(), model.to_string(), weights.to_string());
+        self.out.push(Output::Order { replica, at, fence, model, weights });
     }
 
-    pub(crate) fn on_ordered(&mut self, replica: &str, taken: Result<(), String>) {
+    pub(crate) fn on_ordered(&mut self, replica: &str, taken: Result<Ordered, String>) {
         let Some(order) = self.kept.get_mut(replica).and_then(|kept| kept.order.as_mut()) else { return };
         let weights = order.weights.clone();
         match taken {
-            Ok(()) => {
+            Ok(Ordered::Taken | Ordered::Holds | Ordered::Busy) => {
                 order.refused = 0;
                 self.note(format!("{replica} was ordered to load {weights}"));
             }
--- /dev/null
+++ b/crates/router-agent/src/agent.rs
@@ -0,0 +1,129 @@
+//! The control link beside a router: pulls from the core for it, feeds it, and passes its commands on.
+use crate::held::Held;
+use control_chain::command::{Command, Envelope};
+use fleet_common::ask::{Answer, Ask};
+use fleet_common::node::{Identity, Link, Seeds};
+use fleet_common::{frame, ring};
+use std::net::TcpListener;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// How long a warned agent goes on feeding a router that drains.
+const LINGER: Duration = Duration::from_secs(20);
+const MEMBER_AGAIN: Duration = Duration::from_millis(50);
+const PULL_AGAIN: Duration = Duration::from_millis(100);
+
+/// An agent: what it holds for its router, and links for the router's commands, opened as needed.
+pub struct Agent {
+    identity: Identity,
+    seeds: Seeds,
+    held: Held,
+    idle: Mutex<Vec<Link>>,
+}
+
+/// Serves the router's asks on a listener. Pulling begins with `Agent::follow`.
+/// ```
+/// use fleet_common::node::Identity;
+/// let me = Identity { name: "e1".into(), kind: "edge", incarnation: 1, at: "".into(), district: "a".into() };
+/// let agent = router_agent::start(me, Default::default(), std::net::TcpListener::bind("127.0.0.1:0").unwrap());
+/// assert!(agent.words().contains("\"pullAgeMs\":null"));
+/// ```
+pub fn start(identity: Identity, seeds: Seeds, frames: TcpListener) -> Arc<Agent> {
+    let agent = Arc::new(Agent { identity, seeds, held: Held::default(), idle: Mutex::default() });
+    let for_router = agent.clone();
+    frame::serve(frames, move |ask: Ask| Some(for_router.answer(&ask)));
+    agent
+}
+
+impl Agent {
+    /// Answers the router; a pull waits for news a while, a command goes to the core.
+    /// ```
+    /// # use fleet_common::node::Identity;
+    /// # let me = Identity { name: "e1".into(), kind: "edge", incarnation: 1, at: "".into(), district: "a".into() };
+    /// # let agent = router_agent::start(me, Default::default(), std::net::TcpListener::bind("127.0.0.1:0").unwrap());
+    /// use fleet_common::ask::{Answer, Ask};
+    /// assert!(matches!(agent.answer(&Ask::FilterPull("r1".into())), Answer::Refused(_)));
+    /// ```
+    pub fn answer(&self, ask: &Ask) -> Answer {
+        match ask {
+            Ask::Pull(pull) => self.held.answer(pull),
+            Ask::Command(_) | Ask::Query(_) => self.pass_on(ask),
+            _ => Answer::Refused("not an agent's to answer".into()),
+        }
+    }
+
+    fn pass_on(&self, ask: &Ask) -> Answer {
+        let idle = self.idle.lock().unwrap_or_else(|held| held.into_inner()).pop();
+        let mut link = idle.unwrap_or_else(|| Link::new(self.identity.clone(), self.seeds.clone()));
+        if let Some(cores) = self.held.cores() {
+            link.learn_cores(&cores);
+        }
+        match link.ask(ask) {
+            Ok(answer) => {
+                self.idle.lock().unwrap_or_else(|held| held.into_inner()).push(link);
+                answer
+            }
+            Err(mishap) => {
+                ring::note(&mishap.to_string());
+                Answer::Refused(mishap.to_string().as_str().into())
+            }
+        }
+    }
+
+    /// Pulls for ever; the core is told what the router has confirmed, and whether the router still can
+    /// hold a term that this agent passed on.
+    /// ```no_run
+    /// # use fleet_common::node::Identity;
+    /// # let me = Identity { name: "e1".into(), kind: "edge", incarnation: 1, at: "".into(), district: "a".into() };
+    /// # let agent = router_agent::start(me, Default::default(), std::net::TcpListener::bind("127.0.0.1:0").unwrap());
+    /// agent.follow();
+    /// ```
+    pub fn follow(&self) -> ! {
+        let mut link = Link::new(self.identity.clone(), self.seeds.clone());
+        loop {
+            let plan = self.held.plan();
+            match link.pull(plan.have, plan.confirmed, plan.holding, plan.wait_ms) {
+                Ok((sent, pulled)) => {
+                    let member = pulled.member != 0;
+                    self.held.take(sent, plan.holding, pulled);
+                    if !member {
+                        std::thread::sleep(MEMBER_AGAIN);
+                    }
+                }
+                Err(mishap) => {
+                    ring::note(&mishap.to_string());
+                    std::thread::sleep(PULL_AGAIN);
+                }
+            }
+        }
+    }
+
+    /// Feeds the router for as long as it may hold a term, then says good-bye to the core.
+    /// ```
+    /// # use fleet_common::node::Identity;
+    /// # let me = Identity { name: "e1".into(), kind: "edge", incarnation: 1, at: "".into(), district: "a".into() };
+    /// # let agent = router_agent::start(me, Default::default(), std::net::TcpListener::bind("127.0.0.1:0").unwrap());
+    /// agent.leave();
+    /// ```
+    pub fn leave(&self) {
+        let until = Instant::now() + LINGER;
+        while self.held.router_may_hold() && Instant::now() < until {
+            std::thread::sleep(MEMBER_AGAIN);
+        }
+        let bye = Command::Lapse { node: self.identity.name.clone(), incarnation: self.identity.incarnation };
+        if !self.held.router_may_hold() {
+            self.pass_on(&Ask::Command(Envelope::bare(bye).pack().into()));
+        }
+    }
+
+    /// What this agent holds, as JSON.
+    /// ```
+    /// # use fleet_common::node::Identity;
+    /// # let me = Identity { name: "e1".into(), kind: "edge", incarnation: 1, at: "".into(), district: "a".into() };
+    /// # let agent = router_agent::start(me, Default::default(), std::net::TcpListener::bind("127.0.0.1:0").unwrap());
+    /// assert!(agent.words().starts_with("{\"versions\":"));
+    /// ```
+    pub fn words(&self) -> String {
+        self.held.words()
+    }
+}
--- a/crates/simulate-fleet/src/index.rs
+++ b/crates/simulate-fleet/src/index.rs
@@ -7,7 +7,7 @@
 use control_chain::command::Envelope;
 use fleet_common::ask::{Answer, Ask, Pull, TERM};
 use fleet_common::node::Identity;
-use prefix_table::keeper::{Input, Keeper, Output};
+use prefix_table::keeper::{Input, Keeper, Ordered, Output};
 use std::time::Duration;
 
 const TICK: Duration = ms(50);
@@ -123,7 +123,7 @@
         let (now, me) = (self.now(), Place::Index(at));
         let machine = |text: &str| text.parse::<usize>().unwrap_or(0);
         match output {
-            Output::Poll { replica, at: to, fence, incarnation, from } => {
+            Output::Poll { replica, at: to, fence, incarnation, from, .. } => {
                 let to = Place::Replica(machine(&to));
                 if self.passes(me, to) && self.passes(to, me) {
                     self.send(me, to, Message::Poll { by: at, replica, fence, incarnation, from });
@@ -141,7 +141,7 @@
                 let ask = Ask::Command(Envelope::bare(command).pack().into());
                 self.indexes[at].commands.push((replica, Call::new(ask, now, now + ms(3000))));
             }
-            Output::Order { replica, at: to, fence, weights } => {
+            Output::Order { replica, at: to, fence, weights, .. } => {
                 let order = Message::Order { by: at, replica, fence, weights };
                 let to = Place::Replica(machine(&to));
                 // An order may be long on its way, past its giver's term.
@@ -164,7 +164,9 @@
         match message {
             Message::Polled(replica, fence, polled) => self.keeper_step(at, Input::Polled(replica, fence, polled)),
             Message::Copied(replica, copy) => self.keeper_step(at, Input::Copied(replica, copy)),
-            Message::Ordered(replica, taken) => self.keeper_step(at, Input::Ordered(replica, taken)),
+            Message::Ordered(replica, taken) => {
+                self.keeper_step(at, Input::Ordered(replica, taken.map(|()| Ordered::Taken)))
+            }
             Message::Fetch { by, replica } => {
                 let copy = match self.indexes[at].keeper.answer(now, Ask::TablePull(replica.as_str().into())) {
                     Answer::Table(copy) => Some(copy),
