--- a/crates/control-chain/src/asked.rs
+++ b/crates/control-chain/src/asked.rs
@@ -36,6 +36,7 @@
         let parts: Vec<&str> = text.split('/').collect();
         match parts.as_slice() {
             ["holds"] => self.holds_words(),
+            ["configuration"] => sonic_rs::to_string(&self.state.configuration).unwrap_or_default(),
             ["source", name] => match SOURCES.iter().position(|s| s == name) {
                 Some(at) => format!("{{\"version\":{},\"value\":{}}}", self.vector()[at], self.value(at)),
                 None => "{\"error\":\"no such source\"}".into(),
