Routers tell each other what they send; a replica's backlog is a clock that time works off

Cause: small prompts waited up to 1.1 s (p90) at replicas that looked idle, behind long prompts that other routers had just sent; load by number of requests, told every 0.4 s, cannot show that. Ruled out: the work as such (29% of what replicas can read). Now each prompt sent moves its replica's clock on by what reading it takes, routers tell each other by datagram, and each replica's pace is learnt.

--- a/crates/stream-router/src/deliver.rs
+++ b/crates/stream-router/src/deliver.rs
@@ -24,6 +24,9 @@
 const LAST_WORD: Duration = Duration::from_millis(60);
 /// A refusal's body is read for so long; then its connection is not worth keeping.
 const REST: Duration = Duration::from_millis(200);
+/// A replica whose backlog is below this tells of its pace, and what an answer takes besides reading.
+const CALM: Duration = Duration::from_millis(5);
+const BASE: Duration = Duration::from_millis(45);
 /// Answers to other requests that are passed over on one connection.
 const LATE_MOST: usize = 3;
 
@@ -139,7 +142,7 @@
         }
         self.passage.progress.sent += 1;
         self.shared.recent().note(self.shared.now(), &place.id, &place.parts);
-        self.shared.starts_at(&place.id);
+        self.shared.starts_at(&place.id, place.work);
         let ended = self.heard(&place, up);
         self.shared.ends_at(&place.id);
         ended
@@ -316,6 +319,11 @@
 
     /// The first event is here: what the try took is told to whoever audits its source.
     fn first(&mut self, place: &Place, sent: Instant) {
+        let took = sent.elapsed();
+        if place.waiting < CALM && place.work > Duration::from_millis(20) {
+            let thought = place.work + BASE;
+            self.shared.backlogs().learn(way_choice::backlog::key(&place.id), thought, took);
+        }
         let Some((source, _)) = &place.source else { return };
         let mut tokens = 0;
         let handed = place.parts.iter().take_while(|(_, part)| {
@@ -323,12 +331,8 @@
             tokens <= place.own + place.handed
         });
         let Some((block, _)) = handed.last() else { return };
-        let tried = Tried {
-            request: self.passage.asked.id.clone(),
-            source: source.clone(),
-            block: *block,
-            first: sent.elapsed(),
-        };
+        let tried =
+            Tried { request: self.passage.asked.id.clone(), source: source.clone(), block: *block, first: took };
         self.shared.audit(tried);
     }
 }
--- a/crates/stream-router/src/feed.rs
+++ b/crates/stream-router/src/feed.rs
@@ -5,6 +5,7 @@
 use fleet_common::frame::Caller;
 use fleet_common::{Mishap as Error, ring};
 use prefix_table::filter::Mirror;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use way_choice::desk;
@@ -30,8 +31,13 @@
     let news = pulled.changed.items();
     let taken = news.is_empty() || shared.fleet.change(|fleet| fleet.take_all(shared.now(), news));
     if !news.is_empty() {
-        let edges = shared.fleet.read().members.values().filter(|m| m.kind == "edge").count();
-        shared.budget().share(edges);
+        let own = shared.setup.at;
+        let edges: Vec<SocketAddr> = {
+            let fleet = shared.fleet.read();
+            fleet.members.values().filter(|m| m.kind == "edge").filter_map(|m| m.at.parse().ok()).collect()
+        };
+        shared.budget().share(edges.len());
+        shared.others.change(|others| *others = edges.into_iter().filter(|at| *at != own).collect());
     }
     if pulled.member != 0 && taken {
         // What came with the confirmation is in use by now, so the freshness may count.
@@ -77,6 +83,8 @@
     if shared.news.read().keys().any(|id| !listed(id)) {
         shared.news.change(|news| news.retain(|id, _| listed(id)));
     }
+    let keys: Vec<u64> = fleet.replicas.iter().map(|r| way_choice::backlog::key(&r.id)).collect();
+    shared.backlogs().keep(|key| keys.contains(&key));
     shared.own().retain(|id, own| own.running > 0 || listed(id));
 }
 
--- a/crates/stream-router/src/lib.rs
+++ b/crates/stream-router/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod progress;
 pub mod run;
 pub mod shared;
+pub mod sharing;
--- a/crates/stream-router/src/placing.rs
+++ b/crates/stream-router/src/placing.rs
@@ -6,6 +6,8 @@
 use prefix_table::blocks;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
+use way_choice::backlog::key;
 use way_choice::place::Seat;
 use way_choice::rank::{Candidate, Held, Parts, Prices, Source, choose};
 
@@ -21,6 +23,9 @@
     pub own: u64,
     pub handed: u64,
     pub anew: u64,
+    /// What reading takes at a replica of ordinary pace, and how long it was thought to wait.
+    pub work: Duration,
+    pub waiting: Duration,
 }
 
 fn parts_of(passage: &Passage, salt: &str) -> Parts {
@@ -77,6 +82,7 @@
         .into_iter()
         .map(salted)
         .collect();
+    let (backlogs, now) = (shared.backlogs().clone(), shared.now());
     let (own, news) = (shared.own().clone(), shared.news.read());
     let candidates: Vec<Candidate> = fit
         .iter()
@@ -90,7 +96,9 @@
                 _ => seat.load,
             };
             let busy = (load + mine.since).max(mine.running) as f64;
-            Some(Candidate { seat, parts, busy, near: seat.district == shared.setup.zone })
+            let key = key(&seat.id);
+            let (waiting_us, pace) = (backlogs.waiting(now, key).as_micros() as f64, backlogs.pace(key));
+            Some(Candidate { seat, parts, busy, waiting_us, pace, near: seat.district == shared.setup.zone })
         })
         .collect();
     let sources: Vec<Source> = seats
@@ -123,6 +131,8 @@
         own: choice.own,
         handed: choice.handed,
         anew: choice.anew,
+        work: Duration::from_micros(choice.work_us as u64),
+        waiting: Duration::from_micros(candidate.waiting_us as u64),
     })
 }
 
--- a/crates/stream-router/src/run.rs
+++ b/crates/stream-router/src/run.rs
@@ -1,7 +1,7 @@
 //! Starts a router, and ends one that was warned.
 use crate::dialect::Dialect;
 use crate::shared::{Setup, Shared};
-use crate::{auditing, chain, feed};
+use crate::{auditing, chain, feed, sharing};
 use fleet_common::frame;
 use http_streams::inbound::{Got, Inbound, Limits};
 use http_streams::serve::serve;
@@ -41,6 +41,7 @@
     let for_callers = shared.clone();
     serve(listeners.callers, WORKERS, move |stream| chain::connection(&for_callers, stream));
     auditing::start(shared.clone());
+    sharing::start(shared.clone());
     shared
 }
 
--- a/crates/stream-router/src/shared.rs
+++ b/crates/stream-router/src/shared.rs
@@ -3,6 +3,7 @@
 use crate::auditing::Tried;
 use crate::budget::{Bound, Budget};
 use crate::dialect::Dialect;
+use crate::sharing::Sharing;
 use control_chain::fleet::Fleet;
 use crossbeam::channel::{Receiver, Sender, bounded};
 use fleet_common::{Rcu, hash};
@@ -13,6 +14,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
+use way_choice::backlog::Backlogs;
 use way_choice::desk::{Down, News, seats};
 use way_choice::fresh::Fresh;
 use way_choice::place::Seat;
@@ -60,6 +62,8 @@
     pub zone: String,
     /// Where the agent beside it listens.
     pub agent: SocketAddr,
+    /// Where other routers and index nodes reach this one.
+    pub at: SocketAddr,
     pub bound: Bound,
     /// How long after new weights were named replicas may go on with old ones.
     pub old_weights: Duration,
@@ -96,6 +100,10 @@
     pub running: AtomicU64,
     budget: Mutex<Budget>,
     recent: Mutex<Recent>,
+    backlogs: Mutex<Backlogs>,
+    pub(crate) sharing: Sharing,
+    /// Where the other routers are reached.
+    pub(crate) others: Rcu<Vec<SocketAddr>>,
     own: Mutex<HashMap<String, Own>>,
     prices: Mutex<Prices>,
     pub(crate) tried: (Sender<Tried>, Receiver<Tried>),
@@ -113,7 +121,7 @@
     /// # }
     /// ```
     pub fn new(setup: Setup, dialect: Box<dyn Dialect>) -> Self {
-        let bound = setup.bound;
+        let (bound, sharing) = (setup.bound, Sharing::bind(setup.at));
         Shared {
             setup,
             dialect,
@@ -131,6 +139,9 @@
             running: 0.into(),
             budget: Mutex::new(Budget::new(bound)),
             recent: Mutex::default(),
+            backlogs: Mutex::default(),
+            sharing,
+            others: Rcu::default(),
             own: Mutex::default(),
             prices: Mutex::default(),
             tried: bounded(256),
@@ -187,6 +198,16 @@
         held(&self.recent)
     }
 
+    /// What waits to be read at each replica.
+    /// ```no_run
+    /// # fn show(shared: &stream_router::shared::Shared) {
+    /// assert!(shared.backlogs().waiting(shared.now(), 7).is_zero());
+    /// # }
+    /// ```
+    pub fn backlogs(&self) -> MutexGuard<'_, Backlogs> {
+        held(&self.backlogs)
+    }
+
     /// What runs where by this router's doing.
     /// ```no_run
     /// # fn show(shared: &stream_router::shared::Shared) {
@@ -245,8 +266,11 @@
         seats
     }
 
-    /// A request was sent to a replica.
-    pub(crate) fn starts_at(&self, replica: &str) {
+    /// A request was sent to a replica, that takes so long to read.
+    pub(crate) fn starts_at(&self, replica: &str, work: Duration) {
+        let (key, now) = (way_choice::backlog::key(replica), self.now());
+        self.backlogs().add(now, key, work);
+        self.sharing.tell(&self.others.read(), key, work);
         let mut all = self.own();
         let own = all.entry(replica.to_string()).or_default();
         (own.running, own.since) = (own.running + 1, own.since + 1);
--- /dev/null
+++ b/crates/stream-router/src/sharing.rs
@@ -0,0 +1,62 @@
+//! Routers tell each other what they send to which replica, by datagrams: a lost one only makes a replica look
+//! a little less busy for a moment.
+use crate::shared::Shared;
+use deku::{DekuContainerRead, DekuContainerWrite};
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::time::Duration;
+
+fleet_common::messages! {
+    /// A prompt that was sent to a replica (by its key), and how long reading it takes.
+    pub struct Work { pub replica: u64, pub work_us: u32 }
+}
+
+/// The socket for what routers tell each other, and who they are.
+pub struct Sharing {
+    socket: Option<UdpSocket>,
+}
+
+impl Sharing {
+    /// Binds the address at which other routers reach this one; without it nothing is shared.
+    /// ```
+    /// let _sharing = stream_router::sharing::Sharing::bind("127.0.0.1:0".parse().unwrap());
+    /// ```
+    pub fn bind(at: SocketAddr) -> Self {
+        let socket = UdpSocket::bind(at).inspect_err(|e| fleet_common::ring::note(&format!("datagrams at {at}: {e}")));
+        Sharing { socket: socket.ok() }
+    }
+
+    /// Tells others of work that was sent to a replica.
+    /// ```
+    /// # let sharing = stream_router::sharing::Sharing::bind("127.0.0.1:0".parse().unwrap());
+    /// sharing.tell(&[], 7, std::time::Duration::from_millis(40));
+    /// ```
+    pub fn tell(&self, others: &[SocketAddr], replica: u64, work: Duration) {
+        let Some(socket) = &self.socket else { return };
+        let work = Work { replica, work_us: work.as_micros().min(u32::MAX as u128) as u32 };
+        let Ok(bytes) = work.to_bytes() else { return };
+        for to in others {
+            let _ = socket.send_to(&bytes, to);
+        }
+    }
+}
+
+/// Hears what other routers tell.
+/// ```no_run
+/// # fn show(shared: std::sync::Arc<stream_router::shared::Shared>) {
+/// stream_router::sharing::start(shared);
+/// # }
+/// ```
+pub fn start(shared: Arc<Shared>) {
+    let Some(socket) = shared.sharing.socket.as_ref().and_then(|s| s.try_clone().ok()) else { return };
+    std::thread::spawn(move || {
+        let mut bytes = [0u8; 64];
+        loop {
+            let Ok((got, _)) = socket.recv_from(&mut bytes) else { continue };
+            if let Ok((_, work)) = Work::from_bytes((&bytes[..got], 0)) {
+                let now = shared.now();
+                shared.backlogs().add(now, work.replica, Duration::from_micros(work.work_us.into()));
+            }
+        }
+    });
+}
--- a/crates/way-choice/src/lib.rs
+++ b/crates/way-choice/src/lib.rs
@@ -1,5 +1,6 @@
 //! How a router decides: freshness, letting in, placing, choosing a source, retrying. No I/O here.
 
+pub mod backlog;
 pub mod desk;
 pub mod fresh;
 pub mod let_in;
--- a/crates/way-choice/src/rank.rs
+++ b/crates/way-choice/src/rank.rs
@@ -12,8 +12,9 @@
 /// What things cost, in microseconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Prices {
-    /// Reading one token anew.
+    /// Reading one token anew, and for each token before it.
     pub read_us: f64,
+    pub pair_us: f64,
     /// Handing one token over inside a zone; twice that across.
     pub move_us: f64,
     /// Beginning a hand-over, and what keeping a copy more is worth avoiding.
@@ -26,7 +27,19 @@
 
 impl Default for Prices {
     fn default() -> Self {
-        Prices { read_us: 9.0, move_us: 0.4, handover_us: 18_000.0, busy_us: 9000.0, far_us: 3000.0 }
+        Prices { read_us: 9.5, pair_us: 0.0002, move_us: 0.4, handover_us: 18_000.0, busy_us: 1500.0, far_us: 3000.0 }
+    }
+}
+
+impl Prices {
+    /// What reading so many tokens anew takes, at the end of a prompt of so many.
+    /// ```
+    /// let prices = way_choice::rank::Prices::default();
+    /// assert!(prices.reading(1000, 20_000) > prices.reading(1000, 1000));
+    /// ```
+    pub fn reading(&self, anew: u64, total: u64) -> f64 {
+        let anew = anew as f64;
+        anew * self.read_us + anew * (total as f64 - anew / 2.0).max(0.0) * self.pair_us
     }
 }
 
@@ -72,6 +85,9 @@
     pub parts: &'a Parts,
     /// Running and waiting there, as far as this router knows.
     pub busy: f64,
+    /// How long what was sent there will be read yet, in microseconds, and how much slower it reads than others.
+    pub waiting_us: f64,
+    pub pace: f64,
     pub near: bool,
 }
 
@@ -110,6 +126,8 @@
     pub handed: u64,
     pub anew: u64,
     pub cost_us: f64,
+    /// What reading takes at a replica of ordinary pace.
+    pub work_us: f64,
 }
 
 /// A replica or store that may hand a prefix over; its link is so many times as slow as one inside a zone.
@@ -129,10 +147,10 @@
 /// let mut recent = Recent::default();
 /// recent.note(Default::default(), "r2", &parts);
 /// let held = Held { mirrors: &Default::default(), recent: &recent, now: Default::default() };
-/// let with = |seat, busy| Candidate { seat, parts: &parts, busy, near: true };
+/// let with = |seat, busy| Candidate { seat, parts: &parts, busy, waiting_us: 0.0, pace: 1.0, near: true };
 /// let choice = choose(&[with(&one, 0.0), with(&two, 0.0)], &[], &held, &Prices::default(), 0).unwrap();
 /// assert_eq!((choice.at, choice.own, choice.anew), (1, 5000, 0), "r2 holds it");
-/// let choice = choose(&[with(&one, 0.0), with(&two, 40.0)], &[], &held, &Prices::default(), 0).unwrap();
+/// let choice = choose(&[with(&one, 0.0), with(&two, 400.0)], &[], &held, &Prices::default(), 0).unwrap();
 /// assert_eq!((choice.at, choice.anew), (0, 5000), "too much waits at r2");
 /// ```
 pub fn choose(
@@ -146,8 +164,9 @@
     for (at, candidate) in candidates.iter().enumerate() {
         let total: u64 = candidate.parts.iter().map(|(_, tokens)| tokens).sum();
         let own = held.tokens(candidate.seat, candidate.parts);
-        let mut choice = Choice { at, source: None, own, handed: 0, anew: total - own, cost_us: 0.0 };
-        let mut prompt_us = choice.anew as f64 * prices.read_us;
+        let mut choice = Choice { at, source: None, own, handed: 0, anew: total - own, cost_us: 0.0, work_us: 0.0 };
+        choice.work_us = prices.reading(choice.anew, total);
+        let mut prompt_us = choice.work_us * candidate.pace;
         for (from, source) in sources.iter().enumerate().filter(|(_, s)| s.seat.id != candidate.seat.id) {
             let has = held.tokens(source.seat, candidate.parts);
             let gained = has.saturating_sub(own);
@@ -155,18 +174,18 @@
                 continue;
             }
             let slower = if source.seat.district == candidate.seat.district { 1.0 } else { 2.0 } * source.slower;
-            let us =
-                prices.handover_us + gained as f64 * prices.move_us * slower + (total - has) as f64 * prices.read_us;
+            let work_us = prices.reading(total - has, total);
+            let us = prices.handover_us + gained as f64 * prices.move_us * slower + work_us * candidate.pace;
             if us < prompt_us {
                 prompt_us = us;
-                choice = Choice { source: Some(from), handed: gained, anew: total - has, ..choice };
+                choice = Choice { source: Some(from), handed: gained, anew: total - has, work_us, ..choice };
             }
         }
         let way_us = if candidate.near { 0.0 } else { prices.far_us };
         // A small part that differs by prompt and replica: equal costs are parted alike by all routers.
         let weight = fleet_common::hash::bytes(spread, candidate.seat.id.as_bytes());
         let parted_us = (mix(weight) % 4000) as f64;
-        choice.cost_us = prompt_us + way_us + parted_us + candidate.busy * prices.busy_us;
+        choice.cost_us = prompt_us + way_us + parted_us + candidate.waiting_us + candidate.busy * prices.busy_us;
         if best.as_ref().is_none_or(|b| choice.cost_us < b.cost_us) {
             best = Some(choice);
         }
