A table takes parts of prompts, told gaps and whole lists; replicas may tell more of themselves

Cause: there are replicas whose prompts are lists of parts of unlike sizes, each with an id of its own, and whose events name one part and how many of its tokens are kept now. blocks::part hashes such a part under a salt text (blocks::salt_text: the wall with its length in front, the weights), Event::PartKept tells of it, and the table remembers the most tokens seen and counts the part in while nine tenths of them are kept.

A Report is a batch with what a replica may tell of itself: running, waiting, memory, an order under way, that events were lost, and a list of all that is held. Lost events make all doubtful, a list rebuilds the table and ends the doubt. Batch itself stays as replicas answer it; in JSON a batch is a report. Ruled out: more fields in Batch, which every replica here would have to fill in.

A table that began as a copy knows no sizes, for copies carry hashes only. The first word of a part that it holds drops the part: a word of fewer tokens is the likelier one, and a part dropped wrongly costs one reading at most.

--- a/crates/prefix-index/src/lib.rs
+++ b/crates/prefix-index/src/lib.rs
@@ -7,7 +7,7 @@
 
 use fleet_common::frame;
 use fleet_common::node::{Identity, Link, Seeds};
-pub use replicas::{Batch, OrderAsk, Ordered, OwnSpeech, PollAsk, Replicas};
+pub use replicas::{Batch, OrderAsk, Ordered, OwnSpeech, PollAsk, Replicas, Report};
 pub use shared::Shared;
 use std::net::TcpListener;
 use std::sync::Arc;
--- a/crates/prefix-index/src/pages.rs
+++ b/crates/prefix-index/src/pages.rs
@@ -27,7 +27,7 @@
             kept.table.items(),
             quote(weights),
             quote(order),
-            kept.load,
+            kept.told.load,
             kept.down,
             kept.audits[0],
             kept.audits[1],
--- a/crates/prefix-index/src/replicas.rs
+++ b/crates/prefix-index/src/replicas.rs
@@ -1,7 +1,7 @@
 //! How an index node speaks with replicas and stores: a trait, so that another program can speak
 //! another way, and the speech of this project's own replicas.
 use fleet_common::{http_out, json};
-pub use prefix_table::event::Batch;
+pub use prefix_table::event::{Batch, Report};
 pub use prefix_table::keeper::Ordered;
 use std::time::Duration;
 
@@ -36,7 +36,7 @@
 /// Speech with replicas and stores.
 pub trait Replicas: Send + Sync {
     /// Events of a replica or store since a place; may wait a while for some.
-    fn poll(&self, ask: &PollAsk) -> Result<Batch, String>;
+    fn poll(&self, ask: &PollAsk) -> Result<Report, String>;
 
     /// Orders new weights under a fence.
     fn order(&self, ask: &OrderAsk) -> Result<Ordered, String>;
@@ -46,7 +46,7 @@
 pub struct OwnSpeech;
 
 impl Replicas for OwnSpeech {
-    fn poll(&self, ask: &PollAsk) -> Result<Batch, String> {
+    fn poll(&self, ask: &PollAsk) -> Result<Report, String> {
         let PollAsk { at, incarnation, from, .. } = ask;
         let url = format!("http://{at}/events?from={from}&incarnation={incarnation}&wait_ms={POLL_MS}");
         let text = http_out::json("GET", &url, "", POLL_WAIT).map_err(|mishap| mishap.to_string())?;
--- a/crates/prefix-table/src/blocks.rs
+++ b/crates/prefix-table/src/blocks.rs
@@ -1,5 +1,6 @@
 //! Prefix block hashes: chained, and salted by wall, model and weights, so that a block of another
-//! wall or of other weights is another block.
+//! wall or of other weights is another block. Where prompts are lists of parts with ids of their own,
+//! the salt is a text that the replica is told, and each part's hash stands for that part alone.
 use fleet_common::hash;
 
 /// The salt of a wall, a model and its weights.
@@ -29,3 +30,26 @@
         })
         .collect()
 }
+
+/// The text under which a replica keeps parts of a wall made by some weights; the model is told beside it.
+/// The wall's length in front makes it unambiguous.
+/// ```
+/// use prefix_table::blocks::salt_text;
+/// assert_eq!(salt_text("shared", "3"), "6.shared.3");
+/// assert_ne!(salt_text("a.b", "c"), salt_text("a", "b.c"));
+/// ```
+pub fn salt_text(wall: &str, weights: &str) -> String {
+    format!("{}.{wall}.{weights}", wall.len())
+}
+
+/// The hash of a part of a prompt, kept for a model under a salt text. It says nothing of the parts
+/// before it: a part is of use only with all of those.
+/// ```
+/// use prefix_table::blocks::part;
+/// assert_eq!(part("6.shared.3", "m", "p1"), part("6.shared.3", "m", "p1"));
+/// assert_ne!(part("6.shared.3", "m", "p1"), part("6.shared.4", "m", "p1"));
+/// assert_ne!(part("s", "m", "1p"), part("s", "m1", "p"));
+/// ```
+pub fn part(salt: &str, model: &str, id: &str) -> u64 {
+    [salt, model, id].iter().fold(0x70_6172_7473, |seed, text| hash::bytes(seed, text.as_bytes()))
+}
--- a/crates/prefix-table/src/keeper.rs
+++ b/crates/prefix-table/src/keeper.rs
@@ -1,8 +1,8 @@
 //! An index node as a state machine: (now, input) gives outputs. It holds duties for replicas, keeps
 //! their tables from their events, shadows others, gives orders and tells routers. Threads or a
 //! simulator drive it.
-use crate::event::Batch;
-pub use crate::kept::{Kept, Order};
+use crate::event::Report;
+pub use crate::kept::{Kept, Order, Told};
 use crate::seats::News;
 use crate::table::Shape;
 use control_chain::command::Command;
@@ -19,7 +19,7 @@
     /// A pull that was sent then has been answered.
     Pulled(Duration, Pulled),
     /// A replica's events, asked for under a fence.
-    Polled(String, u64, Result<Batch, String>),
+    Polled(String, u64, Result<Report, String>),
     /// A colleague's copy of a table, if it had one.
     Copied(String, Option<TableCopy>),
     /// A command about a replica's duty was answered, one way or another.
--- a/crates/prefix-table/src/kept.rs
+++ b/crates/prefix-table/src/kept.rs
@@ -1,5 +1,5 @@
 //! What an index node keeps for one replica, and how it is fed from the replica's events.
-use crate::event::Batch;
+use crate::event::Report;
 use crate::keeper::{Keeper, Output};
 use crate::table::Table;
 use control_chain::fleet::STORE;
@@ -20,6 +20,31 @@
     pub refused: u32,
 }
 
+/// What a replica last told of itself; 0 where it did not.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Told {
+    /// Requests running and waiting.
+    pub load: u64,
+    pub running: u32,
+    pub waiting: u32,
+    pub used_tokens: u64,
+    pub total_tokens: u64,
+    pub busy: bool,
+}
+
+impl Told {
+    fn of(report: &Report) -> Self {
+        Told {
+            load: report.load(),
+            running: report.running.unwrap_or(0),
+            waiting: report.waiting.unwrap_or(0),
+            used_tokens: report.used_tokens.unwrap_or(0),
+            total_tokens: report.total_tokens.unwrap_or(0),
+            busy: report.busy.unwrap_or(false),
+        }
+    }
+}
+
 /// A table and what else is known of its replica.
 pub struct Kept {
     pub table: Table,
@@ -27,7 +52,7 @@
     pub fence: Option<u64>,
     /// The fence of whoever the copy came from.
     pub copied_under: u64,
-    pub load: u64,
+    pub told: Told,
     pub down: bool,
     /// Held, collision, stale, not mine.
     pub audits: [u64; 4],
@@ -45,7 +70,7 @@
             table,
             fence,
             copied_under: 0,
-            load: 0,
+            told: Told::default(),
             down: false,
             audits: [0; 4],
             order: None,
@@ -89,7 +114,7 @@
         }
     }
 
-    pub(crate) fn on_polled(&mut self, replica: &str, fence: u64, polled: Result<Batch, String>) {
+    pub(crate) fn on_polled(&mut self, replica: &str, fence: u64, polled: Result<Report, String>) {
         if self.held_now(replica) != Some(fence) {
             return;
         }
@@ -97,9 +122,9 @@
         let Some(kept) = self.kept.get_mut(replica) else { return };
         kept.polling = None;
         let line = match polled {
-            Ok(batch) => {
-                kept.table.apply(now, &batch);
-                kept.load = batch.load;
+            Ok(report) => {
+                kept.table.take(now, &report);
+                kept.told = Told::of(&report);
                 kept.first_loss = None;
                 std::mem::replace(&mut kept.down, false).then(|| format!("{replica} is back"))
             }
--- a/crates/prefix-table/src/lib.rs
+++ b/crates/prefix-table/src/lib.rs
@@ -12,6 +12,7 @@
 mod kept;
 mod news;
 mod ordering;
+mod parts;
 pub mod rolling;
 pub mod seats;
 pub mod table;
--- a/crates/prefix-table/src/news.rs
+++ b/crates/prefix-table/src/news.rs
@@ -35,7 +35,7 @@
         Some(SeatNews {
             replica: replica.into(),
             fence,
-            load: kept.load,
+            load: kept.told.load,
             weights: kept.table.facts().0.into(),
             down: kept.down.into(),
             floor: kept.table.floor(),
--- a/crates/prefix-table/src/table.rs
+++ b/crates/prefix-table/src/table.rs
@@ -5,6 +5,7 @@
 use crate::filter::Bits;
 use fleet_common::ask::audit;
 use indexmap::{IndexMap, IndexSet};
+use std::collections::HashMap;
 use std::time::Duration;
 
 /// A doubtful entry is dropped after this long unless an event names it again.
@@ -27,7 +28,9 @@
     shape: Shape,
     counting: Counting,
     pub(crate) held: IndexMap<u64, Option<Duration>>,
-    removed: IndexSet<u64>,
+    pub(crate) removed: IndexSet<u64>,
+    /// The largest number of tokens seen of each part.
+    pub(crate) largest: HashMap<u64, u64>,
     pub(crate) incarnation: String,
     pub(crate) weights: String,
     pub(crate) next: u64,
@@ -51,6 +54,7 @@
             counting: Counting::new(shape.bits, if shape.hashes == 0 { 4 } else { shape.hashes }),
             held: IndexMap::new(),
             removed: IndexSet::new(),
+            largest: HashMap::new(),
             incarnation: String::new(),
             weights: String::new(),
             next: 0,
@@ -73,7 +77,15 @@
     /// assert!(table.filter().has(7));
     /// ```
     pub fn apply(&mut self, now: Duration, batch: &Batch) -> u64 {
+        self.apply_after(now, batch, false)
+    }
+
+    /// Applies a batch; `lost` says that events before it never came.
+    pub(crate) fn apply_after(&mut self, now: Duration, batch: &Batch, lost: bool) -> u64 {
         self.heard = now;
+        if lost {
+            self.doubt_all(now);
+        }
         if batch.incarnation != self.incarnation {
             self.clear();
             self.incarnation = batch.incarnation.clone();
@@ -85,29 +97,36 @@
             if numbered.seq < self.next {
                 continue;
             }
-            if numbered.seq > self.next {
+            if numbered.seq > self.next && !lost {
                 self.doubt_all(now);
             }
             self.next = numbered.seq + 1;
             fresh += 1;
-            match &numbered.event {
-                Event::BlockStored { block_hashes, .. } => {
-                    hashes(block_hashes).into_iter().for_each(|hash| self.store(hash));
-                }
-                Event::BlockRemoved { block_hashes } => {
-                    hashes(block_hashes).into_iter().for_each(|hash| self.remove(hash));
-                }
-                Event::AllBlocksCleared => self.clear(),
-            }
+            self.heed(&numbered.event);
         }
         if batch.next > self.next {
-            self.doubt_all(now);
+            if !lost {
+                self.doubt_all(now);
+            }
             self.next = batch.next;
         }
         self.since_push += fresh;
         fresh
     }
 
+    pub(crate) fn heed(&mut self, event: &Event) {
+        match event {
+            Event::BlockStored { block_hashes, .. } => {
+                hashes(block_hashes).into_iter().for_each(|hash| self.store(hash));
+            }
+            Event::BlockRemoved { block_hashes } => {
+                hashes(block_hashes).into_iter().for_each(|hash| self.remove(hash));
+            }
+            Event::AllBlocksCleared => self.clear(),
+            Event::PartKept { part_hash, tokens } => self.keep_part(*part_hash, *tokens),
+        }
+    }
+
     /// Ages out: silence makes entries doubtful, and doubtful entries go in time. Tells how many went.
     /// ```
     /// # use prefix_table::table::{Shape, Table};
@@ -139,7 +158,7 @@
         }
     }
 
-    fn remove(&mut self, hash: u64) {
+    pub(crate) fn remove(&mut self, hash: u64) {
         if self.held.swap_remove(&hash).is_some() {
             self.counting.remove(hash);
             self.removed.insert(hash);
--- a/crates/simulate-fleet/src/index.rs
+++ b/crates/simulate-fleet/src/index.rs
@@ -162,7 +162,9 @@
     pub(crate) fn index_hears(&mut self, at: usize, message: Message) {
         let (now, me) = (self.now(), Place::Index(at));
         match message {
-            Message::Polled(replica, fence, polled) => self.keeper_step(at, Input::Polled(replica, fence, polled)),
+            Message::Polled(replica, fence, polled) => {
+                self.keeper_step(at, Input::Polled(replica, fence, polled.map(Into::into)))
+            }
             Message::Copied(replica, copy) => self.keeper_step(at, Input::Copied(replica, copy)),
             Message::Ordered(replica, taken) => {
                 self.keeper_step(at, Input::Ordered(replica, taken.map(|()| Ordered::Taken)))
