The prefix store is filled with what others will ask for, and hands it over

Cause: a replica's memory turns over in 8 s while a shared prefix comes back after 12 s on the average, so much was read again although the store could have kept it; stores are on no list, so no table was kept for one. Now a configuration's stores are rows beside the list, their links' work is counted like replicas' backlogs, and what a replica reads goes to the store where more of it is shared than not.

--- a/crates/control-chain/src/fleet.rs
+++ b/crates/control-chain/src/fleet.rs
@@ -25,7 +25,9 @@
     /// For each model its weights and since when this node knows them to be named.
     pub weights_since: BTreeMap<String, (String, Duration)>,
     pub keys: BTreeMap<String, Key>,
+    /// As the platform lists them, and the stores that a configuration names.
     pub replicas: Vec<Replica>,
+    listed: Vec<Replica>,
     pub members: BTreeMap<String, Node>,
     pub duties: BTreeMap<String, Duty>,
     /// The configuration of routes, where operators sent one: tenants, keys and models are then its.
@@ -70,7 +72,10 @@
             KEYS => parse(news).map(|v| self.keys = v),
             CONFIGURATION => parse::<Option<Configuration>>(news).map(|v| self.take_configuration(now, v)),
             WEIGHTS => parse(news).map(|v| self.take_weights(now, v)),
-            REPLICAS => parse(news).map(|v| self.replicas = v),
+            REPLICAS => parse(news).map(|v| {
+                self.listed = v;
+                self.with_stores();
+            }),
             MEMBERS => parse(news).map(|v| self.members = v),
             DUTIES => parse(news).map(|v| self.duties = v),
             _ => Some(()),
@@ -98,9 +103,27 @@
         self.keys = configuration.key_table();
         let blueprint = configuration.blueprint(&self.weights);
         self.configuration = Some(Arc::new(configuration));
+        self.with_stores();
         self.take_blueprint(now, Some(blueprint));
     }
 
+    /// Stores are on no list: the configuration names them.
+    fn with_stores(&mut self) {
+        self.replicas = self.listed.clone();
+        for (name, service) in self.configuration.iter().flat_map(|c| &c.services) {
+            if let Some(store) = &service.row.store {
+                self.replicas.push(Replica {
+                    id: format!("{STORE}/{name}"),
+                    at: store.at.clone(),
+                    model: STORE.into(),
+                    district: store.zone.clone(),
+                    service: name.clone(),
+                    ..Replica::default()
+                });
+            }
+        }
+    }
+
     fn take_weights(&mut self, now: Duration, weights: BTreeMap<String, u64>) {
         self.weights = weights;
         if let Some(configuration) = self.configuration.clone() {
--- a/crates/stream-router/src/deliver.rs
+++ b/crates/stream-router/src/deliver.rs
@@ -143,6 +143,9 @@
         self.passage.progress.sent += 1;
         self.shared.recent().note(self.shared.now(), &place.id, &place.parts);
         self.shared.starts_at(&place.id, place.work);
+        if let Some((link, took)) = &place.link {
+            self.shared.tell_work(link, *took);
+        }
         let ended = self.heard(&place, up);
         self.shared.ends_at(&place.id);
         ended
@@ -163,7 +166,7 @@
             tenant: passage.tenant.as_deref(),
             salt: model.then_some(place.salt.as_str()),
             source: place.source.as_ref().map(|(_, at)| at.as_str()),
-            target: None,
+            target: place.target.as_deref(),
             urgency: passage.urgency,
             weights: (model && !place.weights.is_empty()).then_some(place.weights.as_str()),
             after: self.last.as_deref(),
--- a/crates/stream-router/src/feed.rs
+++ b/crates/stream-router/src/feed.rs
@@ -1,13 +1,16 @@
 //! The router's links: whole versions and freshness from the agent beside it, applied together; filters and
 //! news that the index pushes, and filters pulled anew when false hits made them stale.
+use crate::placing::LINK;
 use crate::shared::{Shared, count};
 use fleet_common::ask::{Answer, Ask, Filter, Pull};
 use fleet_common::frame::Caller;
 use fleet_common::{Mishap as Error, ring};
 use prefix_table::filter::Mirror;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use way_choice::backlog::key;
 use way_choice::desk;
 
 const PARK_MS: u32 = 400;
@@ -83,7 +86,8 @@
     if shared.news.read().keys().any(|id| !listed(id)) {
         shared.news.change(|news| news.retain(|id, _| listed(id)));
     }
-    let keys: Vec<u64> = fleet.replicas.iter().map(|r| way_choice::backlog::key(&r.id)).collect();
+    let keys = fleet.replicas.iter().flat_map(|r| [key(&r.id), key(&format!("{LINK}{}", r.id))]);
+    let keys: HashSet<u64> = keys.collect();
     shared.backlogs().keep(|key| keys.contains(&key));
     shared.own().retain(|id, own| own.running > 0 || listed(id));
 }
--- a/crates/stream-router/src/placing.rs
+++ b/crates/stream-router/src/placing.rs
@@ -1,7 +1,7 @@
 //! Placing a request among the replicas of a service, with what this router knows.
 use crate::passage::Passage;
 use crate::shared::{Shared, count};
-use control_chain::fleet::STORE;
+use control_chain::fleet::{Fleet, STORE};
 use fleet_common::hash;
 use prefix_table::blocks;
 use std::collections::BTreeMap;
@@ -9,7 +9,12 @@
 use std::time::Duration;
 use way_choice::backlog::key;
 use way_choice::place::Seat;
-use way_choice::rank::{Candidate, Held, Parts, Prices, Source, choose};
+use way_choice::rank::{Candidate, Held, Parts, Source, choose};
+
+/// Links are told apart from what is read at a replica.
+pub(crate) const LINK: &str = "link of ";
+/// A token's time on a link of which nothing is said, in microseconds.
+const USUAL_LINK_US: f64 = 1.0;
 
 /// Where a try goes.
 #[derive(Clone, Debug)]
@@ -20,6 +25,10 @@
     pub salt: String,
     pub parts: Parts,
     pub source: Option<(String, String)>,
+    /// The source's link, and for how long the hand-over takes it.
+    pub link: Option<(String, Duration)>,
+    /// The store that is to get what is read.
+    pub target: Option<String>,
     pub own: u64,
     pub handed: u64,
     pub anew: u64,
@@ -104,9 +113,13 @@
     let sources: Vec<Source> = seats
         .iter()
         .filter(|s| !s.down && !s.leaving && (s.model == passage.asked.model || s.model == STORE))
-        .map(|seat| Source { seat, slower: 1.0 })
+        .map(|seat| Source {
+            seat,
+            move_us: link_us(&fleet, passage, seat),
+            waiting_us: backlogs.waiting(now, key(&format!("{LINK}{}", seat.id))).as_micros() as f64,
+        })
         .collect();
-    let prices = costs(shared, passage);
+    let prices = *shared.prices();
     let mirrors = shared.mirrors.read();
     let recent = shared.recent().clone();
     let held = Held { mirrors: &mirrors, recent: &recent, now: shared.now() };
@@ -126,7 +139,14 @@
         at: candidate.seat.at.parse().ok()?,
         weights,
         salt,
+        target: target(&fleet, &seats, &held, &parts),
         parts,
+        link: choice.source.map(|at| {
+            let source = &sources[at];
+            let times = if source.seat.district == candidate.seat.district { 1.0 } else { 2.0 };
+            let took = Duration::from_micros((choice.handed as f64 * source.move_us * times) as u64);
+            (format!("{LINK}{}", source.seat.id), took)
+        }),
         source: choice.source.map(|at| (sources[at].seat.id.clone(), sources[at].seat.at.clone())),
         own: choice.own,
         handed: choice.handed,
@@ -136,13 +156,30 @@
     })
 }
 
-/// Prices as learnt, with what the configuration says of links.
-fn costs(shared: &Shared, passage: &Passage) -> Prices {
-    let mut prices = *shared.prices();
-    let fleet = shared.fleet.read();
-    let service = fleet.configuration.as_ref().and_then(|c| c.services.get(&passage.service));
-    if let Some(engine) = service.and_then(|s| s.row.engine.as_ref()).filter(|e| e.link_mbps > 0) {
-        prices.move_us = engine.token_bytes as f64 * 8.0 / engine.link_mbps as f64;
+/// What handing one token over takes on a source's link, by what the configuration says of it.
+fn link_us(fleet: &Fleet, passage: &Passage, source: &Seat) -> f64 {
+    let Some(configuration) = &fleet.configuration else { return USUAL_LINK_US };
+    let engine = configuration.services.get(&passage.service).and_then(|s| s.row.engine.as_ref());
+    let store = fleet.replicas.iter().find(|r| r.id == source.id && r.model == STORE);
+    let store = store.and_then(|r| configuration.services.get(&r.service)).and_then(|s| s.row.store.as_ref());
+    let mbps = store.map_or(engine.map_or(0, |e| e.link_mbps), |s| s.link_mbps);
+    match (engine.map_or(0, |e| e.token_bytes), mbps) {
+        (0, _) | (_, 0) => USUAL_LINK_US,
+        (bytes, mbps) => bytes as f64 * 8.0 / mbps as f64,
+    }
+}
+
+/// The store that is to get this prompt: where it lacks parts that others will share, and they are more than
+/// the part that nobody will ask for again.
+fn target(fleet: &Fleet, seats: &[Seat], held: &Held, parts: &Parts) -> Option<String> {
+    let (last, shared) = parts.split_last()?;
+    let tokens: u64 = shared.iter().map(|(_, tokens)| tokens).sum();
+    if tokens < last.1 {
+        return None;
     }
-    prices
+    let shared = shared.to_vec();
+    let stores = fleet.replicas.iter().filter(|r| r.model == STORE);
+    let open = stores.filter_map(|r| seats.iter().find(|s| s.id == r.id && !s.down));
+    let lacking = open.filter(|seat| tokens - held.tokens(seat, &shared) > tokens / 4);
+    lacking.map(|seat| seat.at.clone()).next()
 }
--- a/crates/stream-router/src/shared.rs
+++ b/crates/stream-router/src/shared.rs
@@ -268,14 +268,19 @@
 
     /// A request was sent to a replica, that takes so long to read.
     pub(crate) fn starts_at(&self, replica: &str, work: Duration) {
-        let (key, now) = (way_choice::backlog::key(replica), self.now());
-        self.backlogs().add(now, key, work);
-        self.sharing.tell(&self.others.read(), key, work);
+        self.tell_work(replica, work);
         let mut all = self.own();
         let own = all.entry(replica.to_string()).or_default();
         (own.running, own.since) = (own.running + 1, own.since + 1);
     }
 
+    /// Work that a replica or a link has to do, told to the other routers too.
+    pub(crate) fn tell_work(&self, what: &str, work: Duration) {
+        let (key, now) = (way_choice::backlog::key(what), self.now());
+        self.backlogs().add(now, key, work);
+        self.sharing.tell(&self.others.read(), key, work);
+    }
+
     /// It ended there.
     pub(crate) fn ends_at(&self, replica: &str) {
         if let Some(own) = self.own().get_mut(replica) {
--- a/crates/way-choice/src/rank.rs
+++ b/crates/way-choice/src/rank.rs
@@ -15,10 +15,10 @@
     /// Reading one token anew, and for each token before it.
     pub read_us: f64,
     pub pair_us: f64,
-    /// Handing one token over inside a zone; twice that across.
-    pub move_us: f64,
-    /// Beginning a hand-over, and what keeping a copy more is worth avoiding.
+    /// Beginning a hand-over.
     pub handover_us: f64,
+    /// What it is worth, for each token, not to read anew what somebody keeps.
+    pub again_us: f64,
     /// Each request that runs or waits there.
     pub busy_us: f64,
     /// The way to another zone and back.
@@ -27,7 +27,7 @@
 
 impl Default for Prices {
     fn default() -> Self {
-        Prices { read_us: 9.5, pair_us: 0.0002, move_us: 0.4, handover_us: 18_000.0, busy_us: 1500.0, far_us: 3000.0 }
+        Prices { read_us: 9.5, pair_us: 0.0002, handover_us: 9000.0, again_us: 15.0, busy_us: 1500.0, far_us: 3000.0 }
     }
 }
 
@@ -130,10 +130,12 @@
     pub work_us: f64,
 }
 
-/// A replica or store that may hand a prefix over; its link is so many times as slow as one inside a zone.
+/// A replica or store that may hand a prefix over: what a token takes inside its zone (twice that across), and
+/// how long its link is busy yet.
 pub struct Source<'a> {
     pub seat: &'a Seat,
-    pub slower: f64,
+    pub move_us: f64,
+    pub waiting_us: f64,
 }
 
 /// Chooses. `sources` gives for a candidate who may hand over to it; `spread` parts equal costs, the same way
@@ -167,20 +169,24 @@
         let mut choice = Choice { at, source: None, own, handed: 0, anew: total - own, cost_us: 0.0, work_us: 0.0 };
         choice.work_us = prices.reading(choice.anew, total);
         let mut prompt_us = choice.work_us * candidate.pace;
+        let mut kept = own;
         for (from, source) in sources.iter().enumerate().filter(|(_, s)| s.seat.id != candidate.seat.id) {
             let has = held.tokens(source.seat, candidate.parts);
             let gained = has.saturating_sub(own);
             if gained == 0 {
                 continue;
             }
-            let slower = if source.seat.district == candidate.seat.district { 1.0 } else { 2.0 } * source.slower;
+            kept = kept.max(has);
+            let times = if source.seat.district == candidate.seat.district { 1.0 } else { 2.0 };
             let work_us = prices.reading(total - has, total);
-            let us = prices.handover_us + gained as f64 * prices.move_us * slower + work_us * candidate.pace;
-            if us < prompt_us {
-                prompt_us = us;
+            let move_us = prices.handover_us + gained as f64 * source.move_us * times + source.waiting_us;
+            let us = move_us + work_us * candidate.pace - has as f64 * prices.again_us;
+            if us < prompt_us - (own + choice.handed) as f64 * prices.again_us {
+                prompt_us = move_us + work_us * candidate.pace;
                 choice = Choice { source: Some(from), handed: gained, anew: total - has, work_us, ..choice };
             }
         }
+        prompt_us += kept.saturating_sub(own + choice.handed) as f64 * prices.again_us;
         let way_us = if candidate.near { 0.0 } else { prices.far_us };
         // A small part that differs by prompt and replica: equal costs are parted alike by all routers.
         let weight = fleet_common::hash::bytes(spread, candidate.seat.id.as_bytes());
