Routers tell which parts they sent where, so that none is read twice while filters lag

Now a datagram names the parts beside the work; they count as held where they will have been read, and as a source from when they have been.

--- a/crates/stream-router/src/deliver.rs
+++ b/crates/stream-router/src/deliver.rs
@@ -141,10 +141,11 @@
             }
         }
         self.passage.progress.sent += 1;
-        self.shared.recent().note(self.shared.now(), &place.id, &place.parts);
-        self.shared.starts_at(&place.id, place.work);
+        let parts: Vec<u64> = place.parts.iter().map(|(part, _)| *part).collect();
+        let others = &parts[..parts.len().saturating_sub(1)];
+        self.shared.starts_at(&place.id, place.work, others);
         if let Some((link, took)) = &place.link {
-            self.shared.tell_work(link, *took);
+            self.shared.tell_work(link, *took, &[]);
         }
         let ended = self.heard(&place, up);
         self.shared.ends_at(&place.id);
--- a/crates/stream-router/src/placing.rs
+++ b/crates/stream-router/src/placing.rs
@@ -180,6 +180,6 @@
     let shared = shared.to_vec();
     let stores = fleet.replicas.iter().filter(|r| r.model == STORE);
     let open = stores.filter_map(|r| seats.iter().find(|s| s.id == r.id && !s.down));
-    let lacking = open.filter(|seat| tokens - held.tokens(seat, &shared) > tokens / 4);
+    let lacking = open.filter(|seat| tokens - held.tokens(seat, &shared, true) > tokens / 4);
     lacking.map(|seat| seat.at.clone()).next()
 }
--- a/crates/stream-router/src/shared.rs
+++ b/crates/stream-router/src/shared.rs
@@ -191,7 +191,7 @@
     /// What was sent where lately.
     /// ```no_run
     /// # fn show(shared: &stream_router::shared::Shared) {
-    /// assert!(!shared.recent().has(shared.now(), "r1", 7));
+    /// assert!(!shared.recent().sent(shared.now(), 1, 7));
     /// # }
     /// ```
     pub fn recent(&self) -> MutexGuard<'_, Recent> {
@@ -267,18 +267,31 @@
     }
 
     /// A request was sent to a replica, that takes so long to read.
-    pub(crate) fn starts_at(&self, replica: &str, work: Duration) {
-        self.tell_work(replica, work);
+    pub(crate) fn starts_at(&self, replica: &str, work: Duration, parts: &[u64]) {
+        self.tell_work(replica, work, parts);
         let mut all = self.own();
         let own = all.entry(replica.to_string()).or_default();
         (own.running, own.since) = (own.running + 1, own.since + 1);
     }
 
     /// Work that a replica or a link has to do, told to the other routers too.
-    pub(crate) fn tell_work(&self, what: &str, work: Duration) {
-        let (key, now) = (way_choice::backlog::key(what), self.now());
-        self.backlogs().add(now, key, work);
-        self.sharing.tell(&self.others.read(), key, work);
+    pub(crate) fn tell_work(&self, what: &str, work: Duration, parts: &[u64]) {
+        let key = way_choice::backlog::key(what);
+        self.take_work(key, work, parts);
+        self.sharing.tell(&self.others.read(), key, work, parts);
+    }
+
+    /// Work that this router or another one gave to a replica or a link.
+    pub(crate) fn take_work(&self, key: u64, work: Duration, parts: &[u64]) {
+        let now = self.now();
+        let ready = {
+            let mut backlogs = self.backlogs();
+            backlogs.add(now, key, work);
+            now + backlogs.waiting(now, key)
+        };
+        if !parts.is_empty() {
+            self.recent().note(now, ready, key, parts);
+        }
     }
 
     /// It ended there.
--- a/crates/stream-router/src/sharing.rs
+++ b/crates/stream-router/src/sharing.rs
@@ -2,15 +2,20 @@
 //! a little less busy for a moment.
 use crate::shared::Shared;
 use deku::{DekuContainerRead, DekuContainerWrite};
+use fleet_common::List;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 use std::time::Duration;
 
 fleet_common::messages! {
-    /// A prompt that was sent to a replica (by its key), and how long reading it takes.
-    pub struct Work { pub replica: u64, pub work_us: u32 }
+    /// A prompt that was sent to a replica or over a link (by its key), how long reading or moving it takes, and
+    /// the parts of it that others may ask for.
+    pub struct Work { pub replica: u64, pub work_us: u32, pub parts: List<u64> }
 }
 
+/// Parts told of one prompt, at the most: the first ones matter most.
+const PARTS_MOST: usize = 32;
+
 /// The socket for what routers tell each other, and who they are.
 pub struct Sharing {
     socket: Option<UdpSocket>,
@@ -29,11 +34,12 @@
     /// Tells others of work that was sent to a replica.
     /// ```
     /// # let sharing = stream_router::sharing::Sharing::bind("127.0.0.1:0".parse().unwrap());
-    /// sharing.tell(&[], 7, std::time::Duration::from_millis(40));
+    /// sharing.tell(&[], 7, std::time::Duration::from_millis(40), &[]);
     /// ```
-    pub fn tell(&self, others: &[SocketAddr], replica: u64, work: Duration) {
+    pub fn tell(&self, others: &[SocketAddr], replica: u64, work: Duration, parts: &[u64]) {
         let Some(socket) = &self.socket else { return };
-        let work = Work { replica, work_us: work.as_micros().min(u32::MAX as u128) as u32 };
+        let work_us = work.as_micros().min(u32::MAX as u128) as u32;
+        let work = Work { replica, work_us, parts: parts[..parts.len().min(PARTS_MOST)].to_vec().into() };
         let Ok(bytes) = work.to_bytes() else { return };
         for to in others {
             let _ = socket.send_to(&bytes, to);
@@ -50,12 +56,11 @@
 pub fn start(shared: Arc<Shared>) {
     let Some(socket) = shared.sharing.socket.as_ref().and_then(|s| s.try_clone().ok()) else { return };
     std::thread::spawn(move || {
-        let mut bytes = [0u8; 64];
+        let mut bytes = [0u8; 512];
         loop {
             let Ok((got, _)) = socket.recv_from(&mut bytes) else { continue };
             if let Ok((_, work)) = Work::from_bytes((&bytes[..got], 0)) {
-                let now = shared.now();
-                shared.backlogs().add(now, work.replica, Duration::from_micros(work.work_us.into()));
+                shared.take_work(work.replica, Duration::from_micros(work.work_us.into()), work.parts.items());
             }
         }
     });
--- a/crates/way-choice/src/rank.rs
+++ b/crates/way-choice/src/rank.rs
@@ -1,5 +1,6 @@
 //! Which replica a prompt of parts goes to: the one with the least cost in microseconds, counting what
 //! waits there, what must be read anew, what can be handed over, and the way there.
+use crate::backlog::key;
 use crate::place::Seat;
 use crate::source::Mirrors;
 use fleet_common::hash::mix;
@@ -43,39 +44,58 @@
     }
 }
 
-/// What this router sent lately, before any filter tells of it: a replica's parts, until when it counts.
+/// What routers sent lately, before any filter tells of it: a replica's parts, from when to when they count.
 #[derive(Clone, Debug, Default)]
 pub struct Recent {
-    sent: HashMap<(String, u64), Duration>,
+    sent: HashMap<(u64, u64), (Duration, Duration)>,
 }
 
-/// For how long a part counts as held where this router sent it.
+/// For how long a part counts as held where it was sent to be read, once it was.
 const LATELY: Duration = Duration::from_secs(2);
-const RECENT_MOST: usize = 8192;
+const RECENT_MOST: usize = 16_384;
 
 impl Recent {
-    /// A prompt's parts were read at a replica.
+    /// Parts were sent to a replica (by its key) that will have read them by then.
     /// ```
     /// use std::time::Duration;
     /// let mut recent = way_choice::rank::Recent::default();
-    /// recent.note(Duration::ZERO, "r1", &vec![(7, 100)]);
-    /// assert!(recent.has(Duration::from_secs(1), "r1", 7) && !recent.has(Duration::from_secs(9), "r1", 7));
+    /// recent.note(Duration::ZERO, Duration::from_millis(50), 1, &[7]);
+    /// assert!(recent.sent(Duration::ZERO, 1, 7) && !recent.read(Duration::ZERO, 1, 7));
+    /// assert!(recent.read(Duration::from_secs(1), 1, 7) && !recent.sent(Duration::from_secs(9), 1, 7));
     /// ```
-    pub fn note(&mut self, now: Duration, replica: &str, parts: &Parts) {
+    pub fn note(&mut self, now: Duration, ready: Duration, replica: u64, parts: &[u64]) {
         if self.sent.len() > RECENT_MOST {
-            self.sent.retain(|_, until| *until > now);
+            self.sent.retain(|_, (_, until)| *until > now);
         }
-        for (hash, _) in parts {
-            self.sent.insert((replica.to_string(), *hash), now + LATELY);
+        for part in parts {
+            let row = self.sent.entry((replica, *part)).or_insert((ready, ready + LATELY));
+            // What was read there stays; only its end moves on.
+            *row = (if row.1 > now { row.0.min(ready) } else { ready }, ready + LATELY);
         }
     }
 
-    /// Whether a part was sent there lately.
+    /// Whether a part was sent there lately: whatever is sent after it finds it read.
     /// ```
-    /// assert!(!way_choice::rank::Recent::default().has(std::time::Duration::ZERO, "r1", 7));
+    /// assert!(!way_choice::rank::Recent::default().sent(std::time::Duration::ZERO, 1, 7));
     /// ```
-    pub fn has(&self, now: Duration, replica: &str, hash: u64) -> bool {
-        self.sent.get(&(replica.to_string(), hash)).is_some_and(|until| *until > now)
+    pub fn sent(&self, now: Duration, replica: u64, part: u64) -> bool {
+        self.sent.get(&(replica, part)).is_some_and(|(_, until)| *until > now)
+    }
+
+    /// Whether it has been read there by now.
+    /// ```
+    /// assert!(!way_choice::rank::Recent::default().read(std::time::Duration::ZERO, 1, 7));
+    /// ```
+    pub fn read(&self, now: Duration, replica: u64, part: u64) -> bool {
+        self.sent.get(&(replica, part)).is_some_and(|(ready, until)| *ready <= now && *until > now)
+    }
+
+    /// Nothing that was sent there counts any more.
+    /// ```
+    /// way_choice::rank::Recent::default().forget(1);
+    /// ```
+    pub fn forget(&mut self, replica: u64) {
+        self.sent.retain(|(at, _), _| *at != replica);
     }
 }
 
@@ -99,18 +119,23 @@
 }
 
 impl Held<'_> {
-    /// How many tokens of the leading parts a replica or store holds.
+    /// How many tokens of the leading parts a replica or store holds; `soon` counts what it is about to read.
     /// ```
     /// # use way_choice::{place::Seat, rank::{Held, Recent}};
     /// # let seat = Seat { id: "r1".into(), at: "".into(), district: "a".into(), model: "m".into(), weights: "w".into(),
     /// #     leaving: false, down: false, load: 0, floor: (0, 0) };
     /// let held = Held { mirrors: &Default::default(), recent: &Recent::default(), now: Default::default() };
-    /// assert_eq!(held.tokens(&seat, &vec![(7, 100)]), 0);
+    /// assert_eq!(held.tokens(&seat, &vec![(7, 100)], true), 0);
     /// ```
-    pub fn tokens(&self, seat: &Seat, parts: &Parts) -> u64 {
+    pub fn tokens(&self, seat: &Seat, parts: &Parts, soon: bool) -> u64 {
         let mirror = self.mirrors.get(&seat.id).filter(|m| !m.stale && (m.fence, m.version) >= seat.floor);
-        let has = |hash: u64| mirror.is_some_and(|m| m.bits.has(hash)) || self.recent.has(self.now, &seat.id, hash);
-        parts.iter().take_while(|(hash, _)| has(*hash)).map(|(_, tokens)| tokens).sum()
+        let key = key(&seat.id);
+        let lately = |part| match soon {
+            true => self.recent.sent(self.now, key, part),
+            false => self.recent.read(self.now, key, part),
+        };
+        let has = |part: u64| mirror.is_some_and(|m| m.bits.has(part)) || lately(part);
+        parts.iter().take_while(|(part, _)| has(*part)).map(|(_, tokens)| tokens).sum()
     }
 }
 
@@ -147,7 +172,7 @@
 /// let (one, two) = (seat("r1"), seat("r2"));
 /// let parts = vec![(7u64, 5000u64)];
 /// let mut recent = Recent::default();
-/// recent.note(Default::default(), "r2", &parts);
+/// recent.note(Default::default(), Default::default(), way_choice::backlog::key("r2"), &[7]);
 /// let held = Held { mirrors: &Default::default(), recent: &recent, now: Default::default() };
 /// let with = |seat, busy| Candidate { seat, parts: &parts, busy, waiting_us: 0.0, pace: 1.0, near: true };
 /// let choice = choose(&[with(&one, 0.0), with(&two, 0.0)], &[], &held, &Prices::default(), 0).unwrap();
@@ -165,13 +190,13 @@
     let mut best: Option<Choice> = None;
     for (at, candidate) in candidates.iter().enumerate() {
         let total: u64 = candidate.parts.iter().map(|(_, tokens)| tokens).sum();
-        let own = held.tokens(candidate.seat, candidate.parts);
+        let own = held.tokens(candidate.seat, candidate.parts, true);
         let mut choice = Choice { at, source: None, own, handed: 0, anew: total - own, cost_us: 0.0, work_us: 0.0 };
         choice.work_us = prices.reading(choice.anew, total);
         let mut prompt_us = choice.work_us * candidate.pace;
         let mut kept = own;
         for (from, source) in sources.iter().enumerate().filter(|(_, s)| s.seat.id != candidate.seat.id) {
-            let has = held.tokens(source.seat, candidate.parts);
+            let has = held.tokens(source.seat, candidate.parts, false);
             let gained = has.saturating_sub(own);
             if gained == 0 {
                 continue;
