News tells memory and who runs and waits, loads are told together; m follows the number of items

Cause: index nodes run on a quarter of a core, and every message costs. Loads alone are now told at most every 400 ms, in one message with all seats held; a changed state (down, weights, order, stage, floor, fence) goes at once, all seats every second, newcomers get all alone. Who is to be told is reckoned when the members change, no longer at each tick. Seat news gains running, waiting, memory used and total, and whether an order is under way.

A filter goes after beta events but not within 500 ms of the last push, unless its floor moved. Where the blueprint does not fix k, m is the smallest power of two with 10 bits an item, from 1,024 up to the blueprint's bits, counted anew when outgrown or when the items fall below a quarter of what it is good for. Ruled out: the same where k is fixed, for then both numbers are the operator's. Pushes and their bytes are in the metrics. The store gets no order even if a model bore its name.

--- a/crates/fleet-common/src/ask.rs
+++ b/crates/fleet-common/src/ask.rs
@@ -45,6 +45,9 @@
         pub floor: u64,
         /// The weights it was ordered to load, if any, and how far it is: see `stage`.
         pub order: Text, pub stage: u8,
+        /// Requests running and waiting, tokens that its memory holds and could hold, and whether an order
+        /// is under way, by its own word; 0 where it told nothing.
+        pub running: u32, pub waiting: u32, pub used_tokens: u64, pub total_tokens: u64, pub busy: u8,
     }
 
     /// One try at a hand-over, as the router saw it.
--- a/crates/measure-index/src/world.rs
+++ b/crates/measure-index/src/world.rs
@@ -112,7 +112,7 @@
     if replica.table.facts().2 >= knobs.beta {
         figures.pushes += 1;
         let mirror = mirror(&replica.seat.id, &mut replica.table);
-        figures.filter_bytes += u64::from(knobs.bits / 8) * edges.len() as u64;
+        figures.filter_bytes += mirror.bits.bytes() as u64 * edges.len() as u64;
         for mirrors in edges {
             mirrors.insert(replica.seat.id.clone(), Arc::new(mirror.clone()));
         }
@@ -190,8 +190,8 @@
                 let stale = mirrors.get_mut(&source.replica).is_some_and(|m| Arc::make_mut(m).false_hit(knobs.alpha));
                 if stale {
                     figures.pulls += 1;
-                    figures.filter_bytes += u64::from(knobs.bits / 8);
                     let fresh = mirror(&source.replica, &mut replicas[from].table);
+                    figures.filter_bytes += fresh.bits.bytes() as u64;
                     mirrors.insert(source.replica.clone(), Arc::new(fresh));
                 }
             }
--- a/crates/prefix-index/src/pages.rs
+++ b/crates/prefix-index/src/pages.rs
@@ -51,6 +51,8 @@
     let mut text = format!("coursebend_index_halted_roll_outs {}\n", keeper.halted().len());
     for (replica, kept) in &keeper.kept {
         text += &format!("coursebend_index_blocks{{replica=\"{replica}\"}} {}\n", kept.table.items());
+        text += &format!("coursebend_index_filter_pushes{{replica=\"{replica}\"}} {}\n", kept.pushes);
+        text += &format!("coursebend_index_filter_bytes{{replica=\"{replica}\"}} {}\n", kept.pushed_bytes);
         for (at, name) in ["held", "collision", "stale", "not_mine"].iter().enumerate() {
             let count = kept.audits[at];
             text += &format!("coursebend_index_audits{{replica=\"{replica}\",verdict=\"{name}\"}} {count}\n");
--- a/crates/prefix-table/src/copying.rs
+++ b/crates/prefix-table/src/copying.rs
@@ -63,7 +63,12 @@
     /// assert!(Table::new(Shape { bits: 64, hashes: 2 }, std::time::Duration::ZERO).due(1000));
     /// ```
     pub fn due(&self, beta: u64) -> bool {
-        self.since_push >= beta || self.version < self.floor
+        self.since_push >= beta || self.below_floor()
+    }
+
+    /// Whether the filter last sent may no longer be trusted.
+    pub(crate) fn below_floor(&self) -> bool {
+        self.version < self.floor
     }
 
     /// Another holder, or the same under another fence: its versions count anew.
--- a/crates/prefix-table/src/counting.rs
+++ b/crates/prefix-table/src/counting.rs
@@ -38,6 +38,14 @@
         self.items
     }
 
+    /// How many counters there are.
+    /// ```
+    /// assert_eq!(prefix_table::counting::Counting::new(64, 3).bits(), 64);
+    /// ```
+    pub fn bits(&self) -> u32 {
+        self.counters.len() as u32
+    }
+
     /// How many hashes each item has.
     /// ```
     /// assert_eq!(prefix_table::counting::Counting::new(64, 3).hashes(), 3);
--- a/crates/prefix-table/src/filter.rs
+++ b/crates/prefix-table/src/filter.rs
@@ -55,6 +55,14 @@
         f64::from(set) / f64::from(self.m.max(1))
     }
 
+    /// How many bytes its bits take.
+    /// ```
+    /// assert_eq!(prefix_table::filter::Bits::new(65, 2).bytes(), 9);
+    /// ```
+    pub fn bytes(&self) -> usize {
+        self.words.len()
+    }
+
     /// Packs for sending: bytes, m, k.
     /// ```
     /// use prefix_table::filter::Bits;
--- a/crates/prefix-table/src/keeper.rs
+++ b/crates/prefix-table/src/keeper.rs
@@ -3,13 +3,14 @@
 //! simulator drive it.
 use crate::event::Report;
 pub use crate::kept::{Kept, Order, Told};
+use crate::news::Audience;
 use crate::seats::News;
 use crate::table::Shape;
 use control_chain::command::Command;
 use control_chain::fleet::Fleet;
 use fleet_common::ask::{Ask, Pulled, SeatNews, TERM, TableCopy, Vector};
 use fleet_common::node::Identity;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 /// What an index node reacts to.
@@ -71,8 +72,10 @@
     pub(crate) fetching: BTreeMap<String, Fetching>,
     /// Replicas about which a command is on its way, and since when.
     pub(crate) busy: BTreeMap<String, Duration>,
-    pub(crate) told: BTreeMap<String, (SeatNews, Duration)>,
-    pub(crate) known: BTreeSet<String>,
+    pub(crate) told: BTreeMap<String, SeatNews>,
+    /// When all seats were last told.
+    pub(crate) told_at: Option<Duration>,
+    pub(crate) audience: Audience,
     pub(crate) halted: BTreeMap<String, String>,
     /// What was said of the latest hand-over tries, by request.
     pub(crate) audited: VecDeque<(String, String)>,
@@ -108,7 +111,8 @@
             fetching: BTreeMap::new(),
             busy: BTreeMap::new(),
             told: BTreeMap::new(),
-            known: BTreeSet::new(),
+            told_at: None,
+            audience: Audience::default(),
             halted: BTreeMap::new(),
             audited: VecDeque::new(),
             round_at: Duration::ZERO,
--- a/crates/prefix-table/src/kept.rs
+++ b/crates/prefix-table/src/kept.rs
@@ -59,6 +59,10 @@
     pub order: Option<Order>,
     /// Since when it is held, or copied.
     pub since: Duration,
+    /// When its filter was last pushed; how often to how many, and how many bytes of bits that were.
+    pub(crate) pushed_at: Option<Duration>,
+    pub pushes: u64,
+    pub pushed_bytes: u64,
     first_loss: Option<Duration>,
     polling: Option<Duration>,
     poll_after: Duration,
@@ -75,6 +79,9 @@
             audits: [0; 4],
             order: None,
             since: now,
+            pushed_at: None,
+            pushes: 0,
+            pushed_bytes: 0,
             first_loss: None,
             polling: None,
             poll_after: now,
--- a/crates/prefix-table/src/lib.rs
+++ b/crates/prefix-table/src/lib.rs
@@ -15,4 +15,5 @@
 mod parts;
 pub mod rolling;
 pub mod seats;
+pub mod sizing;
 pub mod table;
--- a/crates/prefix-table/src/news.rs
+++ b/crates/prefix-table/src/news.rs
@@ -1,15 +1,26 @@
 //! What an index node tells: filters to routers after beta events, the state of its replicas to routers
 //! and colleagues; and what it answers when it is asked.
 use crate::keeper::{Keeper, Output, shape};
-use crate::seats;
+use crate::seats::{self, same_state};
 use crate::table::Table;
-use fleet_common::ask::{Answer, Ask, Filter, Handover, SeatNews, audit};
+use fleet_common::ask::{Answer, Ask, Filter, Handover, MEMBERS, SeatNews, audit};
 use fleet_common::json::quote;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 const AUDITS_KEPT: usize = 2048;
 const SEATS_ANEW: Duration = Duration::from_millis(1000);
+const LOADS_EVERY: Duration = Duration::from_millis(400);
+const PUSH_EVERY: Duration = Duration::from_millis(500);
+
+/// Who is told of filters and seats, as of a version of the members.
+#[derive(Default)]
+pub(crate) struct Audience {
+    version: u64,
+    edges: BTreeSet<String>,
+    /// Edges and colleagues.
+    all: BTreeSet<String>,
+}
 
 impl Keeper {
     /// Makes the filter of a replica for sending, if its duty is held here.
@@ -41,43 +52,100 @@
             floor: kept.table.floor(),
             order: order.as_str().into(),
             stage,
+            running: kept.told.running,
+            waiting: kept.told.waiting,
+            used_tokens: kept.told.used_tokens,
+            total_tokens: kept.told.total_tokens,
+            busy: kept.told.busy.into(),
         })
     }
 
     pub(crate) fn news_tick(&mut self) {
+        let newcomers = self.audience_anew();
+        self.push_filters(&newcomers);
+        self.tell_seats(newcomers);
+    }
+
+    /// Who is told, as the fleet stands; returns those who were not told before.
+    fn audience_anew(&mut self) -> Vec<String> {
+        let version = self.fleet.vector[MEMBERS];
+        if self.audience.version == version {
+            return Vec::new();
+        }
         let of = |kind: &str| -> BTreeSet<String> {
             self.fleet.members.values().filter(|m| m.kind == kind).map(|m| m.at.clone()).collect()
         };
         let (edges, mut all) = (of("edge"), of("index"));
         all.remove(&self.me.at);
         all.extend(edges.iter().cloned());
-        let newcomers: Vec<String> = all.iter().filter(|at| !self.known.contains(*at)).cloned().collect();
-        self.known = all.clone();
+        let newcomers = all.difference(&self.audience.all).cloned().collect();
+        self.audience = Audience { version, edges, all };
+        newcomers
+    }
+
+    /// Filters go out after beta events, but not too often; at once where the one before is not to be
+    /// trusted any more; and to newcomers.
+    fn push_filters(&mut self, newcomers: &[String]) {
         let beta = self.fleet.blueprint.as_ref().map_or(25, |b| b.index.beta);
-        let mut seats = Vec::new();
         let replicas: Vec<String> = self.kept.keys().cloned().collect();
         for replica in replicas {
-            let Some(fence) = self.holds(&replica).filter(|_| self.held_now(&replica).is_some()) else { continue };
-            let due = self.kept.get(&replica).is_some_and(|kept| kept.table.due(beta));
-            let to: Vec<String> = if due { edges.iter().cloned().collect() } else { newcomers.clone() };
-            let to: Vec<String> = to.into_iter().filter(|at| edges.contains(at)).collect();
+            if self.held_now(&replica).is_none() {
+                continue;
+            }
+            let now = self.now;
+            let due = self.kept.get(&replica).is_some_and(|kept| {
+                let lately = kept.pushed_at.is_some_and(|at| now.saturating_sub(at) < PUSH_EVERY);
+                kept.table.due(beta) && (!lately || kept.table.below_floor())
+            });
+            let edges = &self.audience.edges;
+            let to: Vec<String> = match due {
+                true => edges.iter().cloned().collect(),
+                false => newcomers.iter().filter(|at| edges.contains(*at)).cloned().collect(),
+            };
             if !to.is_empty()
                 && let Some(filter) = self.filter(&replica)
+                && let Some(kept) = self.kept.get_mut(&replica)
             {
+                kept.pushed_at = if due { Some(now) } else { kept.pushed_at };
+                kept.pushes += to.len() as u64;
+                kept.pushed_bytes += (to.len() * filter.bits.as_slice().len()) as u64;
                 self.out.extend(to.into_iter().map(|at| Output::Tell(at, Ask::FilterPush(filter.clone()))));
             }
-            let Some(seat) = self.seat(&replica, fence) else { continue };
-            let old = |(last, at): &(SeatNews, Duration)| {
-                *last == seat && self.now.saturating_sub(*at) < SEATS_ANEW && newcomers.is_empty()
-            };
-            if !self.told.get(&replica).is_some_and(old) {
-                self.told.insert(replica, (seat.clone(), self.now));
-                seats.push(seat);
-            }
         }
-        if !seats.is_empty() {
-            self.out.extend(all.into_iter().map(|at| Output::Tell(at, Ask::Seats(seats.clone().into()))));
+    }
+
+    /// A changed state is told at once, and alone; all seats together when loads changed, but not too
+    /// often, and every second in any case.
+    fn tell_seats(&mut self, newcomers: Vec<String>) {
+        let held: Vec<(String, u64)> =
+            self.kept.keys().filter_map(|replica| Some((replica.clone(), self.held_now(replica)?))).collect();
+        let seats: Vec<SeatNews> = match self.fresh() {
+            true => held.iter().filter_map(|(replica, fence)| self.seat(replica, *fence)).collect(),
+            false => Vec::new(),
+        };
+        let told = |seat: &SeatNews| self.told.get(seat.replica.as_str());
+        let stirred: Vec<SeatNews> =
+            seats.iter().filter(|seat| !told(seat).is_some_and(|old| same_state(old, seat))).cloned().collect();
+        let differs = seats.iter().any(|seat| told(seat) != Some(seat));
+        let age = self.told_at.map_or(SEATS_ANEW, |at| self.now.saturating_sub(at));
+        if seats.is_empty() {
+            return self.told.clear();
         }
+        if age >= SEATS_ANEW || (differs && age >= LOADS_EVERY) {
+            self.told_at = Some(self.now);
+            self.told = seats.iter().map(|seat| (seat.replica.to_string(), seat.clone())).collect();
+            return self.tell_all(seats);
+        }
+        self.out.extend(newcomers.into_iter().map(|at| Output::Tell(at, Ask::Seats(seats.clone().into()))));
+        if !stirred.is_empty() {
+            self.told.extend(stirred.iter().map(|seat| (seat.replica.to_string(), seat.clone())));
+            self.tell_all(stirred);
+        }
+    }
+
+    fn tell_all(&mut self, seats: Vec<SeatNews>) {
+        let ask = Ask::Seats(seats.into());
+        self.out.extend(self.audience.all.iter().map(|at| Output::Tell(at.clone(), ask.clone())));
     }
 
     /// What an operator may ask of a try after its router is gone.
--- a/crates/prefix-table/src/ordering.rs
+++ b/crates/prefix-table/src/ordering.rs
@@ -3,6 +3,7 @@
 use crate::keeper::{Keeper, Ordered, Output};
 use crate::kept::Order;
 use crate::rolling::{LOAD_BOUND, Row, Turn, turn};
+use control_chain::fleet::{APP, STORE};
 use fleet_common::ask::{TERM, stage};
 use std::time::Duration;
 
@@ -48,7 +49,8 @@
 
     pub(crate) fn orders_tick(&mut self) {
         let Some(blueprint) = self.fleet.blueprint.clone() else { return };
-        for (model, facts) in &blueprint.models {
+        // Stores and the app take no orders.
+        for (model, facts) in blueprint.models.iter().filter(|(model, _)| ![STORE, APP].contains(&model.as_str())) {
             let rows = self.rows(model, &facts.weights);
             let at = |id: &str| self.fleet.replicas.iter().find(|row| row.id == id).map(|row| row.at.clone());
             let held: Vec<(String, String, u64)> =
--- a/crates/prefix-table/src/table.rs
+++ b/crates/prefix-table/src/table.rs
@@ -1,8 +1,9 @@
 //! What an index node keeps for one replica: the counting table, and beside it the exact set that
 //! makes sure nothing is counted out that was not counted in.
-use crate::counting::{Counting, best_hashes};
+use crate::counting::Counting;
 use crate::event::{Batch, Event, hashes};
 use crate::filter::Bits;
+use crate::sizing;
 use fleet_common::ask::audit;
 use indexmap::{IndexMap, IndexSet};
 use std::collections::HashMap;
@@ -17,16 +18,17 @@
 /// Numbers of a table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Shape {
+    /// The most bits; with hashes fixed, the number of them.
     pub bits: u32,
-    /// 0 means: choose by (m/n) ln 2.
+    /// 0 means: choose by (m/n) ln 2, and m by the number of items.
     pub hashes: u8,
 }
 
 /// The table of one replica.
 #[derive(Clone, Debug)]
 pub struct Table {
-    shape: Shape,
-    counting: Counting,
+    pub(crate) shape: Shape,
+    pub(crate) counting: Counting,
     pub(crate) held: IndexMap<u64, Option<Duration>>,
     pub(crate) removed: IndexSet<u64>,
     /// The largest number of tokens seen of each part.
@@ -51,7 +53,7 @@
     pub fn new(shape: Shape, now: Duration) -> Self {
         Table {
             shape,
-            counting: Counting::new(shape.bits, if shape.hashes == 0 { 4 } else { shape.hashes }),
+            counting: sizing::empty(shape),
             held: IndexMap::new(),
             removed: IndexSet::new(),
             largest: HashMap::new(),
@@ -165,6 +167,7 @@
             if self.removed.len() > REMOVED_KEPT {
                 self.removed.shift_remove_index(0);
             }
+            self.fit();
         }
     }
 
@@ -172,19 +175,10 @@
         for hash in std::mem::take(&mut self.held).into_keys() {
             self.removed.insert(hash);
         }
-        self.counting = Counting::new(self.shape.bits, self.counting.hashes());
+        self.counting = sizing::empty(self.shape);
         self.floor = self.version + 1;
     }
 
-    /// Counts all anew under a better k once the number of items has outgrown the one in use.
-    fn fit(&mut self) {
-        let best = best_hashes(self.shape.bits, self.counting.items());
-        if self.shape.hashes == 0 && best.abs_diff(self.counting.hashes()) > 1 && self.counting.items() >= 64 {
-            self.counting = Counting::new(self.shape.bits, best);
-            self.held.keys().for_each(|hash| self.counting.add(*hash));
-        }
-    }
-
     /// How many blocks are held.
     /// ```
     /// # use prefix_table::table::{Shape, Table};
--- /dev/null
+++ b/crates/prefix-table/tests/sizing.rs
@@ -0,0 +1,40 @@
+//! A table's m against its number of items, as parts come and go.
+use fleet_common::ask::audit;
+use fleet_common::hash::Dice;
+use prefix_table::counting::Counting;
+use prefix_table::event::{Batch, Event, Numbered};
+use prefix_table::table::{Shape, Table};
+use std::time::Duration;
+
+const MOST: u32 = 8192;
+
+#[test]
+fn m_follows_the_number_of_items_both_ways() {
+    for seed in 0..10 {
+        let mut dice = Dice::new(seed);
+        let mut table = Table::new(Shape { bits: MOST, hashes: 0 }, Duration::ZERO);
+        let mut sizes = std::collections::BTreeSet::new();
+        for seq in 0..8000 {
+            // Grows for a while, then shrinks.
+            let tokens = u64::from(dice.next(100) < if seq % 4000 < 2000 { 80 } else { 5 }) * 9;
+            let event = Event::PartKept { part_hash: dice.next(1500), tokens };
+            let batch = Batch {
+                incarnation: "1".into(),
+                next: seq + 1,
+                events: vec![Numbered { seq, event }],
+                ..Batch::default()
+            };
+            table.apply(Duration::ZERO, &batch);
+            let (items, (_, m, k)) = (table.items() as u32, table.filter().into_parts());
+            sizes.insert(m);
+            assert!(m >= items * 10 || m == MOST, "seed {seed}: {m} bits for {items} items");
+            assert!(m == 1024 || items * 10 >= m / 4, "seed {seed}: {m} bits for {items} items");
+            if seq % 50 == 0 {
+                let mut anew = Counting::new(m, k);
+                (0..1500).filter(|hash| table.audit(*hash) == audit::HELD).for_each(|hash| anew.add(hash));
+                assert_eq!(table.filter(), anew.filter(), "seed {seed} after {seq}");
+            }
+        }
+        assert_eq!(sizes.into_iter().collect::<Vec<_>>(), [1024, 2048, 4096, 8192]);
+    }
+}
