Orders keep a term apart, hear what a replica says, and go on as soon as one serves

Cause: orders to one replica by two holders must never come within a term of one another. A duty that was given up could be taken and ordered under at once; only one taken after a lapse waited. Now every duty that another may have held waits TERM + 400 ms from when it is taken up. A first taking is known by this: the node knew of no holder, was a member ever since, and the core says of no lapse. Ruled out: asking the core for it (its state says only whether the last holder lapsed), waiting at first takings too (3.4 s at each start for nothing).

"Holds" is remembered as done, "busy" asks again after 300 ms and is no refusal, a taken order is not repeated before the load bound (it was, every 2 s), an unknown fate after 2 s as before. An order's answer names the weights, so that a late one is not taken for another's, and the right to order is looked at again right before it is sent. Another life of a replica has no order. A replica not heard since the duty was taken up gets none: in the first runs of the new test each of 18 replicas was ordered what it ran already, because an unheard one looks as if it ran nothing.

Changed states are acted on and told without waiting for a tick, by holder and colleague. Replicas that load hold their places in the reckoning of turns; one that says it runs the weights takes none.

Not borne: a holder whose lapse was spurious and whose term goes on for a while; its last order may come within a term of the next holder's first. The fence then decides.

The drills on real processes were not run.

--- a/crates/prefix-index/src/doing.rs
+++ b/crates/prefix-index/src/doing.rs
@@ -63,8 +63,10 @@
             shared.step(Input::Commanded(replica));
         }
         Job::Order(ask) => {
-            let taken = shared.replicas.order(&ask);
-            shared.step(Input::Ordered(ask.replica, taken));
+            // The process may have stood still since the order was decided.
+            let held = shared.keeper().holds(&ask.replica) == Some(ask.fence);
+            let taken = if held { shared.replicas.order(&ask) } else { Err("the duty is held no longer".into()) };
+            shared.step(Input::Ordered(ask.replica, ask.weights, taken));
         }
     }
 }
--- a/crates/prefix-index/src/replicas.rs
+++ b/crates/prefix-index/src/replicas.rs
@@ -19,6 +19,8 @@
     /// The number of the next event wanted.
     pub from: u64,
     pub is_store: bool,
+    /// An order is not yet seen done: the answer is awaited, and should not wait for events alone.
+    pub ordered: bool,
 }
 
 /// An order to load weights.
--- a/crates/prefix-index/src/shared.rs
+++ b/crates/prefix-index/src/shared.rs
@@ -72,8 +72,15 @@
     /// use fleet_common::ask::{Answer, Ask};
     /// assert!(matches!(shared.answer(Ask::FilterPull("r1".into())), Answer::Refused(_)));
     /// ```
-    pub fn answer(&self, ask: Ask) -> Answer {
-        self.keeper().answer(self.now(), ask)
+    pub fn answer(self: &Arc<Self>, ask: Ask) -> Answer {
+        let (answer, stirred) = {
+            let mut keeper = self.keeper();
+            (keeper.answer(self.now(), ask), keeper.stirred())
+        };
+        if stirred {
+            self.step(Input::Stirred);
+        }
+        answer
     }
 
     /// Takes what a pull brought; gives the versions now in use.
@@ -90,8 +97,8 @@
             match output {
                 Output::Note(line) => ring::note(&line),
                 Output::Tell(at, ask) => self.tell(&at, ask),
-                Output::Poll { replica, at, fence, incarnation, from, is_store } => {
-                    self.watch((fence, PollAsk { replica, at, incarnation, from, is_store }))
+                Output::Poll { replica, at, fence, incarnation, from, is_store, ordered } => {
+                    self.watch((fence, PollAsk { replica, at, incarnation, from, is_store, ordered }))
                 }
                 Output::Fetch { replica, at } => self.job(Job::Fetch { replica, at }),
                 Output::Command(replica, command) => self.job(Job::Command(replica, command)),
--- a/crates/prefix-table/src/keeper.rs
+++ b/crates/prefix-table/src/keeper.rs
@@ -10,7 +10,7 @@
 use control_chain::fleet::Fleet;
 use fleet_common::ask::{Ask, Pulled, SeatNews, TERM, TableCopy, Vector};
 use fleet_common::node::Identity;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// What an index node reacts to.
@@ -25,8 +25,10 @@
     Copied(String, Option<TableCopy>),
     /// A command about a replica's duty was answered, one way or another.
     Commanded(String),
-    /// An order was answered.
-    Ordered(String, Result<Ordered, String>),
+    /// An order to load these weights was answered.
+    Ordered(String, String, Result<Ordered, String>),
+    /// A colleague's news changed a replica's state: what waits for it goes on at once.
+    Stirred,
     /// This node is to stop: duties are given up and tables handed over.
     Leave,
 }
@@ -45,7 +47,7 @@
 /// What an index node wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
-    Poll { replica: String, at: String, fence: u64, incarnation: String, from: u64, is_store: bool },
+    Poll { replica: String, at: String, fence: u64, incarnation: String, from: u64, is_store: bool, ordered: bool },
     Fetch { replica: String, at: String },
     Command(String, Command),
     Order { replica: String, at: String, fence: u64, model: String, weights: String },
@@ -68,7 +70,7 @@
     /// What colleagues told of the replicas that they hold.
     pub news: News,
     pub(crate) now: Duration,
-    confirmed: Option<Duration>,
+    pub(crate) confirmed: Option<Duration>,
     pub(crate) fetching: BTreeMap<String, Fetching>,
     /// Replicas about which a command is on its way, and since when.
     pub(crate) busy: BTreeMap<String, Duration>,
@@ -80,7 +82,10 @@
     /// What was said of the latest hand-over tries, by request.
     pub(crate) audited: VecDeque<(String, String)>,
     pub(crate) round_at: Duration,
-    leaving: bool,
+    /// Duties that another may have held before: the first order waits until its orders are surely past.
+    pub taken_over: BTreeSet<String>,
+    pub(crate) stirred: bool,
+    pub(crate) leaving: bool,
     pub(crate) out: Vec<Output>,
 }
 
@@ -116,6 +121,8 @@
             halted: BTreeMap::new(),
             audited: VecDeque::new(),
             round_at: Duration::ZERO,
+            taken_over: BTreeSet::new(),
+            stirred: false,
             leaving: false,
             out: Vec::new(),
         }
@@ -198,7 +205,8 @@
             Input::Polled(replica, fence, polled) => self.on_polled(&replica, fence, polled),
             Input::Copied(replica, copy) => self.on_copied(&replica, copy),
             Input::Commanded(replica) => _ = self.busy.remove(&replica),
-            Input::Ordered(replica, taken) => self.on_ordered(&replica, taken),
+            Input::Ordered(replica, weights, taken) => self.on_ordered(&replica, &weights, taken),
+            Input::Stirred => self.go_on(),
             Input::Leave => {
                 self.leaving = true;
                 self.leave();
@@ -207,13 +215,6 @@
         std::mem::take(&mut self.out)
     }
 
-    fn on_pulled(&mut self, sent: Duration, pulled: Pulled) {
-        let taken = self.fleet.take_all(self.now, pulled.changed.items());
-        if pulled.member != 0 && taken {
-            self.confirmed = self.confirmed.max(Some(sent));
-        }
-    }
-
     pub(crate) fn note(&mut self, line: String) {
         self.out.push(Output::Note(line));
     }
--- a/crates/prefix-table/src/kept.rs
+++ b/crates/prefix-table/src/kept.rs
@@ -1,8 +1,10 @@
 //! What an index node keeps for one replica, and how it is fed from the replica's events.
 use crate::event::Report;
 use crate::keeper::{Keeper, Output};
+use crate::seats::same_state;
 use crate::table::Table;
 use control_chain::fleet::STORE;
+use fleet_common::ask::stage;
 use std::time::Duration;
 
 /// A replica is down when it could not be asked for so long.
@@ -11,13 +13,15 @@
 const POLL_LOST: Duration = Duration::from_secs(3);
 const POLL_AGAIN: Duration = Duration::from_millis(100);
 
-/// An order given: which weights, when first and last, how often it was not taken.
+/// An order given: which weights, when first, from when on it is given again, how often it was not
+/// taken, and whether the replica said that it runs them.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Order {
     pub weights: String,
     pub first: Duration,
-    pub last: Duration,
+    pub next: Duration,
     pub refused: u32,
+    pub done: bool,
 }
 
 /// What a replica last told of itself; 0 where it did not.
@@ -63,6 +67,8 @@
     pub(crate) pushed_at: Option<Duration>,
     pub pushes: u64,
     pub pushed_bytes: u64,
+    /// Whether the replica was heard since it was taken up; what it runs is not known before.
+    pub(crate) heard: bool,
     first_loss: Option<Duration>,
     polling: Option<Duration>,
     poll_after: Duration,
@@ -82,6 +88,7 @@
             pushed_at: None,
             pushes: 0,
             pushed_bytes: 0,
+            heard: false,
             first_loss: None,
             polling: None,
             poll_after: now,
@@ -92,7 +99,7 @@
     pub(crate) fn take_up(&mut self, fence: u64, now: Duration) {
         (self.fence, self.since) = (Some(fence), now);
         (self.first_loss, self.polling, self.order) = (None, None, None);
-        self.down = false;
+        (self.down, self.heard) = (false, false);
         self.table.under_new_fence();
     }
 }
@@ -109,6 +116,7 @@
             self.fleet.replicas.iter().map(|row| (row.id.clone(), row.at.clone(), row.model == STORE)).collect();
         for (replica, at, is_store) in rows {
             let (Some(fence), now) = (self.held_now(&replica), self.now) else { continue };
+            let ordered = self.stage(&replica).1 == stage::LOADING;
             let Some(kept) = self.kept.get_mut(&replica) else { continue };
             let waiting = kept.polling.is_some_and(|since| now.saturating_sub(since) < POLL_LOST);
             if waiting || now < kept.poll_after {
@@ -117,7 +125,7 @@
             kept.polling = Some(now);
             let (incarnation, from) = kept.table.wanted();
             let incarnation = incarnation.to_string();
-            self.out.push(Output::Poll { replica, at, fence, incarnation, from, is_store });
+            self.out.push(Output::Poll { replica, at, fence, incarnation, from, is_store, ordered });
         }
     }
 
@@ -125,13 +133,18 @@
         if self.held_now(replica) != Some(fence) {
             return;
         }
-        let now = self.now;
+        let (now, before) = (self.now, self.seat(replica, fence));
         let Some(kept) = self.kept.get_mut(replica) else { return };
         kept.polling = None;
         let line = match polled {
             Ok(report) => {
+                // Another life of the replica knows of no order.
+                if ![kept.table.incarnation.as_str(), ""].contains(&report.batch.incarnation.as_str()) {
+                    kept.order = None;
+                }
                 kept.table.take(now, &report);
                 kept.told = Told::of(&report);
+                kept.heard = true;
                 kept.first_loss = None;
                 std::mem::replace(&mut kept.down, false).then(|| format!("{replica} is back"))
             }
@@ -145,6 +158,10 @@
         };
         kept.table.age(now);
         line.into_iter().for_each(|line| self.note(line));
+        let after = self.seat(replica, fence);
+        if before.zip(after).is_some_and(|(before, after)| !same_state(&before, &after)) {
+            self.go_on();
+        }
         self.watch_tick();
     }
 }
--- a/crates/prefix-table/src/lib.rs
+++ b/crates/prefix-table/src/lib.rs
@@ -13,6 +13,7 @@
 mod news;
 mod ordering;
 mod parts;
+mod pulling;
 pub mod rolling;
 pub mod seats;
 pub mod sizing;
--- a/crates/prefix-table/src/news.rs
+++ b/crates/prefix-table/src/news.rs
@@ -40,7 +40,7 @@
         Some(Filter { replica: replica.into(), index, fence, version, weights, m, k, items, bits: words.into() })
     }
 
-    fn seat(&self, replica: &str, fence: u64) -> Option<SeatNews> {
+    pub(crate) fn seat(&self, replica: &str, fence: u64) -> Option<SeatNews> {
         let kept = self.kept.get(replica)?;
         let (order, stage) = self.stage(replica);
         Some(SeatNews {
@@ -215,7 +215,9 @@
                 Answer::Done
             }
             Ask::Seats(told) => {
-                seats::take(&mut self.news, self.now, told.into_items());
+                let told = told.into_items();
+                self.stirred |= seats::stirs(&self.news, &told);
+                seats::take(&mut self.news, self.now, told);
                 Answer::Done
             }
             _ => Answer::Refused("not an index node's to answer".into()),
--- a/crates/prefix-table/src/ordering.rs
+++ b/crates/prefix-table/src/ordering.rs
@@ -1,16 +1,19 @@
 //! Orders to replicas: load the weights that the blueprint names, when it is their turn. Each carries the
 //! fence, and a replica refuses an older one.
 use crate::keeper::{Keeper, Ordered, Output};
-use crate::kept::Order;
+use crate::kept::{Kept, Order};
 use crate::rolling::{LOAD_BOUND, Row, Turn, turn};
 use control_chain::fleet::{APP, STORE};
 use fleet_common::ask::{TERM, stage};
 use std::time::Duration;
 
+/// An order whose fate is not known, or that was not taken, is given again after this.
 const AGAIN: Duration = Duration::from_secs(2);
+const BUSY_AGAIN: Duration = Duration::from_millis(300);
 /// Orders not taken so often count as a failure.
 const REFUSALS: u32 = 3;
-const LAPSE_WAIT: Duration = Duration::from_millis(400);
+/// So long after a term a former holder's orders have surely come or failed.
+const TAKEN_OVER_WAIT: Duration = Duration::from_millis(400);
 
 impl Keeper {
     /// Which weights a replica was ordered to load, and how far it is.
@@ -19,7 +22,7 @@
             return (String::new(), stage::NONE);
         };
         let late = self.now.saturating_sub(order.first) > LOAD_BOUND;
-        let at = match kept.table.facts().0 == order.weights {
+        let at = match order.done || kept.table.facts().0 == order.weights {
             true => stage::SERVES,
             false if late || order.refused >= REFUSALS => stage::FAILED,
             false => stage::LOADING,
@@ -42,25 +45,30 @@
                     },
                 };
                 let stage = if order == wanted { at } else { stage::NONE };
+                // A replica's word that it runs them may come before its report does.
+                let weights = if stage == stage::SERVES { wanted.to_string() } else { weights };
                 Row { id: row.id.clone(), weights, stage, down, leaving: row.leaving }
             })
             .collect()
     }
 
     pub(crate) fn orders_tick(&mut self) {
-        let Some(blueprint) = self.fleet.blueprint.clone() else { return };
+        let Some(blueprint) = self.fleet.blueprint.as_ref() else { return };
+        let keep_serving = blueprint.limits.keep_serving;
         // Stores and the app take no orders.
-        for (model, facts) in blueprint.models.iter().filter(|(model, _)| ![STORE, APP].contains(&model.as_str())) {
-            let rows = self.rows(model, &facts.weights);
+        let models = blueprint.models.iter().filter(|(model, _)| ![STORE, APP].contains(&model.as_str()));
+        let models: Vec<(String, String)> = models.map(|(m, facts)| (m.clone(), facts.weights.clone())).collect();
+        for (model, wanted) in &models {
+            let rows = self.rows(model, wanted);
             let at = |id: &str| self.fleet.replicas.iter().find(|row| row.id == id).map(|row| row.at.clone());
             let held: Vec<(String, String, u64)> =
                 rows.iter().filter_map(|row| Some((row.id.clone(), at(&row.id)?, self.holds(&row.id)?))).collect();
             let mut halted = None;
             for (replica, at, fence) in held {
-                match turn(&rows, &replica, &facts.weights, blueprint.limits.keep_serving) {
-                    Turn::Now => self.order(&replica, at, fence, model, &facts.weights),
+                match turn(&rows, &replica, wanted, keep_serving) {
+                    Turn::Now => self.order(&replica, at, fence, model, wanted),
                     Turn::Halted(failed, of) => {
-                        halted = Some(format!("{failed} of {of} replicas could not load {}", facts.weights));
+                        halted = Some(format!("{failed} of {of} replicas could not load {wanted}"));
                     }
                     Turn::Serves | Turn::Wait => {}
                 }
@@ -77,37 +85,48 @@
     }
 
     fn order(&mut self, replica: &str, at: String, fence: u64, model: &str, weights: &str) {
-        // A holder that lapsed may have been given a term after its lapse was on its way: until that
-        // has run out two might give orders.
-        let after_lapse = self.fleet.duties.get(replica).is_some_and(|duty| duty.after_lapse);
+        // A former holder may have given an order just before it gave the duty up or lost it, or may have
+        // been given a term after its lapse was on its way: two holders' orders keep a term apart.
+        let waits = self.taken_over.contains(replica);
         let now = self.now;
-        let Some(kept) = self.kept.get_mut(replica).filter(|kept| kept.fence == Some(fence) && !kept.down) else {
-            return;
-        };
-        if after_lapse && now.saturating_sub(kept.since) < TERM + LAPSE_WAIT {
+        let known = |kept: &&mut Kept| kept.fence == Some(fence) && kept.heard && !kept.down;
+        let Some(kept) = self.kept.get_mut(replica).filter(known) else { return };
+        if waits && now.saturating_sub(kept.since) < TERM + TAKEN_OVER_WAIT {
             return;
         }
+        let next = now + AGAIN;
         match kept.order.as_mut().filter(|order| order.weights == weights) {
-            Some(order) if now.saturating_sub(order.last) < AGAIN => return,
-            Some(order) => order.last = now,
-            None => kept.order = Some(Order { weights: weights.into(), first: now, last: now, refused: 0 }),
+            Some(order) if order.done || now < order.next => return,
+            Some(order) => order.next = next,
+            None => kept.order = Some(Order { weights: weights.into(), first: now, next, refused: 0, done: false }),
         }
         let (replica, model, weights) = (replica.to_string(), model.to_string(), weights.to_string());
         self.out.push(Output::Order { replica, at, fence, model, weights });
     }
 
-    pub(crate) fn on_ordered(&mut self, replica: &str, taken: Result<Ordered, String>) {
-        let Some(order) = self.kept.get_mut(replica).and_then(|kept| kept.order.as_mut()) else { return };
-        let weights = order.weights.clone();
-        match taken {
-            Ok(Ordered::Taken | Ordered::Holds | Ordered::Busy) => {
-                order.refused = 0;
-                self.note(format!("{replica} was ordered to load {weights}"));
+    pub(crate) fn on_ordered(&mut self, replica: &str, weights: &str, taken: Result<Ordered, String>) {
+        let now = self.now;
+        let order = self.kept.get_mut(replica).and_then(|kept| kept.order.as_mut());
+        let Some(order) = order.filter(|order| order.weights == weights) else { return };
+        let what = match taken {
+            Ok(Ordered::Taken) => {
+                (order.refused, order.next) = (0, now + LOAD_BOUND);
+                format!("{replica} was ordered to load {weights}")
+            }
+            Ok(Ordered::Holds) => {
+                order.done = true;
+                format!("{replica} runs {weights} already")
+            }
+            Ok(Ordered::Busy) => {
+                order.next = now + BUSY_AGAIN;
+                format!("{replica} is busy with another order")
             }
             Err(what) => {
                 order.refused += 1;
-                self.note(format!("{replica} did not take the order to load {weights}: {what}"));
+                format!("{replica} did not take the order to load {weights}: {what}")
             }
-        }
+        };
+        self.note(what);
+        self.go_on();
     }
 }
--- /dev/null
+++ b/crates/prefix-table/src/pulling.rs
@@ -0,0 +1,49 @@
+//! What a pull brings: the fleet as it stands, and whose duties were another's before. And going on at
+//! once when a state has changed.
+use crate::keeper::Keeper;
+use fleet_common::ask::Pulled;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+impl Keeper {
+    pub(crate) fn on_pulled(&mut self, sent: Duration, pulled: Pulled) {
+        let before: BTreeMap<String, u64> = self.fleet.duties.iter().map(|(r, duty)| (r.clone(), duty.fence)).collect();
+        let was_fresh = self.fresh();
+        let taken = self.fleet.take_all(self.now, pulled.changed.items());
+        for (replica, duty) in &self.fleet.duties {
+            if self.fleet.fence(replica, &self.me).is_none() || before.get(replica) == Some(&duty.fence) {
+                continue;
+            }
+            // Nobody held it before only if this node knew of no holder, and was a member ever since: any
+            // other taker in between would have seen that it is not its turn.
+            match !before.contains_key(replica) && was_fresh && !duty.after_lapse {
+                true => self.taken_over.remove(replica),
+                false => self.taken_over.insert(replica.clone()),
+            };
+        }
+        let duties = &self.fleet.duties;
+        self.taken_over.retain(|replica| duties.contains_key(replica));
+        if pulled.member != 0 && taken {
+            self.confirmed = self.confirmed.max(Some(sent));
+        }
+    }
+
+    /// What a changed state allows: the next orders, and telling of it.
+    pub(crate) fn go_on(&mut self) {
+        self.stirred = false;
+        if !self.leaving {
+            self.orders_tick();
+            self.news_tick();
+        }
+    }
+
+    /// Whether news came that changed a replica's state; a step with `Input::Stirred` is due then.
+    /// ```
+    /// # use fleet_common::node::Identity;
+    /// # let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
+    /// assert!(!prefix_table::keeper::Keeper::new(me).stirred());
+    /// ```
+    pub fn stirred(&self) -> bool {
+        self.stirred
+    }
+}
--- a/crates/prefix-table/src/rolling.rs
+++ b/crates/prefix-table/src/rolling.rs
@@ -63,7 +63,8 @@
     }
     let mut waiting: Vec<&Row> =
         up.iter().filter(|row| row.weights != wanted && row.stage != stage::FAILED).copied().collect();
-    waiting.sort_by_key(|row| (weight(wanted, &row.id), row.id.as_str()));
+    // Those that load hold their places; all nodes fill what is left in the same order.
+    waiting.sort_by_key(|row| (row.stage != stage::LOADING, weight(wanted, &row.id), row.id.as_str()));
     let first = waiting.iter().take(at_once(up.len(), keep_percent));
     if first.into_iter().any(|row| row.id == id) { Turn::Now } else { Turn::Wait }
 }
--- a/crates/prefix-table/tests/nodes/mod.rs
+++ b/crates/prefix-table/tests/nodes/mod.rs
@@ -1,5 +1,7 @@
 //! What a core would tell index nodes: whole versions of members, replicas, duties and a blueprint.
 #![allow(dead_code)]
+pub mod world;
+
 use control_chain::blueprint::{Blueprint, Index, Limits, Links, Model};
 use control_chain::command::{Node, Replica};
 use control_chain::state::Duty;
--- /dev/null
+++ b/crates/prefix-table/tests/orders.rs
@@ -0,0 +1,82 @@
+//! Roll-outs by several index nodes over 18 replicas, stepped in simulated time: how fast they are, how
+//! many load at once, which orders come from whom and when, and what a replica may say to them.
+mod nodes;
+
+use fleet_common::ask::TERM;
+use nodes::world::{NODES, World};
+use prefix_table::keeper::{Input, Ordered};
+use std::time::Duration;
+
+#[test]
+fn eighteen_replicas_three_at_once_take_barely_over_eleven_seconds() {
+    let mut world = World::new(83);
+    world.name("w2");
+    let took = world.until_all_run("w2");
+    println!("18 replicas, 3 at once, 1.8 s a load: {took:?}, {} orders, {} at once", world.orders(), world.most);
+    assert_eq!((world.most, world.orders()), (3, 18), "at once, and orders");
+    assert!(took < Duration::from_millis(11_200), "{took:?}");
+}
+
+#[test]
+fn replicas_that_run_the_weights_take_no_place_and_no_order() {
+    let mut world = World::begin(83, "w2", &["r3", "r5", "r8", "r9", "r11", "r17"]);
+    let took = world.until_all_run("w2");
+    assert_eq!((world.most, world.orders()), (3, 12));
+    assert!(took < Duration::from_millis(7800), "four rounds, and getting to know, took {took:?}");
+}
+
+#[test]
+fn what_a_replica_says_decides_when_it_is_asked_again() {
+    let mut world = World::new(0);
+    let says = |world: &mut World, id: &str, words: &[Option<Ordered>]| {
+        world.rows.get_mut(id).unwrap().says = words.iter().copied().collect();
+    };
+    says(&mut world, "r1", &[Some(Ordered::Busy), Some(Ordered::Busy)]);
+    says(&mut world, "r2", &[None]);
+    says(&mut world, "r3", &[Some(Ordered::Holds)]);
+    world.name("w2");
+    (0..12_000).for_each(|_| world.step());
+    let gaps = |id: &str| -> Vec<u128> {
+        world.rows[id].orders.windows(2).map(|pair| (pair[1].0 - pair[0].0).as_millis()).collect()
+    };
+    let (busy, silent) = (gaps("r1"), gaps("r2"));
+    assert!(busy.len() == 2 && busy.iter().all(|ms| (300..360).contains(ms)), "busy: {busy:?}");
+    assert!(silent.len() == 1 && (2000..2060).contains(&silent[0]), "unknown fate: {silent:?}");
+    assert_eq!(world.rows["r3"].orders.len(), 1, "holds: it is not asked again, whatever its report says");
+    assert_eq!(world.rows["r4"].orders.len(), 1, "taken");
+}
+
+/// A holder leaves in the middle, its duties given up or lapsed: orders by two holders keep a term apart,
+/// whichever replica they go to, and the roll-out comes to its end.
+#[test]
+fn two_holders_orders_to_a_replica_keep_a_term_apart() {
+    for (gone, name) in NODES.iter().enumerate() {
+        let mut world = World::new(50);
+        world.name("w2");
+        (0..700).for_each(|_| world.step());
+        let given_up = gone % 2 == 0;
+        if given_up {
+            world.keep(gone, Input::Leave);
+            world.core.duties.values_mut().filter(|duty| duty.owner == *name).for_each(|duty| duty.owner.clear());
+        } else {
+            world.cut = Some(gone);
+            world.name("w3");
+            (0..TERM.as_millis()).for_each(|_| world.step());
+        }
+        world.core.members.remove(*name);
+        world.pull_all();
+        world.take_free();
+        world.pull_all();
+        world.name("w4");
+        let took = world.until_all_run("w4");
+        let mut pairs = 0;
+        for (id, row) in &world.rows {
+            for pair in row.orders.windows(2).filter(|pair| pair[0].1 != pair[1].1) {
+                pairs += 1;
+                assert!(pair[1].0 - pair[0].0 > TERM, "{id}: {:?}", row.orders);
+                assert!(pair[1].2 > pair[0].2, "{id}: {:?}", row.orders);
+            }
+        }
+        println!("{} gone, given up {given_up}: {took:?}, {pairs} times two holders", name);
+    }
+}
--- a/crates/simulate-fleet/src/index.rs
+++ b/crates/simulate-fleet/src/index.rs
@@ -112,7 +112,7 @@
         let index = &mut self.indexes[at];
         let outputs = index.keeper.step(now, input);
         if self.off == Off::Fence {
-            index.keeper.fleet.duties.values_mut().for_each(|duty| duty.after_lapse = false);
+            index.keeper.taken_over.clear();
         }
         for output in outputs {
             self.keeper_wants(at, output);
@@ -167,7 +167,9 @@
             }
             Message::Copied(replica, copy) => self.keeper_step(at, Input::Copied(replica, copy)),
             Message::Ordered(replica, taken) => {
-                self.keeper_step(at, Input::Ordered(replica, taken.map(|()| Ordered::Taken)))
+                let order = self.indexes[at].keeper.kept.get(&replica).and_then(|kept| kept.order.as_ref());
+                let weights = order.map(|order| order.weights.clone()).unwrap_or_default();
+                self.keeper_step(at, Input::Ordered(replica, weights, taken.map(|()| Ordered::Taken)))
             }
             Message::Fetch { by, replica } => {
                 let copy = match self.indexes[at].keeper.answer(now, Ask::TablePull(replica.as_str().into())) {
@@ -176,7 +178,12 @@
                 };
                 self.send(me, Place::Index(by), Message::Copied(replica, copy));
             }
-            Message::Tell(ask) => _ = self.indexes[at].keeper.answer(now, ask),
+            Message::Tell(ask) => {
+                self.indexes[at].keeper.answer(now, ask);
+                if self.indexes[at].keeper.stirred() {
+                    self.keeper_step(at, Input::Stirred);
+                }
+            }
             Message::Query { by, ask, replica } => {
                 let answer = self.indexes[at].keeper.answer(now, ask);
                 self.send(me, Place::Router(by), Message::Answered { replica, answer });
