Replicas are said to be loading before their order comes

Ruled out: too many loading at once (never more than 3). Now the index tells routers 80 ms before the order.

--- a/crates/prefix-table/src/ordering.rs
+++ b/crates/prefix-table/src/ordering.rs
@@ -9,6 +9,8 @@
 
 /// An order whose fate is not known, or that was not taken, is given again after this.
 const AGAIN: Duration = Duration::from_secs(2);
+/// So long before its order a replica is said to be loading.
+const ANNOUNCED: Duration = Duration::from_millis(80);
 const BUSY_AGAIN: Duration = Duration::from_millis(300);
 /// Orders not taken so often count as a failure.
 const REFUSALS: u32 = 3;
@@ -98,7 +100,12 @@
         match kept.order.as_mut().filter(|order| order.weights == weights) {
             Some(order) if order.done || now < order.next => return,
             Some(order) => order.next = next,
-            None => kept.order = Some(Order { weights: weights.into(), first: now, next, refused: 0, done: false }),
+            None => {
+                // Routers hear of it first, so that nothing is on its way there when the order comes.
+                let next = now + ANNOUNCED;
+                kept.order = Some(Order { weights: weights.into(), first: now, next, refused: 0, done: false });
+                return;
+            }
         }
         let (replica, model, weights) = (replica.to_string(), model.to_string(), weights.to_string());
         self.out.push(Output::Order { replica, at, fence, model, weights });
--- a/crates/way-choice/src/desk.rs
+++ b/crates/way-choice/src/desk.rs
@@ -2,7 +2,7 @@
 //! door itself.
 use crate::place::Seat;
 use control_chain::fleet::Fleet;
-use fleet_common::ask::TERM;
+use fleet_common::ask::{SeatNews, TERM, stage};
 pub use prefix_table::seats::{News, take};
 use std::collections::HashMap;
 use std::time::Duration;
@@ -13,6 +13,11 @@
 /// No mirror is as new as this: what is known of the replica is too old to trust one.
 pub const NO_FLOOR: (u64, u64) = (u64::MAX, u64::MAX);
 
+/// Whether it was ordered, or is about to be, to load weights that it does not run yet.
+fn loads(told: &SeatNews) -> bool {
+    told.stage == stage::LOADING && told.weights != told.order
+}
+
 /// Replicas as they look now: listed by the platform, loaded and running as the index told. A mirror
 /// is trusted only while its holder is heard, and from the floor on that it names: a replica that
 /// started anew, a store that came back empty and a holder that died draw no hand-overs.
@@ -35,7 +40,7 @@
             model: row.model.clone(),
             weights: told.map(|t| t.weights.to_string()).unwrap_or_default(),
             leaving: row.leaving,
-            down: lately || told.is_some_and(|t| t.down != 0),
+            down: lately || told.is_some_and(|t| t.down != 0 || loads(t)),
             load: told.map_or(0, |t| t.load),
             floor,
         }
