A full disk that takes a little is not opened again

Cause: found by the drill of a disk that fills under a storm, after the store had become a log of our own: a new segment is smaller than the one that met the full disk, so opening it again worked, the core went on as head, failed at the next command, and the view never changed; no command was taken for 30 s. What was done: after a failure the disk must take 6 MB (written, synced, removed) before the core starts over, and waits double, to 5 s, while it fails within 30 s. The drill reads the size of the largest file of the data folder, as the log's file has no fixed name. Ruled out: that the view change itself hung (it stayed at view 1 with a head that was well again each time).

--- a/crates/control-core/src/disk.rs
+++ b/crates/control-core/src/disk.rs
@@ -5,8 +5,7 @@
 use crate::mark::{MARK, SLOTS, read_slot, slot};
 use crate::records::{Held, frame, replay};
 use control_chain::core::{Found, Record};
-use control_chain::view::{CoreAt, Meta, View};
-use fleet_common::hash;
+use control_chain::view::CoreAt;
 use std::io;
 use std::path::Path;
 
@@ -14,6 +13,9 @@
 const SPARE_BYTES: u64 = 8 << 20;
 /// A segment that grew beyond this is written anew without a capture.
 const SEGMENT_MOST: u64 = 24 << 20;
+const PROBE: &str = "probe";
+const PROBE_PART: usize = 1 << 20;
+const PROBE_PARTS: u64 = 6;
 /// Why a disk cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum Fault {
@@ -30,6 +32,8 @@
 pub trait Store: Send {
     fn keep(&mut self, records: &[Record]) -> io::Result<()>;
     fn sync(&mut self) -> io::Result<()>;
+    /// Whether a disk that failed takes as much again as comes before the next capture.
+    fn probe(&mut self) -> io::Result<()>;
 }
 
 /// The log in a folder.
@@ -94,7 +98,7 @@
             true if files.free_bytes() < SPARE_BYTES => return Err(Fault::Trouble(io::ErrorKind::StorageFull.into())),
             true => read_log(files.as_ref(), segments.clone())?,
             // Formatting was cut short before the mark was there: nothing was ever promised from here.
-            false => (formatted(found_fleet, cores), 0, None),
+            false => (Held::formatted(found_fleet, cores), 0, None),
         };
         let last = segments.iter().copied().max().unwrap_or(0);
         let found = held.found();
@@ -110,6 +114,9 @@
             anew: true,
             spare_bytes,
         };
+        if names.iter().any(|name| name == PROBE) {
+            store.files.remove(PROBE)?;
+        }
         for segment in segments.into_iter().filter(|segment| *segment != kept) {
             store.files.remove(&name(segment))?;
         }
@@ -153,15 +160,6 @@
     }
 }
 
-fn formatted(found_fleet: Option<u32>, cores: &[CoreAt]) -> Held {
-    let (incarnation, view) = match found_fleet {
-        Some(tolerance) => (1, View::founding(cores.to_vec(), tolerance)),
-        None => (hash::unique(), View::outside(cores.to_vec())),
-    };
-    let full = found_fleet.is_some().into();
-    Held { meta: Some(Meta { incarnation, view, promised: 0, accepted: vec![].into(), full }), ..Held::default() }
-}
-
 /// The newest whole segment, checked against the mark; gives its number too, and which of the
 /// mark's two places tells of the newest.
 fn read_log(files: &dyn Files, mut segments: Vec<u64>) -> Result<(Held, u64, Option<usize>), Fault> {
@@ -236,4 +234,11 @@
         self.pending.clear();
         self.files.write(MARK, SLOTS[2], &slot(self.segment, self.length))
     }
+
+    fn probe(&mut self) -> io::Result<()> {
+        let part = vec![0; PROBE_PART];
+        let write = |at| self.files.write(PROBE, at * PROBE_PART as u64, &part);
+        let written = (0..PROBE_PARTS).try_for_each(write).and_then(|_| self.files.sync(PROBE));
+        self.files.remove(PROBE).and(written)
+    }
 }
--- a/crates/control-core/src/keeping.rs
+++ b/crates/control-core/src/keeping.rs
@@ -4,9 +4,12 @@
 use control_chain::core::{Found, Record};
 use crossbeam::channel::{Receiver, Sender};
 use fleet_common::{Mishap, Step, ring};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const AGAIN: Duration = Duration::from_millis(300);
+const AGAIN_MOST: Duration = Duration::from_secs(5);
+/// One that worked for so long after it failed is taken to be well.
+const STEADY: Duration = Duration::from_secs(30);
 
 /// Records to keep, of the core that was started from the so manieth opening.
 pub(crate) struct Job {
@@ -61,10 +64,17 @@
             if first.is_some_and(|store| !serve(store, 1, &jobs, &inbox)) {
                 return;
             }
-            let mut told = String::new();
+            let (mut told, mut wait, mut opened) = (String::new(), AGAIN / 2, Instant::now());
             for opening in 2.. {
+                // One that fails again and again is left to the others for longer each time.
+                wait = if opened.elapsed() > STEADY { AGAIN } else { (wait * 2).min(AGAIN_MOST) };
+                std::thread::sleep(wait);
+                let probed = |(mut store, found): (Box<dyn Store>, Found)| {
+                    store.probe()?;
+                    Ok((store, found))
+                };
                 let (store, found) = loop {
-                    match (self.open)() {
+                    match (self.open)().and_then(probed) {
                         Ok(opened) => break opened,
                         Err(fault) if fault.to_string() != told => {
                             told = fault.to_string();
@@ -76,6 +86,7 @@
                     while jobs.try_recv().is_ok() {}
                     std::thread::sleep(AGAIN);
                 };
+                opened = Instant::now();
                 if inbox.send(Inbox::Opened(opening, found)).is_err() || !serve(store, opening, &jobs, &inbox) {
                     return;
                 }
--- a/crates/control-core/src/records.rs
+++ b/crates/control-core/src/records.rs
@@ -1,7 +1,7 @@
 //! How records lie in a segment of the log: frames of a length, a checksum that goes on from the frame
 //! before, and the records of one ticket.
 use control_chain::core::{Found, Record};
-use control_chain::view::Meta;
+use control_chain::view::{CoreAt, Meta, View};
 use deku::{DekuContainerRead, DekuContainerWrite};
 use fleet_common::{Bytes, hash};
 use std::collections::BTreeMap;
@@ -21,6 +21,16 @@
 }
 
 impl Held {
+    /// What an empty disk begins with.
+    pub(crate) fn formatted(found_fleet: Option<u32>, cores: &[CoreAt]) -> Self {
+        let (incarnation, view) = match found_fleet {
+            Some(tolerance) => (1, View::founding(cores.to_vec(), tolerance)),
+            None => (hash::unique(), View::outside(cores.to_vec())),
+        };
+        let full = found_fleet.is_some().into();
+        Held { meta: Some(Meta { incarnation, view, promised: 0, accepted: vec![].into(), full }), ..Held::default() }
+    }
+
     /// Takes a record in.
     /// ```
     /// use control_chain::core::Record;
--- a/crates/run-fleet/tests/losses.rs
+++ b/crates/run-fleet/tests/losses.rs
@@ -93,7 +93,8 @@
     assert!(Fleet::until(LONG, || head(&fleet).is_some()));
     let first = head(&fleet).unwrap();
     fleet.process(&first).kill();
-    let size = std::fs::metadata(fleet.folder().join(&first).join("state/db")).unwrap().len();
+    let files = std::fs::read_dir(fleet.folder().join(&first)).unwrap();
+    let size = files.map(|file| file.unwrap().metadata().unwrap().len()).max().unwrap();
     fleet.process(&first).file_max = Some(size + (64 << 10));
     fleet.process(&first).start();
     let told = || (1..=4).map(|n| fleet.page(&format!("core-{n}"), "/self")).any(|w| w.contains("\"sick\":true"));
