Reads that will not happen are untold, a store's busy link is spared, filters miss less by chance

Now what will not be read is told, a store's link has a clock and gets nothing while it is busy, and tables have 20 bits an item.

--- a/crates/control-chain/src/configuration/meaning.rs
+++ b/crates/control-chain/src/configuration/meaning.rs
@@ -38,7 +38,7 @@
             ways: Vec::new(),
             rules: Vec::new(),
             links: Links { near_us_per_block: 200, far_us_per_block: 800, setup_us: 2000 },
-            index: Index { block_bytes: 64, alpha: 5, beta: 25, bits: 8192, hashes: 0 },
+            index: Index { block_bytes: 64, alpha: 5, beta: 25, bits: 32_768, hashes: 0 },
             limits: Limits { per_replica: 8, per_edge: 48, stall_ms: 10_000, keep_serving: KEEP_SERVING },
         }
     }
--- a/crates/prefix-table/src/sizing.rs
+++ b/crates/prefix-table/src/sizing.rs
@@ -4,15 +4,15 @@
 use crate::table::{Shape, Table};
 
 const BITS_LEAST: u32 = 1024;
-const BITS_PER_ITEM: u32 = 10;
+const BITS_PER_ITEM: u32 = 20;
 /// Hashes of a table that is nearly empty, where the best number would be many.
 const HASHES_FIRST: u8 = 4;
 const ITEMS_FEW: u32 = 64;
 
-/// The smallest power of two with at least 10 bits for each item, from 1,024 up to the most allowed.
+/// The smallest power of two with at least 20 bits for each item, from 1,024 up to the most allowed.
 /// ```
 /// use prefix_table::sizing::fitting_bits;
-/// assert_eq!((fitting_bits(0, 8192), fitting_bits(102, 8192), fitting_bits(103, 8192)), (1024, 1024, 2048));
+/// assert_eq!((fitting_bits(0, 8192), fitting_bits(51, 8192), fitting_bits(52, 8192)), (1024, 1024, 2048));
 /// assert_eq!((fitting_bits(5000, 8192), fitting_bits(5000, 6000), fitting_bits(1, 64)), (8192, 6000, 64));
 /// ```
 pub fn fitting_bits(items: u32, most: u32) -> u32 {
--- a/crates/stream-router/src/deliver.rs
+++ b/crates/stream-router/src/deliver.rs
@@ -47,6 +47,8 @@
     inbound: &'a mut Inbound,
     events: Events,
     last: Option<String>,
+    /// Whether the present try has brought an event.
+    first: bool,
 }
 
 /// Delivers a request.
@@ -58,7 +60,7 @@
 /// ```
 pub fn deliver(shared: &Arc<Shared>, passage: &mut Passage, inbound: &mut Inbound) -> Flow {
     let last = passage.asked.after.clone();
-    let mut run = Run { shared, passage, inbound, events: Events::default(), last };
+    let mut run = Run { shared, passage, inbound, events: Events::default(), last, first: false };
     loop {
         let (failure, whole) = match run.once() {
             Ended::Flow(flow) => return flow,
@@ -144,10 +146,15 @@
         let parts: Vec<u64> = place.parts.iter().map(|(part, _)| *part).collect();
         let others = &parts[..parts.len().saturating_sub(1)];
         self.shared.starts_at(&place.id, place.work, others);
-        if let Some((link, took)) = &place.link {
-            self.shared.tell_work(link, *took, &[]);
+        for (link, took) in &place.links {
+            self.shared.tell_work(link, *took, &[], false);
         }
+        self.first = false;
         let ended = self.heard(&place, up);
+        if !self.first {
+            // It was refused, given up or lost before it was read.
+            self.shared.tell_work(&place.id, place.work, others, true);
+        }
         self.shared.ends_at(&place.id);
         ended
     }
@@ -267,7 +274,6 @@
     /// Passes a stream on, event by event.
     fn stream(&mut self, place: &Place, mut up: Outbound, head: AnswerHead, sent: Instant) -> Ended {
         let until = self.passage.until + LAST_WORD;
-        let mut first = true;
         loop {
             let bytes = match up.body(Some(self.inbound.socket()), until) {
                 Heard::Body(bytes) => bytes,
@@ -284,7 +290,7 @@
             if over {
                 whole.extend_from_slice(&self.events.rest());
             }
-            if !whole.is_empty() && std::mem::take(&mut first) {
+            if !whole.is_empty() && !std::mem::replace(&mut self.first, true) {
                 self.first(place, sent);
             }
             if !self.pass(&head, &whole, over) {
--- a/crates/stream-router/src/placing.rs
+++ b/crates/stream-router/src/placing.rs
@@ -13,6 +13,8 @@
 
 /// Links are told apart from what is read at a replica.
 pub(crate) const LINK: &str = "link of ";
+/// A store whose link is busy for longer gets nothing more.
+const STORE_BUSY_US: f64 = 150_000.0;
 /// A token's time on a link of which nothing is said, in microseconds.
 const USUAL_LINK_US: f64 = 1.0;
 
@@ -25,8 +27,8 @@
     pub salt: String,
     pub parts: Parts,
     pub source: Option<(String, String)>,
-    /// The source's link, and for how long the hand-over takes it.
-    pub link: Option<(String, Duration)>,
+    /// Links that are taken, of source and store, and for how long.
+    pub links: Vec<(String, Duration)>,
     /// The store that is to get what is read.
     pub target: Option<String>,
     pub own: u64,
@@ -134,19 +136,28 @@
     }
     shared.counters.parts_held.fetch_add(choice.own + choice.handed, std::sync::atomic::Ordering::Relaxed);
     shared.counters.parts_anew.fetch_add(choice.anew, std::sync::atomic::Ordering::Relaxed);
+    let times = |seat: &Seat| if seat.district == candidate.seat.district { 1.0 } else { 2.0 };
+    let source = choice.source.map(|at| &sources[at]);
+    let mut links: Vec<(String, Duration)> = source
+        .map(|s| (s.seat, choice.handed as f64 * s.move_us * times(s.seat)))
+        .map(|(seat, us)| (format!("{LINK}{}", seat.id), Duration::from_micros(us as u64)))
+        .into_iter()
+        .collect();
+    let store = sources.iter().filter(|s| s.seat.model == STORE && s.waiting_us < STORE_BUSY_US);
+    let store = store.filter(|s| lacks(&held, s.seat, &parts)).min_by(|a, b| a.waiting_us.total_cmp(&b.waiting_us));
+    if let Some(store) = store {
+        let us = (choice.own + choice.handed + choice.anew) as f64 * store.move_us * times(store.seat);
+        links.push((format!("{LINK}{}", store.seat.id), Duration::from_micros(us as u64)));
+    }
+    let target = store.map(|s| s.seat.at.clone());
     Some(Place {
         id: candidate.seat.id.clone(),
         at: candidate.seat.at.parse().ok()?,
         weights,
         salt,
-        target: target(&fleet, &seats, &held, &parts),
+        target,
+        links,
         parts,
-        link: choice.source.map(|at| {
-            let source = &sources[at];
-            let times = if source.seat.district == candidate.seat.district { 1.0 } else { 2.0 };
-            let took = Duration::from_micros((choice.handed as f64 * source.move_us * times) as u64);
-            (format!("{LINK}{}", source.seat.id), took)
-        }),
         source: choice.source.map(|at| (sources[at].seat.id.clone(), sources[at].seat.at.clone())),
         own: choice.own,
         handed: choice.handed,
@@ -169,17 +180,10 @@
     }
 }
 
-/// The store that is to get this prompt: where it lacks parts that others will share, and they are more than
-/// the part that nobody will ask for again.
-fn target(fleet: &Fleet, seats: &[Seat], held: &Held, parts: &Parts) -> Option<String> {
-    let (last, shared) = parts.split_last()?;
+/// Whether a store is to get this prompt: it lacks parts that others will share, and they are more than the
+/// part that nobody will ask for again.
+fn lacks(held: &Held, store: &Seat, parts: &Parts) -> bool {
+    let Some((last, shared)) = parts.split_last() else { return false };
     let tokens: u64 = shared.iter().map(|(_, tokens)| tokens).sum();
-    if tokens < last.1 {
-        return None;
-    }
-    let shared = shared.to_vec();
-    let stores = fleet.replicas.iter().filter(|r| r.model == STORE);
-    let open = stores.filter_map(|r| seats.iter().find(|s| s.id == r.id && !s.down));
-    let lacking = open.filter(|seat| tokens - held.tokens(seat, &shared, true) > tokens / 4);
-    lacking.map(|seat| seat.at.clone()).next()
+    tokens > 0 && tokens >= last.1 && tokens - held.tokens(store, &shared.to_vec(), true) > tokens / 4
 }
--- a/crates/stream-router/src/shared.rs
+++ b/crates/stream-router/src/shared.rs
@@ -268,22 +268,26 @@
 
     /// A request was sent to a replica, that takes so long to read.
     pub(crate) fn starts_at(&self, replica: &str, work: Duration, parts: &[u64]) {
-        self.tell_work(replica, work, parts);
+        self.tell_work(replica, work, parts, false);
         let mut all = self.own();
         let own = all.entry(replica.to_string()).or_default();
         (own.running, own.since) = (own.running + 1, own.since + 1);
     }
 
     /// Work that a replica or a link has to do, told to the other routers too.
-    pub(crate) fn tell_work(&self, what: &str, work: Duration, parts: &[u64]) {
+    pub(crate) fn tell_work(&self, what: &str, work: Duration, parts: &[u64], undone: bool) {
         let key = way_choice::backlog::key(what);
-        self.take_work(key, work, parts);
-        self.sharing.tell(&self.others.read(), key, work, parts);
+        self.take_work(key, work, parts, undone);
+        self.sharing.tell(&self.others.read(), key, work, parts, undone);
     }
 
     /// Work that this router or another one gave to a replica or a link.
-    pub(crate) fn take_work(&self, key: u64, work: Duration, parts: &[u64]) {
+    pub(crate) fn take_work(&self, key: u64, work: Duration, parts: &[u64], undone: bool) {
         let now = self.now();
+        if undone {
+            self.backlogs().less(now, key, work);
+            return self.recent().undo(now, key, parts);
+        }
         let ready = {
             let mut backlogs = self.backlogs();
             backlogs.add(now, key, work);
--- a/crates/stream-router/src/sharing.rs
+++ b/crates/stream-router/src/sharing.rs
@@ -9,8 +9,8 @@
 
 fleet_common::messages! {
     /// A prompt that was sent to a replica or over a link (by its key), how long reading or moving it takes, and
-    /// the parts of it that others may ask for.
-    pub struct Work { pub replica: u64, pub work_us: u32, pub parts: List<u64> }
+    /// the parts of it that others may ask for; or that those will not be read after all.
+    pub struct Work { pub replica: u64, pub work_us: u32, pub undone: u8, pub parts: List<u64> }
 }
 
 /// Parts told of one prompt, at the most: the first ones matter most.
@@ -34,12 +34,17 @@
     /// Tells others of work that was sent to a replica.
     /// ```
     /// # let sharing = stream_router::sharing::Sharing::bind("127.0.0.1:0".parse().unwrap());
-    /// sharing.tell(&[], 7, std::time::Duration::from_millis(40), &[]);
+    /// sharing.tell(&[], 7, std::time::Duration::from_millis(40), &[], false);
     /// ```
-    pub fn tell(&self, others: &[SocketAddr], replica: u64, work: Duration, parts: &[u64]) {
+    pub fn tell(&self, others: &[SocketAddr], replica: u64, work: Duration, parts: &[u64], undone: bool) {
         let Some(socket) = &self.socket else { return };
         let work_us = work.as_micros().min(u32::MAX as u128) as u32;
-        let work = Work { replica, work_us, parts: parts[..parts.len().min(PARTS_MOST)].to_vec().into() };
+        let work = Work {
+            replica,
+            work_us,
+            undone: undone.into(),
+            parts: parts[..parts.len().min(PARTS_MOST)].to_vec().into(),
+        };
         let Ok(bytes) = work.to_bytes() else { return };
         for to in others {
             let _ = socket.send_to(&bytes, to);
@@ -60,7 +65,8 @@
         loop {
             let Ok((got, _)) = socket.recv_from(&mut bytes) else { continue };
             if let Ok((_, work)) = Work::from_bytes((&bytes[..got], 0)) {
-                shared.take_work(work.replica, Duration::from_micros(work.work_us.into()), work.parts.items());
+                let took = Duration::from_micros(work.work_us.into());
+                shared.take_work(work.replica, took, work.parts.items(), work.undone != 0);
             }
         }
     });
--- a/crates/way-choice/src/backlog.rs
+++ b/crates/way-choice/src/backlog.rs
@@ -50,6 +50,20 @@
         row.free_at = (row.free_at.max(now) + work).min(now + MOST);
     }
 
+    /// What was sent will not be read after all.
+    /// ```
+    /// use std::time::Duration;
+    /// let mut all = way_choice::backlog::Backlogs::default();
+    /// all.add(Duration::ZERO, 7, Duration::from_millis(80));
+    /// all.less(Duration::ZERO, 7, Duration::from_millis(80));
+    /// assert!(all.waiting(Duration::ZERO, 7).is_zero());
+    /// ```
+    pub fn less(&mut self, now: Duration, replica: u64, work: Duration) {
+        if let Some(row) = self.rows.get_mut(&replica) {
+            row.free_at = row.free_at.saturating_sub(work.mul_f64(row.pace)).max(now.min(row.free_at));
+        }
+    }
+
     /// How long a prompt sent now would wait there.
     /// ```
     /// assert!(way_choice::backlog::Backlogs::default().waiting(std::time::Duration::ZERO, 7).is_zero());
--- a/crates/way-choice/src/rank.rs
+++ b/crates/way-choice/src/rank.rs
@@ -20,19 +20,47 @@
     pub handover_us: f64,
     /// What it is worth, for each token, not to read anew what somebody keeps.
     pub again_us: f64,
+    /// For each so long that waits at the average replica, reading counts once more: whatever is read makes all
+    /// behind it wait, and the fuller the fleet the more there are.
+    pub crowd_us: f64,
     /// Each request that runs or waits there.
     pub busy_us: f64,
+    /// What an average prompt takes to read, and how many requests a replica has beyond reading: more than
+    /// those must be waiting to be read, whatever the clocks say.
+    pub usual_us: f64,
+    pub answering: f64,
     /// The way to another zone and back.
     pub far_us: f64,
 }
 
 impl Default for Prices {
     fn default() -> Self {
-        Prices { read_us: 9.5, pair_us: 0.0002, handover_us: 9000.0, again_us: 15.0, busy_us: 1500.0, far_us: 3000.0 }
+        Prices {
+            read_us: 9.5,
+            pair_us: 0.0002,
+            handover_us: 9000.0,
+            again_us: 15.0,
+            crowd_us: 120_000.0,
+            busy_us: 1500.0,
+            usual_us: 0.0,
+            answering: 5.0,
+            far_us: 3000.0,
+        }
     }
 }
 
 impl Prices {
+    /// How long a prompt sent now waits at a replica, by its clock and by how many requests it has: a clock
+    /// that lost count is set right by those.
+    /// ```
+    /// let prices = way_choice::rank::Prices::default();
+    /// assert!(prices.waiting(0.0, 30.0) > 500_000.0);
+    /// assert_eq!(prices.waiting(9000.0, 2.0), 9000.0);
+    /// ```
+    pub fn waiting(&self, clock_us: f64, busy: f64) -> f64 {
+        clock_us.max((busy - self.answering).max(0.0) * self.usual_us)
+    }
+
     /// What reading so many tokens anew takes, at the end of a prompt of so many.
     /// ```
     /// let prices = way_choice::rank::Prices::default();
@@ -51,7 +79,7 @@
 }
 
 /// For how long a part counts as held where it was sent to be read, once it was.
-const LATELY: Duration = Duration::from_secs(2);
+const LATELY: Duration = Duration::from_secs(4);
 const RECENT_MOST: usize = 16_384;
 
 impl Recent {
@@ -90,6 +118,18 @@
         self.sent.get(&(replica, part)).is_some_and(|(ready, until)| *ready <= now && *until > now)
     }
 
+    /// Parts that were sent there and will not be read after all.
+    /// ```
+    /// way_choice::rank::Recent::default().undo(std::time::Duration::ZERO, 1, &[7]);
+    /// ```
+    pub fn undo(&mut self, now: Duration, replica: u64, parts: &[u64]) {
+        for part in parts {
+            if self.sent.get(&(replica, *part)).is_some_and(|(ready, _)| *ready > now) {
+                self.sent.remove(&(replica, *part));
+            }
+        }
+    }
+
     /// Nothing that was sent there counts any more.
     /// ```
     /// way_choice::rank::Recent::default().forget(1);
@@ -163,6 +203,9 @@
     pub waiting_us: f64,
 }
 
+/// Reading never counts more than so many times again.
+const CROWD_MOST: f64 = 8.0;
+
 /// Chooses. `sources` gives for a candidate who may hand over to it; `spread` parts equal costs, the same way
 /// for equal prompts from every router.
 /// ```
@@ -188,12 +231,15 @@
     spread: u64,
 ) -> Option<Choice> {
     let mut best: Option<Choice> = None;
+    let waits: Vec<f64> = candidates.iter().map(|c| prices.waiting(c.waiting_us, c.busy)).collect();
+    let all_us: f64 = waits.iter().sum();
+    let crowd = 1.0 + (all_us / candidates.len().max(1) as f64 / prices.crowd_us).min(CROWD_MOST);
     for (at, candidate) in candidates.iter().enumerate() {
         let total: u64 = candidate.parts.iter().map(|(_, tokens)| tokens).sum();
         let own = held.tokens(candidate.seat, candidate.parts, true);
         let mut choice = Choice { at, source: None, own, handed: 0, anew: total - own, cost_us: 0.0, work_us: 0.0 };
         choice.work_us = prices.reading(choice.anew, total);
-        let mut prompt_us = choice.work_us * candidate.pace;
+        let mut prompt_us = choice.work_us * candidate.pace * crowd;
         let mut kept = own;
         for (from, source) in sources.iter().enumerate().filter(|(_, s)| s.seat.id != candidate.seat.id) {
             let has = held.tokens(source.seat, candidate.parts, false);
@@ -205,9 +251,10 @@
             let times = if source.seat.district == candidate.seat.district { 1.0 } else { 2.0 };
             let work_us = prices.reading(total - has, total);
             let move_us = prices.handover_us + gained as f64 * source.move_us * times + source.waiting_us;
-            let us = move_us + work_us * candidate.pace - has as f64 * prices.again_us;
+            let read_us = work_us * candidate.pace * crowd;
+            let us = move_us + read_us - has as f64 * prices.again_us;
             if us < prompt_us - (own + choice.handed) as f64 * prices.again_us {
-                prompt_us = move_us + work_us * candidate.pace;
+                prompt_us = move_us + read_us;
                 choice = Choice { source: Some(from), handed: gained, anew: total - has, work_us, ..choice };
             }
         }
@@ -216,7 +263,7 @@
         // A small part that differs by prompt and replica: equal costs are parted alike by all routers.
         let weight = fleet_common::hash::bytes(spread, candidate.seat.id.as_bytes());
         let parted_us = (mix(weight) % 4000) as f64;
-        choice.cost_us = prompt_us + way_us + parted_us + candidate.waiting_us + candidate.busy * prices.busy_us;
+        choice.cost_us = prompt_us + way_us + parted_us + waits[at] + candidate.busy * prices.busy_us;
         if best.as_ref().is_none_or(|b| choice.cost_us < b.cost_us) {
             best = Some(choice);
         }
