--- a/crates/stream-router/src/deliver.rs
+++ b/crates/stream-router/src/deliver.rs
@@ -8,12 +8,16 @@
 use crate::placing::{self, Place};
 use crate::progress::{Failure, Next};
 use crate::shared::{Shared, count};
+use crate::sharing::{Ended, Moved, News};
+use fleet_common::hash;
 use http_streams::head::AnswerHead;
 use http_streams::inbound::Inbound;
 use http_streams::outbound::{Heard, Outbound};
 use http_streams::pool::Need;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use way_choice::backlog::key;
+use way_choice::ledger::Sent;
 
 const CONNECT: Duration = Duration::from_millis(400);
 /// A replica that could not be reached is left alone for a while.
@@ -36,7 +40,7 @@
     body: Vec<u8>,
 }
 
-enum Ended {
+enum Try {
     Flow(Flow),
     Failed(Failure, Option<Whole>),
 }
@@ -49,6 +53,8 @@
     last: Option<String>,
     /// Whether the present try has brought an event.
     first: bool,
+    /// Under which id the present try was told.
+    id: u64,
 }
 
 /// Delivers a request.
@@ -60,11 +66,11 @@
 /// ```
 pub fn deliver(shared: &Arc<Shared>, passage: &mut Passage, inbound: &mut Inbound) -> Flow {
     let last = passage.asked.after.clone();
-    let mut run = Run { shared, passage, inbound, events: Events::default(), last, first: false };
+    let mut run = Run { shared, passage, inbound, events: Events::default(), last, first: false, id: 0 };
     loop {
         let (failure, whole) = match run.once() {
-            Ended::Flow(flow) => return flow,
-            Ended::Failed(failure, whole) => (failure, whole),
+            Try::Flow(flow) => return flow,
+            Try::Failed(failure, whole) => (failure, whole),
         };
         let next = run.passage.progress.after(&failure, || shared.budget().spend());
         match next {
@@ -93,31 +99,31 @@
         Flow::Answered
     }
 
-    fn left(&mut self, up: Outbound) -> Ended {
+    fn left(&mut self, up: Outbound) -> Try {
         up.cut();
         count(&self.shared.counters.caller_left);
         self.passage.close = true;
-        Ended::Flow(Flow::Answered)
+        Try::Flow(Flow::Answered)
     }
 
-    fn timed_out(&mut self) -> Ended {
+    fn timed_out(&mut self) -> Try {
         if self.passage.progress.answered {
-            return Ended::Flow(self.cut());
+            return Try::Flow(self.cut());
         }
         let reply = match self.passage.progress.sent > 0 {
             true => Reply::new(504, "its time is over"),
             false => Reply::later("its time was over before a replica could take it", Duration::from_millis(100)),
         };
-        Ended::Flow(Flow::Reply(reply))
+        Try::Flow(Flow::Reply(reply))
     }
 
     /// One try at one replica.
-    fn once(&mut self) -> Ended {
+    fn once(&mut self) -> Try {
         if Instant::now() >= self.passage.until {
             return self.timed_out();
         }
         let Some(place) = placing::find(self.shared, self.passage) else {
-            return Ended::Failed(Failure::NoPlace, None);
+            return Try::Failed(Failure::NoPlace, None);
         };
         self.passage.tried.push(place.id.clone());
         let need = if self.passage.progress.repeatable { Need::Any } else { Need::Sure };
@@ -131,7 +137,7 @@
         }
         if let Err(reply) = may_go_on(self.shared, self.passage) {
             self.shared.pool.give(place.at, up);
-            return Ended::Flow(if self.passage.progress.answered { self.cut() } else { Flow::Reply(reply) });
+            return Try::Flow(if self.passage.progress.answered { self.cut() } else { Flow::Reply(reply) });
         }
         let bytes = self.bytes(&place);
         match up.send(&self.passage.head.method, &bytes) {
@@ -139,30 +145,33 @@
             Err((false, _)) => return self.unreached(&place),
             Err((true, _)) => {
                 self.passage.progress.sent += 1;
-                return Ended::Failed(Failure::Unknown, None);
+                return Try::Failed(Failure::Unknown, None);
             }
         }
         self.passage.progress.sent += 1;
-        let parts: Vec<u64> = place.parts.iter().map(|(part, _)| *part).collect();
-        let others = &parts[..parts.len().saturating_sub(1)];
-        self.shared.starts_at(&place.id, place.work, others);
+        let id = hash::unique();
+        let last = place.parts.len().saturating_sub(1);
+        let parts = place.parts[..last].iter().map(|(part, _)| *part).collect();
+        let tokens = place.own + place.handed + place.anew;
+        self.shared.starts_at(&place.id, id, Sent { work: place.work, tokens, parts });
         for (link, took) in &place.links {
-            self.shared.tell_work(link, *took, &[], false);
+            let took_us = took.as_micros().min(u32::MAX as u128) as u32;
+            self.shared.tell(News::Moved(Moved { link: key(link), took_us }));
         }
-        self.first = false;
+        (self.first, self.id) = (false, id);
         let ended = self.heard(&place, up);
         if !self.first {
             // It was refused, given up or lost before it was read.
-            self.shared.tell_work(&place.id, place.work, others, true);
+            self.shared.tell(News::Undone(Ended { replica: key(&place.id), id }));
         }
         self.shared.ends_at(&place.id);
         ended
     }
 
-    fn unreached(&mut self, place: &Place) -> Ended {
+    fn unreached(&mut self, place: &Place) -> Try {
         let until = self.shared.now() + DOWN_FOR;
         self.shared.down.change(|down| down.insert(place.id.clone(), until));
-        Ended::Failed(Failure::Unsent, None)
+        Try::Failed(Failure::Unsent, None)
     }
 
     fn bytes(&self, place: &Place) -> Vec<u8> {
@@ -185,7 +194,7 @@
     }
 
     /// Follows a request that was sent.
-    fn heard(&mut self, place: &Place, mut up: Outbound) -> Ended {
+    fn heard(&mut self, place: &Place, mut up: Outbound) -> Try {
         let sent = Instant::now();
         let (head, said) = match self.own_head(&mut up) {
             Ok(read) => read,
@@ -194,7 +203,7 @@
                 up.cut();
                 return self.timed_out();
             }
-            Err(_) => return Ended::Failed(Failure::Unknown, None),
+            Err(_) => return Try::Failed(Failure::Unknown, None),
         };
         if let Some(weights) = &said.weights {
             self.shared.hear_weights(&place.id, weights);
@@ -208,21 +217,21 @@
             }
             self.rest(&mut up, Instant::now() + REST);
             self.shared.pool.give(place.at, up);
-            return Ended::Failed(Failure::Refused, None);
+            return Try::Failed(Failure::Refused, None);
         }
         if self.passage.route.stream && head.status == 200 {
             return self.stream(place, up, head, sent);
         }
         let Some(body) = self.rest(&mut up, self.passage.until + LAST_WORD) else {
-            return Ended::Failed(Failure::Unknown, None);
+            return Try::Failed(Failure::Unknown, None);
         };
         self.shared.pool.give(place.at, up);
         let whole = Whole { head, body };
         match whole.head.status {
             status if status >= 500 || [408, 421, 429].contains(&status) => {
-                Ended::Failed(Failure::Failed(status), Some(whole))
+                Try::Failed(Failure::Failed(status), Some(whole))
             }
-            _ => Ended::Flow(self.hand_on(whole)),
+            _ => Try::Flow(self.hand_on(whole)),
         }
     }
 
@@ -272,7 +281,7 @@
     }
 
     /// Passes a stream on, event by event.
-    fn stream(&mut self, place: &Place, mut up: Outbound, head: AnswerHead, sent: Instant) -> Ended {
+    fn stream(&mut self, place: &Place, mut up: Outbound, head: AnswerHead, sent: Instant) -> Try {
         let until = self.passage.until + LAST_WORD;
         loop {
             let bytes = match up.body(Some(self.inbound.socket()), until) {
@@ -283,7 +292,7 @@
                     up.cut();
                     return self.timed_out();
                 }
-                _ => return Ended::Failed(Failure::Unknown, None),
+                _ => return Try::Failed(Failure::Unknown, None),
             };
             let (mut whole, last) = self.events.take(&bytes);
             let over = up.ended();
@@ -303,7 +312,7 @@
             if over {
                 count(&self.shared.counters.whole);
                 self.shared.pool.give(place.at, up);
-                return Ended::Flow(Flow::Answered);
+                return Try::Flow(Flow::Answered);
             }
         }
     }
@@ -330,9 +339,10 @@
     /// The first event is here: what the try took is told to whoever audits its source.
     fn first(&mut self, place: &Place, sent: Instant) {
         let took = sent.elapsed();
+        self.shared.tell(News::Read(Ended { replica: key(&place.id), id: self.id }));
         if place.waiting < CALM && place.work > Duration::from_millis(20) {
             let thought = place.work + BASE;
-            self.shared.backlogs().learn(way_choice::backlog::key(&place.id), thought, took);
+            self.shared.ledger().learn(key(&place.id), thought, took);
         }
         let Some((source, _)) = &place.source else { return };
         let mut tokens = 0;
--- a/crates/stream-router/src/feed.rs
+++ b/crates/stream-router/src/feed.rs
@@ -88,7 +88,8 @@
     }
     let keys = fleet.replicas.iter().flat_map(|r| [key(&r.id), key(&format!("{LINK}{}", r.id))]);
     let keys: HashSet<u64> = keys.collect();
-    shared.backlogs().keep(|key| keys.contains(&key));
+    shared.links().keep(|key| keys.contains(&key));
+    shared.ledger().keep(|key| keys.contains(&key));
     shared.own().retain(|id, own| own.running > 0 || listed(id));
 }
 
--- a/crates/stream-router/src/placing.rs
+++ b/crates/stream-router/src/placing.rs
@@ -93,7 +93,8 @@
         .into_iter()
         .map(salted)
         .collect();
-    let (backlogs, now) = (shared.backlogs().clone(), shared.now());
+    let (links, now) = (shared.links().clone(), shared.now());
+    let ledger = shared.ledger();
     let (own, news) = (shared.own().clone(), shared.news.read());
     let candidates: Vec<Candidate> = fit
         .iter()
@@ -108,17 +109,18 @@
             };
             let busy = (load + mine.since).max(mine.running) as f64;
             let key = key(&seat.id);
-            let (waiting_us, pace) = (backlogs.waiting(now, key).as_micros() as f64, backlogs.pace(key));
+            let (waiting_us, pace) = (ledger.waiting(now, key).as_micros() as f64, ledger.pace(key));
             Some(Candidate { seat, parts, busy, waiting_us, pace, near: seat.district == shared.setup.zone })
         })
         .collect();
+    drop(ledger);
     let sources: Vec<Source> = seats
         .iter()
         .filter(|s| !s.down && !s.leaving && (s.model == passage.asked.model || s.model == STORE))
         .map(|seat| Source {
             seat,
             move_us: link_us(&fleet, passage, seat),
-            waiting_us: backlogs.waiting(now, key(&format!("{LINK}{}", seat.id))).as_micros() as f64,
+            waiting_us: links.waiting(now, key(&format!("{LINK}{}", seat.id))).as_micros() as f64,
         })
         .collect();
     let prices = *shared.prices();
--- a/crates/stream-router/src/shared.rs
+++ b/crates/stream-router/src/shared.rs
@@ -3,7 +3,7 @@
 use crate::auditing::Tried;
 use crate::budget::{Bound, Budget};
 use crate::dialect::Dialect;
-use crate::sharing::Sharing;
+use crate::sharing::{Begun, News, Sharing, told_parts};
 use control_chain::fleet::Fleet;
 use crossbeam::channel::{Receiver, Sender, bounded};
 use fleet_common::{Rcu, hash};
@@ -14,9 +14,10 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
-use way_choice::backlog::Backlogs;
-use way_choice::desk::{Down, News, seats};
+use way_choice::backlog::{Backlogs, key};
+use way_choice::desk::{self, Down, seats};
 use way_choice::fresh::Fresh;
+use way_choice::ledger::{Ledger, Sent};
 use way_choice::place::Seat;
 use way_choice::rank::{Prices, Recent};
 use way_choice::source::Mirrors;
@@ -89,7 +90,7 @@
     begun: Instant,
     pub fleet: Rcu<Fleet>,
     pub mirrors: Rcu<Mirrors>,
-    pub news: Rcu<News>,
+    pub news: Rcu<desk::News>,
     pub down: Rcu<Down>,
     /// Weights that replicas said they run, newer than the index's word.
     pub heard: Rcu<HashMap<String, (String, Duration)>>,
@@ -100,7 +101,8 @@
     pub running: AtomicU64,
     budget: Mutex<Budget>,
     recent: Mutex<Recent>,
-    backlogs: Mutex<Backlogs>,
+    ledger: Mutex<Ledger>,
+    links: Mutex<Backlogs>,
     pub(crate) sharing: Sharing,
     /// Where the other routers are reached.
     pub(crate) others: Rcu<Vec<SocketAddr>>,
@@ -129,7 +131,7 @@
             begun: Instant::now(),
             fleet: Rcu::new(Fleet::default()),
             mirrors: Rcu::new(Mirrors::new()),
-            news: Rcu::new(News::new()),
+            news: Rcu::new(desk::News::new()),
             down: Rcu::new(Down::new()),
             heard: Rcu::default(),
             fresh: Fresh::default(),
@@ -139,7 +141,8 @@
             running: 0.into(),
             budget: Mutex::new(Budget::new(bound)),
             recent: Mutex::default(),
-            backlogs: Mutex::default(),
+            ledger: Mutex::default(),
+            links: Mutex::default(),
             sharing,
             others: Rcu::default(),
             own: Mutex::default(),
@@ -201,11 +204,21 @@
     /// What waits to be read at each replica.
     /// ```no_run
     /// # fn show(shared: &stream_router::shared::Shared) {
-    /// assert!(shared.backlogs().waiting(shared.now(), 7).is_zero());
+    /// assert!(shared.ledger().waiting(shared.now(), 7).is_zero());
     /// # }
     /// ```
-    pub fn backlogs(&self) -> MutexGuard<'_, Backlogs> {
-        held(&self.backlogs)
+    pub fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        held(&self.ledger)
+    }
+
+    /// How busy links are with hand-overs.
+    /// ```no_run
+    /// # fn show(shared: &stream_router::shared::Shared) {
+    /// assert!(shared.links().waiting(shared.now(), 7).is_zero());
+    /// # }
+    /// ```
+    pub fn links(&self) -> MutexGuard<'_, Backlogs> {
+        held(&self.links)
     }
 
     /// What runs where by this router's doing.
@@ -266,35 +279,45 @@
         seats
     }
 
-    /// A request was sent to a replica, that takes so long to read.
-    pub(crate) fn starts_at(&self, replica: &str, work: Duration, parts: &[u64]) {
-        self.tell_work(replica, work, parts, false);
+    /// A request was sent to a replica.
+    pub(crate) fn starts_at(&self, replica: &str, id: u64, sent: Sent) {
+        self.tell(News::Begun(Begun {
+            replica: key(replica),
+            id,
+            work_us: sent.work.as_micros().min(u32::MAX as u128) as u32,
+            tokens: sent.tokens.min(u32::MAX as u64) as u32,
+            parts: told_parts(&sent.parts).into(),
+        }));
         let mut all = self.own();
         let own = all.entry(replica.to_string()).or_default();
         (own.running, own.since) = (own.running + 1, own.since + 1);
     }
 
-    /// Work that a replica or a link has to do, told to the other routers too.
-    pub(crate) fn tell_work(&self, what: &str, work: Duration, parts: &[u64], undone: bool) {
-        let key = way_choice::backlog::key(what);
-        self.take_work(key, work, parts, undone);
-        self.sharing.tell(&self.others.read(), key, work, parts, undone);
+    /// Puts news to use, and tells the other routers.
+    pub(crate) fn tell(&self, news: News) {
+        self.take_news(&news);
+        self.sharing.tell(&self.others.read(), &news);
     }
 
-    /// Work that this router or another one gave to a replica or a link.
-    pub(crate) fn take_work(&self, key: u64, work: Duration, parts: &[u64], undone: bool) {
+    /// What this router or another one did.
+    pub(crate) fn take_news(&self, news: &News) {
         let now = self.now();
-        if undone {
-            self.backlogs().less(now, key, work);
-            return self.recent().undo(now, key, parts);
-        }
-        let ready = {
-            let mut backlogs = self.backlogs();
-            backlogs.add(now, key, work);
-            now + backlogs.waiting(now, key)
-        };
-        if !parts.is_empty() {
-            self.recent().note(now, ready, key, parts);
+        match news {
+            News::Begun(b) => {
+                let parts = b.parts.items().to_vec();
+                let sent = Sent { work: Duration::from_micros(b.work_us.into()), tokens: b.tokens.into(), parts };
+                self.recent().note(now, false, b.replica, &sent.parts);
+                self.ledger().begin(now, b.replica, b.id, sent);
+            }
+            News::Read(e) => {
+                let sent = self.ledger().read(now, e.replica, e.id);
+                sent.iter().for_each(|sent| self.recent().note(now, true, e.replica, &sent.parts));
+            }
+            News::Undone(e) => {
+                let sent = self.ledger().undo(now, e.replica, e.id);
+                sent.iter().for_each(|sent| self.recent().undo(now, e.replica, &sent.parts));
+            }
+            News::Moved(m) => self.links().add(now, m.link, Duration::from_micros(m.took_us.into())),
         }
     }
 
--- a/crates/stream-router/src/sharing.rs
+++ b/crates/stream-router/src/sharing.rs
@@ -5,12 +5,24 @@
 use fleet_common::List;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
-use std::time::Duration;
 
 fleet_common::messages! {
-    /// A prompt that was sent to a replica or over a link (by its key), how long reading or moving it takes, and
-    /// the parts of it that others may ask for; or that those will not be read after all.
-    pub struct Work { pub replica: u64, pub work_us: u32, pub undone: u8, pub parts: List<u64> }
+    /// A prompt sent to a replica (by its key) under an id: what reading it takes, the memory it needs, and the
+    /// parts of it that others may ask for.
+    pub struct Begun { pub replica: u64, pub id: u64, pub work_us: u32, pub tokens: u32, pub parts: List<u64> }
+    pub struct Ended { pub replica: u64, pub id: u64 }
+    /// A hand-over that takes a link (by its key) for so long.
+    pub struct Moved { pub link: u64, pub took_us: u32 }
+
+    /// What routers tell each other.
+    pub enum News {
+        1 = Begun(Begun),
+        /// Its first event came.
+        2 = Read(Ended),
+        /// It will not be read.
+        3 = Undone(Ended),
+        4 = Moved(Moved),
+    }
 }
 
 /// Parts told of one prompt, at the most: the first ones matter most.
@@ -31,27 +43,28 @@
         Sharing { socket: socket.ok() }
     }
 
-    /// Tells others of work that was sent to a replica.
+    /// Tells others.
     /// ```
     /// # let sharing = stream_router::sharing::Sharing::bind("127.0.0.1:0".parse().unwrap());
-    /// sharing.tell(&[], 7, std::time::Duration::from_millis(40), &[], false);
+    /// use stream_router::sharing::{Ended, News};
+    /// sharing.tell(&[], &News::Read(Ended { replica: 7, id: 1 }));
     /// ```
-    pub fn tell(&self, others: &[SocketAddr], replica: u64, work: Duration, parts: &[u64], undone: bool) {
-        let Some(socket) = &self.socket else { return };
-        let work_us = work.as_micros().min(u32::MAX as u128) as u32;
-        let work = Work {
-            replica,
-            work_us,
-            undone: undone.into(),
-            parts: parts[..parts.len().min(PARTS_MOST)].to_vec().into(),
-        };
-        let Ok(bytes) = work.to_bytes() else { return };
+    pub fn tell(&self, others: &[SocketAddr], news: &News) {
+        let (Some(socket), Ok(bytes)) = (&self.socket, news.to_bytes()) else { return };
         for to in others {
             let _ = socket.send_to(&bytes, to);
         }
     }
 }
 
+/// The parts that are told.
+/// ```
+/// assert_eq!(stream_router::sharing::told_parts(&[7; 40]).len(), 32);
+/// ```
+pub fn told_parts(parts: &[u64]) -> Vec<u64> {
+    parts[..parts.len().min(PARTS_MOST)].to_vec()
+}
+
 /// Hears what other routers tell.
 /// ```no_run
 /// # fn show(shared: std::sync::Arc<stream_router::shared::Shared>) {
@@ -64,9 +77,8 @@
         let mut bytes = [0u8; 512];
         loop {
             let Ok((got, _)) = socket.recv_from(&mut bytes) else { continue };
-            if let Ok((_, work)) = Work::from_bytes((&bytes[..got], 0)) {
-                let took = Duration::from_micros(work.work_us.into());
-                shared.take_work(work.replica, took, work.parts.items(), work.undone != 0);
+            if let Ok((_, news)) = News::from_bytes((&bytes[..got], 0)) {
+                shared.take_news(&news);
             }
         }
     });
--- a/crates/way-choice/src/lib.rs
+++ b/crates/way-choice/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod backlog;
 pub mod desk;
 pub mod fresh;
+pub mod ledger;
 pub mod let_in;
 pub mod links;
 pub mod place;
--- a/crates/way-choice/src/rank.rs
+++ b/crates/way-choice/src/rank.rs
@@ -25,10 +25,6 @@
     pub crowd_us: f64,
     /// Each request that runs or waits there.
     pub busy_us: f64,
-    /// What an average prompt takes to read, and how many requests a replica has beyond reading: more than
-    /// those must be waiting to be read, whatever the clocks say.
-    pub usual_us: f64,
-    pub answering: f64,
     /// The way to another zone and back.
     pub far_us: f64,
 }
@@ -42,25 +38,12 @@
             again_us: 15.0,
             crowd_us: 120_000.0,
             busy_us: 1500.0,
-            usual_us: 0.0,
-            answering: 5.0,
             far_us: 3000.0,
         }
     }
 }
 
 impl Prices {
-    /// How long a prompt sent now waits at a replica, by its clock and by how many requests it has: a clock
-    /// that lost count is set right by those.
-    /// ```
-    /// let prices = way_choice::rank::Prices::default();
-    /// assert!(prices.waiting(0.0, 30.0) > 500_000.0);
-    /// assert_eq!(prices.waiting(9000.0, 2.0), 9000.0);
-    /// ```
-    pub fn waiting(&self, clock_us: f64, busy: f64) -> f64 {
-        clock_us.max((busy - self.answering).max(0.0) * self.usual_us)
-    }
-
     /// What reading so many tokens anew takes, at the end of a prompt of so many.
     /// ```
     /// let prices = way_choice::rank::Prices::default();
@@ -80,25 +63,30 @@
 
 /// For how long a part counts as held where it was sent to be read, once it was.
 const LATELY: Duration = Duration::from_secs(4);
+/// For how long one that is not read yet counts as about to be.
+const UNREAD: Duration = Duration::from_secs(6);
+const NEVER: Duration = Duration::from_secs(1 << 40);
 const RECENT_MOST: usize = 16_384;
 
 impl Recent {
-    /// Parts were sent to a replica (by its key) that will have read them by then.
+    /// Parts were sent to a replica (by its key), or have been read there by now.
     /// ```
     /// use std::time::Duration;
-    /// let mut recent = way_choice::rank::Recent::default();
-    /// recent.note(Duration::ZERO, Duration::from_millis(50), 1, &[7]);
-    /// assert!(recent.sent(Duration::ZERO, 1, 7) && !recent.read(Duration::ZERO, 1, 7));
-    /// assert!(recent.read(Duration::from_secs(1), 1, 7) && !recent.sent(Duration::from_secs(9), 1, 7));
+    /// let (mut recent, second) = (way_choice::rank::Recent::default(), Duration::from_secs(1));
+    /// recent.note(Duration::ZERO, false, 1, &[7]);
+    /// assert!(recent.sent(second, 1, 7) && !recent.read(second, 1, 7));
+    /// recent.note(second, true, 1, &[7]);
+    /// assert!(recent.read(second * 2, 1, 7) && !recent.sent(second * 9, 1, 7));
     /// ```
-    pub fn note(&mut self, now: Duration, ready: Duration, replica: u64, parts: &[u64]) {
+    pub fn note(&mut self, now: Duration, read: bool, replica: u64, parts: &[u64]) {
         if self.sent.len() > RECENT_MOST {
             self.sent.retain(|_, (_, until)| *until > now);
         }
+        let fresh = if read { (now, now + LATELY) } else { (NEVER, now + UNREAD) };
         for part in parts {
-            let row = self.sent.entry((replica, *part)).or_insert((ready, ready + LATELY));
+            let row = self.sent.entry((replica, *part)).or_insert(fresh);
             // What was read there stays; only its end moves on.
-            *row = (if row.1 > now { row.0.min(ready) } else { ready }, ready + LATELY);
+            *row = (if row.1 > now { row.0.min(fresh.0) } else { fresh.0 }, fresh.1);
         }
     }
 
@@ -215,7 +203,7 @@
 /// let (one, two) = (seat("r1"), seat("r2"));
 /// let parts = vec![(7u64, 5000u64)];
 /// let mut recent = Recent::default();
-/// recent.note(Default::default(), Default::default(), way_choice::backlog::key("r2"), &[7]);
+/// recent.note(Default::default(), true, way_choice::backlog::key("r2"), &[7]);
 /// let held = Held { mirrors: &Default::default(), recent: &recent, now: Default::default() };
 /// let with = |seat, busy| Candidate { seat, parts: &parts, busy, waiting_us: 0.0, pace: 1.0, near: true };
 /// let choice = choose(&[with(&one, 0.0), with(&two, 0.0)], &[], &held, &Prices::default(), 0).unwrap();
@@ -231,8 +219,7 @@
     spread: u64,
 ) -> Option<Choice> {
     let mut best: Option<Choice> = None;
-    let waits: Vec<f64> = candidates.iter().map(|c| prices.waiting(c.waiting_us, c.busy)).collect();
-    let all_us: f64 = waits.iter().sum();
+    let all_us: f64 = candidates.iter().map(|c| c.waiting_us).sum();
     let crowd = 1.0 + (all_us / candidates.len().max(1) as f64 / prices.crowd_us).min(CROWD_MOST);
     for (at, candidate) in candidates.iter().enumerate() {
         let total: u64 = candidate.parts.iter().map(|(_, tokens)| tokens).sum();
@@ -263,7 +250,7 @@
         // A small part that differs by prompt and replica: equal costs are parted alike by all routers.
         let weight = fleet_common::hash::bytes(spread, candidate.seat.id.as_bytes());
         let parted_us = (mix(weight) % 4000) as f64;
-        choice.cost_us = prompt_us + way_us + parted_us + waits[at] + candidate.busy * prices.busy_us;
+        choice.cost_us = prompt_us + way_us + parted_us + candidate.waiting_us + candidate.busy * prices.busy_us;
         if best.as_ref().is_none_or(|b| choice.cost_us < b.cost_us) {
             best = Some(choice);
         }
