--- /dev/null
+++ b/crates/http-streams/tests/pool.rs
@@ -0,0 +1,116 @@
+//! Kept connections: which are used again.
+use http_streams::outbound::{Heard, Outbound};
+use http_streams::pool::{Need, Pool};
+use rstest::rstest;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+const BOUND: Duration = Duration::from_secs(30);
+
+/// A connection on which one answer has been read, and its other side.
+fn used(listener: &TcpListener, answer: &str) -> (Outbound, TcpStream) {
+    let mut up = Outbound::connect(listener.local_addr().unwrap(), BOUND).unwrap();
+    let (mut replica, _) = listener.accept().unwrap();
+    let ask = b"GET / HTTP/1.1\r\n\r\n";
+    up.send("GET", ask).unwrap();
+    replica.read_exact(&mut [0; 18]).unwrap();
+    replica.write_all(answer.as_bytes()).unwrap();
+    assert!(matches!(up.head(None, Instant::now() + BOUND), Heard::Head(_)));
+    while let Heard::Body(_) = up.body(None, Instant::now() + BOUND) {}
+    (up, replica)
+}
+
+fn listener() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    (listener, at)
+}
+
+#[rstest]
+#[case::plain("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true)]
+#[case::chunks("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", true)]
+#[case::after_an_interim("HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true)]
+#[case::kept_long("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=60, max=9\r\nContent-Length: 0\r\n\r\n", true)]
+#[case::kept_long_in_plain_seconds("HTTP/1.1 200 OK\r\nKeep-Alive: 60\r\nContent-Length: 0\r\n\r\n", true)]
+#[case::kept_too_short("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n", false)]
+#[case::kept_too_short_in_plain_seconds("HTTP/1.1 200 OK\r\nKeep-Alive: 1\r\nContent-Length: 0\r\n\r\n", false)]
+#[case::closes("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", false)]
+#[case::closes_among_others("HTTP/1.1 200 OK\r\nConnection: x, Close\r\nContent-Length: 0\r\n\r\n", false)]
+#[case::old("HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", false)]
+#[case::more_than_an_answer("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200", false)]
+#[case::not_whole("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", false)]
+fn a_connection_is_used_again_where_its_answer_lets_it(#[case] answer: &str, #[case] again: bool) {
+    let ((listener, at), pool) = (listener(), Pool::new(BOUND));
+    let (up, _replica) = used(&listener, answer);
+    pool.give(at, up);
+    assert_eq!(pool.take(at, Need::Any).is_some(), again);
+}
+
+#[test]
+fn a_spoilt_or_closed_connection_is_not_used() {
+    let ((listener, at), pool) = (listener(), Pool::new(BOUND));
+    for spoil in [Some(&b"HTTP/1.1 200 OK\r\n\r\n"[..]), None] {
+        let (up, mut replica) = used(&listener, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        match spoil {
+            Some(bytes) => replica.write_all(bytes).unwrap(),
+            None => drop(replica),
+        }
+        // Until the bytes or the end are there.
+        http_streams::wait::wait(up.socket(), None, Instant::now() + BOUND);
+        pool.give(at, up);
+        assert!(pool.take(at, Need::Any).is_none());
+        assert_eq!(pool.kept(), 0);
+    }
+}
+
+#[test]
+fn idle_times_are_counted_from_the_last_use() {
+    let ((listener, at), pool) = (listener(), Pool::new(Duration::from_millis(500)));
+    let answer = |keep: &str| format!("HTTP/1.1 200 OK\r\n{keep}Content-Length: 0\r\n\r\n");
+    let ago = |ms| Instant::now().checked_sub(Duration::from_millis(ms)).unwrap();
+    for (keep, idle, any, sure) in [
+        ("", 1000, true, false),
+        ("", 3000, false, false),
+        ("Keep-Alive: timeout=5\r\n", 600, true, false),
+        ("Keep-Alive: timeout=5\r\n", 3800, false, false),
+        ("Keep-Alive: timeout=2\r\n", 800, false, false),
+        ("Keep-Alive: timeout=60\r\n", 501, true, false),
+    ] {
+        let (mut up, _replica) = used(&listener, &answer(keep));
+        up.used = ago(idle);
+        pool.give(at, up);
+        assert_eq!(pool.take(at, Need::Sure).is_some(), sure, "{keep}{idle}");
+        assert_eq!(pool.take(at, Need::Any).is_some(), any, "{keep}{idle}");
+        assert_eq!(pool.kept(), 0, "one that is too old is let go");
+    }
+}
+
+#[test]
+fn the_newest_is_taken_first_and_is_not_fresh() {
+    let ((listener, at), pool) = (listener(), Pool::new(BOUND));
+    let (first, _one) = used(&listener, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    let (second, _two) = used(&listener, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    let newest = second.socket().local_addr().unwrap();
+    assert!(first.fresh);
+    pool.give(at, first);
+    pool.give(at, second);
+    let taken = pool.take(at, Need::Sure).unwrap();
+    assert_eq!((taken.socket().local_addr().unwrap(), taken.fresh), (newest, false));
+    assert!(pool.open(at, Need::Sure, BOUND).is_ok_and(|one| !one.fresh));
+    assert!(pool.open(at, Need::Sure, BOUND).is_ok_and(|one| one.fresh), "a new one when none is left");
+}
+
+#[test]
+fn pruning_closes_what_is_gone_or_stale() {
+    let ((listener, at), pool) = (listener(), Pool::new(BOUND));
+    let (mut old, _one) = used(&listener, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    let (new, _two) = used(&listener, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    old.used = Instant::now().checked_sub(Duration::from_secs(3)).unwrap();
+    pool.give(at, old);
+    pool.give(at, new);
+    pool.prune(|to| *to == at);
+    assert_eq!(pool.kept(), 1);
+    pool.prune(|_| false);
+    assert_eq!(pool.kept(), 0);
+}
