Test of configurations against a plain model

300 seeds of 60 operations: answers, order, meanings and texts are the model's, resent ones are answered the same, refused ones change nothing; of two on one version one wins (2000 rounds).

--- /dev/null
+++ b/crates/control-chain/tests/configuration_model.rs
@@ -0,0 +1,218 @@
+//! Configurations of routes against a plain model: lists of named items, a number, and what was taken.
+use control_chain::command::{Command, Envelope};
+use control_chain::configuration::{Change, Configuration, Item, Items, Named, Route, Service, Tenant};
+use control_chain::state::State;
+use fleet_common::hash::Dice;
+
+/// Names with meanings and texts, in order.
+type Rows<T> = Vec<(String, T, String)>;
+
+/// A configuration as one would write it down.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Plain {
+    revision: u64,
+    routes: Rows<Route>,
+    services: Rows<Service>,
+    tenants: Rows<Tenant>,
+}
+
+#[derive(Clone, Debug)]
+enum Wanted {
+    Whole(Plain),
+    Named { set: Plain, drop: [Vec<String>; 3] },
+}
+
+#[derive(Default)]
+struct Model {
+    held: Plain,
+    taken: Vec<(u64, String)>,
+}
+
+fn merge<T: Clone>(held: &mut Rows<T>, set: &Rows<T>, drop: &[String]) {
+    held.retain(|(name, ..)| !drop.contains(name));
+    for row in set {
+        match held.iter().position(|(name, ..)| *name == row.0) {
+            Some(at) => held[at] = row.clone(),
+            None => held.push(row.clone()),
+        }
+    }
+}
+
+fn valid(plain: &Plain) -> bool {
+    let routes = || plain.routes.iter().map(|(_, route, _)| route);
+    let known = |name: &String| plain.services.iter().any(|(n, ..)| n == name);
+    let place = |route: &Route| (route.host.clone(), route.prefix.clone());
+    let keys = || plain.tenants.iter().flat_map(|(name, t, _)| t.keys.iter().map(move |key| (name, key)));
+    routes()
+        .all(|r| r.timeout_ms > 0 && r.targets.iter().any(|(_, w)| *w > 0) && r.targets.iter().all(|(n, _)| known(n)))
+        && routes().enumerate().all(|(at, one)| routes().skip(at + 1).all(|other| place(one) != place(other)))
+        && keys().all(|(name, key)| keys().all(|(other, same)| key != same || name == other))
+}
+
+impl Model {
+    fn put(&mut self, over: u64, wanted: &Wanted) -> u16 {
+        let mut next = self.held.clone();
+        let revision = match wanted {
+            Wanted::Whole(whole) => {
+                next = whole.clone();
+                whole.revision
+            }
+            Wanted::Named { set, drop } => {
+                merge(&mut next.routes, &set.routes, &drop[0]);
+                merge(&mut next.services, &set.services, &drop[1]);
+                merge(&mut next.tenants, &set.tenants, &drop[2]);
+                set.revision
+            }
+        };
+        next.revision = revision;
+        let words = format!("{over} {wanted:?}");
+        if self.taken.contains(&(revision, words.clone())) {
+            return 202;
+        }
+        if over != self.held.revision {
+            return 412;
+        }
+        if revision <= self.held.revision || !valid(&next) {
+            return 400;
+        }
+        self.held = next;
+        self.taken.push((revision, words));
+        202
+    }
+}
+
+fn items<T: Clone>(rows: &Rows<T>) -> Items<T> {
+    rows.iter().map(|(name, row, text)| (name.clone(), Item { row: row.clone(), text: text.clone() })).collect()
+}
+
+fn change(wanted: &Wanted) -> Change {
+    match wanted {
+        Wanted::Whole(plain) => Change::Whole(Box::new(Configuration {
+            revision: plain.revision,
+            routes: items(&plain.routes),
+            services: items(&plain.services),
+            tenants: items(&plain.tenants),
+            ..Configuration::default()
+        })),
+        Wanted::Named { set, drop: [routes, services, tenants] } => Change::Named(Box::new(Named {
+            revision: set.revision,
+            set_routes: items(&set.routes),
+            set_services: items(&set.services),
+            set_tenants: items(&set.tenants),
+            set_bounds: None,
+            drop_routes: routes.clone(),
+            drop_services: services.clone(),
+            drop_tenants: tenants.clone(),
+        })),
+    }
+}
+
+fn rows<T: Clone>(dice: &mut Dice, most: u64, letter: char, mut make: impl FnMut(&mut Dice) -> T) -> Rows<T> {
+    let mut all: Rows<T> = Vec::new();
+    for _ in 0..dice.next(most + 1) {
+        let name = format!("{letter}{}", dice.next(4));
+        if all.iter().all(|(n, ..)| *n != name) {
+            let row = make(dice);
+            all.push((name, row, format!("text {}", dice.next(1000))));
+        }
+    }
+    all
+}
+
+fn plain(dice: &mut Dice, revision: u64, most: u64) -> Plain {
+    let route = |dice: &mut Dice| Route {
+        host: format!("h{}", dice.next(3)),
+        prefix: format!("/p{}/", dice.next(4)),
+        targets: (0..1 + dice.next(2)).map(|_| (format!("s{}", dice.next(4)), dice.next(8))).collect(),
+        timeout_ms: dice.next(12) * 10,
+        ..Route::default()
+    };
+    Plain {
+        revision,
+        routes: rows(dice, most, 'r', route),
+        services: rows(dice, most + 3, 's', |dice| Service { connections: dice.next(9), ..Service::default() }),
+        tenants: rows(dice, most, 't', |dice| Tenant { keys: vec![format!("k{}", dice.next(9))], ..Tenant::default() }),
+    }
+}
+
+fn wish(dice: &mut Dice, held: u64) -> (u64, Wanted) {
+    let revision = if dice.next(8) == 0 { held } else { held + 1 + dice.next(3) };
+    let over = if dice.next(8) == 0 { held.saturating_sub(1) } else { held };
+    if dice.next(4) == 0 {
+        return (over, Wanted::Whole(plain(dice, revision, 3)));
+    }
+    let names = |dice: &mut Dice, letter| (0..dice.next(2)).map(|_| format!("{letter}{}", dice.next(4))).collect();
+    let drop = [names(dice, 'r'), names(dice, 's'), names(dice, 't')];
+    (over, Wanted::Named { set: plain(dice, revision, 1), drop })
+}
+
+fn held(state: &State) -> Plain {
+    fn rows<T: Clone>(items: &Items<T>) -> Rows<T> {
+        items.iter().map(|(name, item)| (name.clone(), item.row.clone(), item.text.clone())).collect()
+    }
+    state.configuration.as_ref().map_or(Plain::default(), |c| Plain {
+        revision: c.revision,
+        routes: rows(&c.routes),
+        services: rows(&c.services),
+        tenants: rows(&c.tenants),
+    })
+}
+
+fn put(state: &mut State, over: u64, wanted: &Wanted) -> u16 {
+    let packed = Envelope::bare(Command::Configure { over, change: change(wanted) }).pack();
+    state.apply(&Envelope::unpack(&packed).expect("it is read as it was written")).code
+}
+
+#[test]
+fn what_operators_send_in_any_order_is_as_in_the_model() {
+    let mut codes = std::collections::BTreeMap::<u16, u64>::new();
+    for seed in 0..300 {
+        let (mut dice, mut state, mut model) = (Dice::new(seed), State::default(), Model::default());
+        let mut sent: Vec<(u64, Wanted)> = Vec::new();
+        for step in 0..60 {
+            let again = !sent.is_empty() && dice.next(4) == 0;
+            let (over, wanted) = match again {
+                true => sent[dice.next(sent.len() as u64) as usize].clone(),
+                false => wish(&mut dice, model.held.revision),
+            };
+            let before = held(&state);
+            let code = put(&mut state, over, &wanted);
+            assert_eq!(code, model.put(over, &wanted), "seed {seed} step {step}: {over} {wanted:?}");
+            assert_eq!(held(&state), model.held, "seed {seed} step {step}: order, meanings and texts");
+            assert!(code == 202 || held(&state) == before, "seed {seed} step {step}: what is refused changes nothing");
+            *codes.entry(code).or_default() += 1;
+            sent.push((over, wanted));
+            if dice.next(10) == 0 {
+                state = State::unpack(&state.pack()).expect("a state is read as it was written");
+            }
+        }
+    }
+    assert!(codes.len() == 3 && codes.values().all(|n| *n > 500), "all answers are met: {codes:?}");
+}
+
+/// Two operators build on one version: one wins, and each is answered the same however often it asks.
+#[test]
+fn of_two_on_one_version_one_wins() {
+    for seed in 0..200 {
+        let (mut dice, mut state) = (Dice::new(seed), State::default());
+        let mut base = 0;
+        for round in 0..10 {
+            let ours = |dice: &mut Dice, mine: u64| Plain { revision: base + 1 + dice.next(3), ..one(mine) };
+            let (one, two) = (Wanted::Whole(ours(&mut dice, 1)), Wanted::Whole(ours(&mut dice, 2)));
+            let first = put(&mut state, base, &one);
+            assert_eq!((first, put(&mut state, base, &two)), (202, 412), "seed {seed} round {round}");
+            for _ in 0..4 {
+                let (wanted, code) = if dice.next(2) == 0 { (&one, 202) } else { (&two, 412) };
+                assert_eq!(put(&mut state, base, wanted), code, "seed {seed} round {round}");
+            }
+            let Wanted::Whole(won) = one else { panic!() };
+            assert_eq!(held(&state), won);
+            base = won.revision;
+        }
+    }
+}
+
+fn one(mine: u64) -> Plain {
+    let service = ("s1".to_string(), Service { connections: mine, ..Service::default() }, format!("text of {mine}"));
+    Plain { services: vec![service], ..Plain::default() }
+}
