--- a/crates/stream-router/tests/progress_table.rs
+++ b/crates/stream-router/tests/progress_table.rs
@@ -36,7 +36,8 @@
         again = false;
     }
     // Only what comes on top of a first send is a further try.
-    if !budget && !(*failure == Failure::Unsent && was.sent == 0) {
+    let first = *failure == Failure::Unsent && was.sent == 0;
+    if !budget && !first {
         again = false;
     }
     if again {
--- /dev/null
+++ b/crates/way-choice/tests/ranking.rs
@@ -0,0 +1,196 @@
+//! Ranking against a plain model that writes out every replica with every source.
+use fleet_common::hash::{self, Dice, mix};
+use prefix_table::filter::{Bits, Mirror, positions};
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+use way_choice::backlog::key;
+use way_choice::place::Seat;
+use way_choice::rank::{Candidate, Choice, Held, Parts, Prices, Recent, Source, choose};
+use way_choice::source::Mirrors;
+
+const NOW: Duration = Duration::from_secs(100);
+
+struct World {
+    seats: Vec<Seat>,
+    parts: Parts,
+    mirrors: Mirrors,
+    recent: Recent,
+    /// By replica: parts that its trusted mirror shows, that it has read, and that it is about to read.
+    shown: HashMap<String, HashSet<u64>>,
+    read: HashMap<String, HashSet<u64>>,
+    soon: HashMap<String, HashSet<u64>>,
+    prices: Prices,
+}
+
+fn world(dice: &mut Dice) -> World {
+    let parts: Parts = (0..dice.next(6)).map(|n| (mix(dice.next(1 << 40) + n), 1 + dice.next(4000))).collect();
+    let (mut mirrors, mut recent) = (Mirrors::new(), Recent::default());
+    let (mut shown, mut read, mut soon) = (HashMap::new(), HashMap::new(), HashMap::new());
+    let seats: Vec<Seat> = (0..1 + dice.next(5))
+        .map(|n| {
+            let id = format!("r{n}");
+            let floor = (dice.next(3), dice.next(3));
+            let some =
+                |dice: &mut Dice| parts.iter().map(|(part, _)| *part).filter(|_| dice.next(3) > 0).collect::<Vec<_>>();
+            if dice.next(4) > 0 {
+                let (m, k) = (1 << 14, 4);
+                let mut bits = Bits::new(m, k);
+                let held = some(dice);
+                held.iter().flat_map(|part| positions(*part, m, k)).for_each(|at| bits.set(at));
+                let (fence, version, stale) = (dice.next(3), dice.next(3), dice.next(8) == 0);
+                if !stale && (fence > floor.0 || fence == floor.0 && version >= floor.1) {
+                    // A filter may show more than there is: the model asks it too.
+                    shown.insert(
+                        id.clone(),
+                        parts.iter().map(|(part, _)| *part).filter(|part| bits.has(*part)).collect(),
+                    );
+                }
+                let (replica, weights, index) = (id.clone(), "w".into(), "i".into());
+                let mirror = Mirror { replica, weights, index, fence, version, bits, false_hits: 0, stale };
+                mirrors.insert(id.clone(), std::sync::Arc::new(mirror));
+            }
+            if dice.next(3) == 0 {
+                let sent = some(dice);
+                let ready = Duration::from_millis(99_000 + dice.next(2) * 2000);
+                recent.note(Duration::from_secs(98), ready, key(&id), &sent);
+                if ready <= NOW {
+                    read.insert(id.clone(), sent.iter().copied().collect());
+                }
+                soon.insert(id.clone(), sent.into_iter().collect());
+            }
+            Seat {
+                id,
+                at: "".into(),
+                district: format!("z{}", dice.next(2)),
+                model: "m".into(),
+                weights: "w".into(),
+                leaving: false,
+                down: false,
+                load: 0,
+                floor,
+            }
+        })
+        .collect();
+    let default = Prices::default();
+    let prices = match dice.next(3) {
+        0 => Prices { again_us: 0.0, handover_us: 0.0, ..default },
+        1 => Prices { again_us: dice.next(50) as f64, busy_us: dice.next(5000) as f64, ..default },
+        _ => default,
+    };
+    World { seats, parts, mirrors, recent, shown, read, soon, prices }
+}
+
+impl World {
+    /// Tokens of the leading parts that a replica has.
+    fn has(&self, id: &str, about_to: bool) -> u64 {
+        let in_any = |part: &u64| {
+            let one = |sets: &HashMap<String, HashSet<u64>>| sets.get(id).is_some_and(|set| set.contains(part));
+            one(&self.shown) || one(if about_to { &self.soon } else { &self.read })
+        };
+        let mut tokens = 0;
+        for (part, count) in &self.parts {
+            if !in_any(part) {
+                break;
+            }
+            tokens += count;
+        }
+        tokens
+    }
+}
+
+/// A replica with a source or none, and what that costs beside its way and its load.
+struct Way {
+    source: Option<usize>,
+    handed: u64,
+    anew: u64,
+    us: f64,
+}
+
+/// Every way in which a candidate could get the prompt.
+fn ways(world: &World, candidate: &Candidate, sources: &[Source]) -> Vec<Way> {
+    let total: u64 = world.parts.iter().map(|(_, tokens)| tokens).sum();
+    let own = world.has(&candidate.seat.id, true);
+    let others = || sources.iter().enumerate().filter(|(_, s)| s.seat.id != candidate.seat.id);
+    let most = others().map(|(_, s)| world.has(&s.seat.id, false)).max().unwrap_or(0).max(own);
+    let cost = |has: u64, move_us: f64| {
+        move_us
+            + world.prices.reading(total - has, total) * candidate.pace
+            + (most - has) as f64 * world.prices.again_us
+    };
+    let mut all = vec![Way { source: None, handed: 0, anew: total - own, us: cost(own, 0.0) }];
+    for (at, source) in others() {
+        let has = world.has(&source.seat.id, false);
+        if has > own {
+            let times = if source.seat.district == candidate.seat.district { 1.0 } else { 2.0 };
+            let move_us = world.prices.handover_us + (has - own) as f64 * source.move_us * times + source.waiting_us;
+            all.push(Way { source: Some(at), handed: has - own, anew: total - has, us: cost(has, move_us) });
+        }
+    }
+    all
+}
+
+fn close(one: f64, other: f64) -> bool {
+    (one - other).abs() <= 1e-6 * one.abs().max(other.abs()).max(1.0)
+}
+
+#[test]
+fn the_choice_is_the_cheapest_of_all_there_are() {
+    let (mut handed, mut own) = (0, 0);
+    for seed in 0..20_000 {
+        let mut dice = Dice::new(seed);
+        let world = world(&mut dice);
+        let spread = dice.next(u64::MAX);
+        let candidates: Vec<Candidate> = world
+            .seats
+            .iter()
+            .filter(|_| dice.next(4) > 0)
+            .collect::<Vec<_>>()
+            .into_iter()
+            .map(|seat| Candidate {
+                seat,
+                parts: &world.parts,
+                busy: dice.next(20) as f64,
+                waiting_us: dice.next(40_000) as f64,
+                pace: 0.5 + dice.next(5) as f64 / 2.0,
+                near: dice.next(2) == 0,
+            })
+            .collect();
+        let sources: Vec<Source> = world
+            .seats
+            .iter()
+            .filter(|_| dice.next(4) > 0)
+            .collect::<Vec<_>>()
+            .into_iter()
+            .map(|seat| Source { seat, move_us: dice.next(12) as f64, waiting_us: dice.next(3) as f64 * 10_000.0 })
+            .collect();
+        let held = Held { mirrors: &world.mirrors, recent: &world.recent, now: NOW };
+        let choice = choose(&candidates, &sources, &held, &world.prices, spread);
+        let mut all: Vec<(usize, Way, f64)> = Vec::new();
+        for (at, candidate) in candidates.iter().enumerate() {
+            let parted = (mix(hash::bytes(spread, candidate.seat.id.as_bytes())) % 4000) as f64;
+            let way = if candidate.near { 0.0 } else { world.prices.far_us };
+            let fixed = parted + way + candidate.waiting_us + candidate.busy * world.prices.busy_us;
+            all.extend(
+                ways(&world, candidate, &sources)
+                    .into_iter()
+                    .map(|way| (at, fixed + way.us, way))
+                    .map(|(at, us, way)| (at, way, us)),
+            );
+        }
+        let Some(Choice { at, source, own: kept, handed: moved, anew, cost_us, work_us }) = choice else {
+            assert!(all.is_empty(), "seed {seed}: nothing chosen of {}", all.len());
+            continue;
+        };
+        let least = all.iter().map(|(.., us)| *us).fold(f64::INFINITY, f64::min);
+        assert!(close(cost_us, least), "seed {seed}: {cost_us} where {least} is to be had");
+        let as_told = all.iter().find(|(a, way, _)| *a == at && way.source == source).expect("it is one of all");
+        assert!(close(as_told.2, least), "seed {seed}: what was chosen costs {}, not {least}", as_told.2);
+        let total: u64 = world.parts.iter().map(|(_, tokens)| tokens).sum();
+        assert_eq!((moved, anew), (as_told.1.handed, as_told.1.anew), "seed {seed}");
+        assert_eq!((kept + moved + anew, kept), (total, world.has(&candidates[at].seat.id, true)), "seed {seed}");
+        assert!(close(work_us, world.prices.reading(anew, total)), "seed {seed}");
+        handed += u64::from(source.is_some());
+        own += u64::from(kept > 0);
+    }
+    assert!(handed > 500 && own > 500, "both kinds are met: {handed} {own}");
+}
