Roll-outs are not held up by an index node that started anew; held up by the core they may take longer

Ruled out: placement (errors of the estimate were 10 ms up to then), the store's link. Now a duty says whether it ever moved between machines: one taken again by its own node need not wait out a lease; duties that nobody held wait a second for all nodes, so that they need not move; a change of the control machines after weights were named gives the roll-out its time anew, as the users' bound does, and a replica with old weights is used only if the request will begin in time by what waits there.

--- a/crates/control-chain/src/fleet.rs
+++ b/crates/control-chain/src/fleet.rs
@@ -24,6 +24,8 @@
     pub blueprint: Option<Blueprint>,
     /// For each model its weights and since when this node knows them to be named.
     pub weights_since: BTreeMap<String, (String, Duration)>,
+    /// When the list of control machines last changed, as far as this node saw it change: trouble at the core.
+    pub cores_changed: Option<Duration>,
     pub keys: BTreeMap<String, Key>,
     /// As the platform lists them, and the stores that a configuration names.
     pub replicas: Vec<Replica>,
@@ -78,7 +80,12 @@
             }),
             MEMBERS => parse(news).map(|v| self.members = v),
             DUTIES => parse(news).map(|v| self.duties = v),
-            _ => Some(()),
+            _ => {
+                if self.vector[at] > 0 {
+                    self.cores_changed = Some(now);
+                }
+                Some(())
+            }
         };
         if taken.is_some() {
             self.vector[at] = news.version;
--- a/crates/control-chain/src/ruling.rs
+++ b/crates/control-chain/src/ruling.rs
@@ -113,10 +113,11 @@
         let Some(taker) = self.members.get(node) else {
             return no(403, "no term is held");
         };
-        let incarnation = taker.incarnation;
-        let mut after_lapse = false;
+        let (incarnation, holder) = (taker.incarnation, format!("{node}@{}", taker.at));
+        let (mut after_lapse, mut moved) = (false, false);
         if let Some(duty) = self.duties.get(replica) {
             after_lapse = !duty.owner.is_empty();
+            moved = duty.moved || duty.holder != holder;
             let alive = self.members.get(&duty.owner).is_some_and(|m| m.incarnation == duty.incarnation);
             if duty.owner == node && alive {
                 return Ok("nothing to change".into());
@@ -126,7 +127,7 @@
             }
         }
         self.fence += 1;
-        let duty = Duty { owner: node.to_string(), incarnation, fence: self.fence, after_lapse };
+        let duty = Duty { owner: node.to_string(), incarnation, fence: self.fence, after_lapse, holder, moved };
         self.duties.insert(replica.to_string(), duty);
         Ok(format!("fence {}", self.fence))
     }
--- a/crates/control-chain/src/state.rs
+++ b/crates/control-chain/src/state.rs
@@ -33,6 +33,12 @@
     /// The holder before did not give it up: it may not know yet that it lost it.
     #[serde(default)]
     pub after_lapse: bool,
+    /// Who held it last, name and address, also once it was given up.
+    #[serde(default)]
+    pub holder: String,
+    /// Whether it ever changed from one machine to another: orders of two may then be on their way at once.
+    #[serde(default)]
+    pub moved: bool,
 }
 
 /// A once-claim.
--- a/crates/prefix-table/src/duties.rs
+++ b/crates/prefix-table/src/duties.rs
@@ -8,6 +8,8 @@
 use fleet_common::ask::{Ask, TableCopy};
 use std::time::Duration;
 
+/// Nodes that start together are known to each other within so long.
+const GATHER: Duration = Duration::from_millis(1000);
 const ROUND: Duration = Duration::from_millis(150);
 const COPY_EVERY: Duration = Duration::from_secs(2);
 /// A fetch or a command without an answer is given up.
@@ -51,7 +53,9 @@
                     let owner = self.fleet.members.get(&duty.owner);
                     duty.owner.is_empty() || owner.is_none_or(|m| m.incarnation != duty.incarnation)
                 });
-                if free && self.fresh() {
+                // What nobody ever held may wait until all that start together are here: then it need not move.
+                let settled = held.is_some() || self.member_for().is_some_and(|since| since >= GATHER);
+                if free && settled && self.fresh() {
                     let (replica, node) = (replica.to_string(), self.me.name.clone());
                     self.command(Command::DutyTake { replica, node });
                 }
--- a/crates/prefix-table/src/keeper.rs
+++ b/crates/prefix-table/src/keeper.rs
@@ -84,6 +84,7 @@
     pub(crate) round_at: Duration,
     /// Duties that another may have held before: the first order waits until its orders are surely past.
     pub taken_over: BTreeSet<String>,
+    pub(crate) member_since: Option<Duration>,
     pub(crate) stirred: bool,
     pub(crate) leaving: bool,
     pub(crate) out: Vec<Output>,
@@ -122,6 +123,7 @@
             audited: VecDeque::new(),
             round_at: Duration::ZERO,
             taken_over: BTreeSet::new(),
+            member_since: None,
             stirred: false,
             leaving: false,
             out: Vec::new(),
--- a/crates/prefix-table/src/pulling.rs
+++ b/crates/prefix-table/src/pulling.rs
@@ -8,26 +8,29 @@
 impl Keeper {
     pub(crate) fn on_pulled(&mut self, sent: Duration, pulled: Pulled) {
         let before: BTreeMap<String, u64> = self.fleet.duties.iter().map(|(r, duty)| (r.clone(), duty.fence)).collect();
-        let was_fresh = self.fresh();
         let taken = self.fleet.take_all(self.now, pulled.changed.items());
         for (replica, duty) in &self.fleet.duties {
             if self.fleet.fence(replica, &self.me).is_none() || before.get(replica) == Some(&duty.fence) {
                 continue;
             }
-            // Nobody held it before only if this node knew of no holder, and was a member ever since: any
-            // other taker in between would have seen that it is not its turn.
-            match !before.contains_key(replica) && was_fresh && !duty.after_lapse {
-                true => self.taken_over.remove(replica),
-                false => self.taken_over.insert(replica.clone()),
+            match duty.moved {
+                true => self.taken_over.insert(replica.clone()),
+                false => self.taken_over.remove(replica),
             };
         }
         let duties = &self.fleet.duties;
         self.taken_over.retain(|replica| duties.contains_key(replica));
         if pulled.member != 0 && taken {
             self.confirmed = self.confirmed.max(Some(sent));
+            self.member_since.get_or_insert(self.now);
         }
     }
 
+    /// For how long this node has been a member.
+    pub(crate) fn member_for(&self) -> Option<Duration> {
+        self.member_since.map(|since| self.now.saturating_sub(since))
+    }
+
     /// What a changed state allows: the next orders, and telling of it.
     pub(crate) fn go_on(&mut self) {
         self.stirred = false;
--- a/crates/stream-router/src/placing.rs
+++ b/crates/stream-router/src/placing.rs
@@ -13,6 +13,8 @@
 
 /// Links are told apart from what is read at a replica.
 pub(crate) const LINK: &str = "link of ";
+/// Trouble at the core is that much older than its change of machines, at the most.
+const CORE_TROUBLE: Duration = Duration::from_millis(1500);
 /// A store whose link is busy for longer gets nothing more.
 const STORE_BUSY_US: f64 = 150_000.0;
 /// A token's time on a link of which nothing is said, in microseconds.
@@ -49,11 +51,13 @@
     let fleet = shared.fleet.read();
     let model = &passage.asked.model;
     let named = fleet.blueprint.as_ref().and_then(|b| b.models.get(model)).map(|m| m.weights.clone());
-    let since = fleet.weights_since.get(model).map(|(_, at)| shared.now().saturating_sub(*at));
-    let old_too = since.is_some_and(|since| since < shared.setup.old_weights);
+    let old_until = fleet.weights_since.get(model).map(|(_, at)| old_until(*at, &fleet, shared.setup.old_weights));
+    let ledger = shared.ledger();
+    let begins = |seat: &Seat| shared.now() + ledger.waiting(shared.now(), key(&seat.id)).mul_f64(1.5);
+    let old_too = |seat: &Seat| old_until.is_some_and(|until| begins(seat) < until);
     let service = |at: usize| fleet.replicas.get(at).is_some_and(|r| r.service == passage.service);
     let runs = |seat: &Seat| match &named {
-        Some(named) => seat.weights.is_empty() || seat.weights == *named || old_too,
+        Some(named) => seat.weights.is_empty() || seat.weights == *named || old_too(seat),
         None => true,
     };
     let open = |at: &usize| {
@@ -66,6 +70,13 @@
     if up.is_empty() { all } else { up }
 }
 
+/// Until when replicas may begin requests on old weights: so long after new ones were named, and after the
+/// control machines last changed, which holds roll-outs up.
+fn old_until(named: Duration, fleet: &Fleet, bound: Duration) -> Duration {
+    let changed = fleet.cores_changed.map_or(Duration::ZERO, |at| at.saturating_sub(CORE_TROUBLE));
+    named.max(changed) + bound
+}
+
 /// Finds a place for the next try.
 /// ```no_run
 /// # fn show(shared: &stream_router::shared::Shared, passage: &stream_router::passage::Passage) {
