A silent holder's replicas hold no roll-out up

Cause: the next in line for new weights are the same for all index nodes; when their holder was frozen nobody ordered them and nobody else went on, up to 6 s.

--- a/crates/prefix-table/src/ordering.rs
+++ b/crates/prefix-table/src/ordering.rs
@@ -11,6 +11,8 @@
 const AGAIN: Duration = Duration::from_secs(2);
 /// So long before its order a replica is said to be loading.
 const ANNOUNCED: Duration = Duration::from_millis(80);
+/// A holder tells of its replicas every second: one that is silent for so long does not order them now.
+const SILENT: Duration = Duration::from_millis(1800);
 const BUSY_AGAIN: Duration = Duration::from_millis(300);
 /// Orders not taken so often count as a failure.
 const REFUSALS: u32 = 3;
@@ -37,19 +39,20 @@
         let of_model = self.fleet.replicas.iter().filter(|row| row.model == model);
         of_model
             .map(|row| {
-                let (weights, (order, at), down) = match (self.held_now(&row.id), self.kept.get(&row.id)) {
-                    (Some(_), Some(kept)) => (kept.table.facts().0.to_string(), self.stage(&row.id), kept.down),
+                let (weights, (order, at), down, silent) = match (self.held_now(&row.id), self.kept.get(&row.id)) {
+                    (Some(_), Some(kept)) => (kept.table.facts().0.to_string(), self.stage(&row.id), kept.down, false),
                     _ => match self.news.get(&row.id) {
-                        Some((told, _)) => {
-                            (told.weights.to_string(), (told.order.to_string(), told.stage), told.down != 0)
+                        Some((told, at)) => {
+                            let silent = self.now.saturating_sub(*at) > SILENT;
+                            (told.weights.to_string(), (told.order.to_string(), told.stage), told.down != 0, silent)
                         }
-                        None => (String::new(), (String::new(), stage::NONE), false),
+                        None => (String::new(), (String::new(), stage::NONE), false, true),
                     },
                 };
                 let stage = if order == wanted { at } else { stage::NONE };
                 // A replica's word that it runs them may come before its report does.
                 let weights = if stage == stage::SERVES { wanted.to_string() } else { weights };
-                Row { id: row.id.clone(), weights, stage, down, leaving: row.leaving }
+                Row { id: row.id.clone(), weights, stage, down, leaving: row.leaving, silent }
             })
             .collect()
     }
--- a/crates/prefix-table/src/rolling.rs
+++ b/crates/prefix-table/src/rolling.rs
@@ -17,6 +17,8 @@
     pub stage: u8,
     pub down: bool,
     pub leaving: bool,
+    /// Whether its holder was not heard lately: nobody orders it now, so it holds no other up.
+    pub silent: bool,
 }
 
 /// What is to be done about one replica.
@@ -41,7 +43,7 @@
 /// Whether it is a replica's turn to load the wanted weights.
 /// ```
 /// use prefix_table::rolling::{Row, Turn, turn};
-/// let row = |id: &str| Row { id: id.into(), weights: "w1".into(), stage: 0, down: false, leaving: false };
+/// let row = |id: &str| Row { id: id.into(), weights: "w1".into(), stage: 0, down: false, leaving: false, silent: false };
 /// let rows = [row("r1"), row("r2"), row("r3")];
 /// let now = rows.iter().filter(|r| turn(&rows, &r.id, "w2", 60) == Turn::Now).count();
 /// assert_eq!(now, 1, "one of three may go at a time");
@@ -62,7 +64,7 @@
         return Turn::Now;
     }
     let mut waiting: Vec<&Row> =
-        up.iter().filter(|row| row.weights != wanted && row.stage != stage::FAILED).copied().collect();
+        up.iter().filter(|row| row.weights != wanted && row.stage != stage::FAILED && !row.silent).copied().collect();
     // Those that load hold their places; all nodes fill what is left in the same order.
     waiting.sort_by_key(|row| (row.stage != stage::LOADING, weight(wanted, &row.id), row.id.as_str()));
     let first = waiting.iter().take(at_once(up.len(), keep_percent));
--- a/crates/prefix-table/tests/rolling.rs
+++ b/crates/prefix-table/tests/rolling.rs
@@ -29,6 +29,7 @@
             stage: stage::NONE,
             down: false,
             leaving: false,
+            silent: false,
         };
         let load = (0..n).map(|_| Some(Duration::from_millis(500 + dice.next(5500)))).collect();
         let mut sim = Sim {
@@ -128,3 +129,25 @@
     }
     assert!(sim.least_serving < 18 - at_once(18, 60), "{} served", sim.least_serving);
 }
+
+/// One whose holder is silent does not hold the others up: the next in line go.
+#[test]
+fn a_silent_holder_does_not_hold_the_others_up() {
+    let row = |at: usize, silent| Row {
+        id: format!("r{at}"),
+        weights: "w1".into(),
+        stage: stage::NONE,
+        down: false,
+        leaving: false,
+        silent,
+    };
+    let first: Vec<Row> = (0..18).map(|at| row(at, false)).collect();
+    let go = |rows: &[Row]| -> Vec<String> {
+        rows.iter().filter(|r| turn(rows, &r.id, "w2", 80) == Turn::Now).map(|r| r.id.clone()).collect()
+    };
+    let line = go(&first);
+    assert_eq!(line.len(), 3);
+    let silent: Vec<Row> = first.iter().map(|r| Row { silent: line.contains(&r.id), ..r.clone() }).collect();
+    let next = go(&silent);
+    assert!(next.len() == 3 && next.iter().all(|id| !line.contains(id)), "{line:?} are silent, {next:?} go");
+}
