--- /dev/null
+++ b/crates/stream-router/src/following.rs
@@ -0,0 +1,190 @@
+//! Follows a request that was sent: its own answer's head, and its stream, event by event.
+use crate::auditing::Tried;
+use crate::deliver::{Run, Try, Whole};
+use crate::dialect::Said;
+use crate::passage::Flow;
+use crate::placing::Place;
+use crate::progress::Failure;
+use crate::shared::count;
+use crate::sharing::{Ended, News};
+use http_streams::head::AnswerHead;
+use http_streams::outbound::{Heard, Outbound};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+use way_choice::backlog::key;
+
+/// Its last word may come so much after the end.
+const LAST_WORD: Duration = Duration::from_millis(60);
+/// A refusal's body is read for so long; then its connection is not worth keeping.
+const REST: Duration = Duration::from_millis(200);
+/// A replica whose backlog is below this tells of its pace, and what an answer takes besides reading.
+const CALM: Duration = Duration::from_millis(5);
+const BASE: Duration = Duration::from_millis(45);
+/// Answers to other requests that are passed over on one connection.
+const LATE_MOST: usize = 3;
+
+impl Run<'_> {
+    /// Follows a request that was sent.
+    pub(crate) fn heard(&mut self, place: &Place, mut up: Outbound) -> Try {
+        let sent = Instant::now();
+        let (head, said) = match self.own_head(place, &mut up) {
+            Ok(read) => read,
+            Err(Heard::CallerLeft) => return self.left(up),
+            Err(Heard::TimedOut) => {
+                up.cut();
+                let over = Instant::now() >= self.passage.until;
+                return if over { self.timed_out() } else { Try::Failed(Failure::Unknown, None) };
+            }
+            Err(_) => return Try::Failed(Failure::Unknown, None),
+        };
+        if let Some(weights) = &said.weights {
+            self.shared.hear_weights(&place.id, weights);
+        }
+        if let Some((running, waiting, _)) = said.load {
+            self.shared.hear_load(&place.id, running.saturating_add(waiting));
+        }
+        if said.not_run || said.misdirected {
+            if said.misdirected {
+                count(&self.shared.counters.misdirected);
+            }
+            let _ = rest(&mut up, None, Instant::now() + REST);
+            self.shared.pool.give(place.at, up);
+            return Try::Failed(Failure::Refused, None);
+        }
+        // Nobody vouches for a success without a seal or an id; and what follows a begun answer can only be its
+        // stream going on.
+        let vouched = said.sealed && said.id.is_some();
+        if (head.status < 300 && !vouched) || (self.passage.progress.answered && head.status != 200) {
+            up.cut();
+            return Try::Failed(Failure::Unknown, None);
+        }
+        if self.passage.route.stream && head.status == 200 {
+            return self.stream(place, up, head, sent);
+        }
+        let caller = Some(self.inbound.socket());
+        let body = match rest(&mut up, caller, self.passage.until + LAST_WORD) {
+            Ok(body) => body,
+            Err(Heard::CallerLeft) => return self.left(up),
+            Err(_) => return Try::Failed(Failure::Unknown, None),
+        };
+        self.shared.pool.give(place.at, up);
+        let whole = Whole { head, body };
+        match whole.head.status {
+            status if status >= 500 || [408, 421, 429].contains(&status) => {
+                Try::Failed(Failure::Failed(status), Some(whole))
+            }
+            _ => Try::Flow(self.hand_on(whole)),
+        }
+    }
+
+    /// The head of this request's own answer; late answers to others are passed over.
+    fn own_head(&mut self, place: &Place, up: &mut Outbound) -> Result<(AnswerHead, Said), Heard> {
+        let until = self.passage.until + LAST_WORD;
+        // On old weights it begins in time or not at all.
+        let until = place.begins_by.map_or(until, |by| by.min(until));
+        for _ in 0..LATE_MOST {
+            let head = match up.head(Some(self.inbound.socket()), until) {
+                Heard::Head(head) => head,
+                other => return Err(other),
+            };
+            let said = self.shared.dialect.said(&head, &self.passage.asked.model);
+            if said.id.as_deref().is_none_or(|id| id == self.passage.asked.id) {
+                return Ok((head, said));
+            }
+            count(&self.shared.counters.late_answers);
+            if rest(up, None, until).is_err() {
+                return Err(Heard::Broken("a late answer broke off".into()));
+            }
+        }
+        up.good = false;
+        Err(Heard::Broken("answers to other requests only".into()))
+    }
+
+    /// Passes a stream on, event by event.
+    fn stream(&mut self, place: &Place, mut up: Outbound, head: AnswerHead, sent: Instant) -> Try {
+        let until = self.passage.until + LAST_WORD;
+        loop {
+            let bytes = match up.body(Some(self.inbound.socket()), until) {
+                Heard::Body(bytes) => bytes,
+                Heard::Whole => Vec::new(),
+                Heard::CallerLeft => return self.left(up),
+                Heard::TimedOut => {
+                    up.cut();
+                    return self.timed_out();
+                }
+                _ => return Try::Failed(Failure::Unknown, None),
+            };
+            let (mut whole, last) = self.events.take(&bytes);
+            let over = up.ended();
+            if over {
+                whole.extend_from_slice(&self.events.rest());
+            }
+            if !whole.is_empty() && !std::mem::replace(&mut self.first, true) {
+                self.first(place, sent);
+            }
+            if !self.pass(&head, &whole, over) {
+                return self.left(up);
+            }
+            if let Some(last) = last {
+                self.last = Some(last);
+                self.passage.progress.after = true;
+            }
+            if over {
+                count(&self.shared.counters.whole);
+                self.shared.pool.give(place.at, up);
+                return Try::Flow(Flow::Answered);
+            }
+        }
+    }
+
+    /// Writes events to the caller, with the head of the first run before the first of them.
+    fn pass(&mut self, head: &AnswerHead, whole: &[u8], over: bool) -> bool {
+        let begun = std::mem::replace(&mut self.passage.progress.answered, true);
+        if !begun && (!whole.is_empty() || over) {
+            let headers: Vec<_> = head.headers.end_to_end().cloned().collect();
+            let close = self.passage.close;
+            let began = self.inbound.begin(head.status, &head.reason, &headers, whole, close);
+            return began.is_ok() && (!over || self.inbound.end(b"").is_ok());
+        }
+        if !begun {
+            self.passage.progress.answered = false;
+            return true;
+        }
+        match over {
+            true => self.inbound.end(whole).is_ok(),
+            false => self.inbound.piece(whole).is_ok(),
+        }
+    }
+
+    /// The first event is here: what the try took is told to whoever audits its source.
+    fn first(&mut self, place: &Place, sent: Instant) {
+        let took = sent.elapsed();
+        self.shared.tell(News::Read(Ended { replica: key(&place.id), id: self.id }));
+        if place.waiting < CALM && place.work > Duration::from_millis(20) {
+            let thought = place.work + BASE;
+            self.shared.ledger().learn(key(&place.id), thought, took);
+        }
+        let Some((source, _)) = &place.source else { return };
+        let mut tokens = 0;
+        let handed = place.parts.iter().take_while(|(_, part)| {
+            tokens += part;
+            tokens <= place.own + place.handed
+        });
+        let Some((block, _)) = handed.last() else { return };
+        let tried =
+            Tried { request: self.passage.asked.id.clone(), source: source.clone(), block: *block, first: took };
+        self.shared.audit(tried);
+    }
+}
+
+/// Reads the rest of an answer, watching a caller where there is one to watch.
+fn rest(up: &mut Outbound, caller: Option<&TcpStream>, until: Instant) -> Result<Vec<u8>, Heard> {
+    let mut all = Vec::new();
+    loop {
+        match up.body(caller, until) {
+            Heard::Body(bytes) => all.extend_from_slice(&bytes),
+            Heard::Whole => return Ok(all),
+            other => return Err(other),
+        }
+    }
+}
--- a/crates/stream-router/src/lib.rs
+++ b/crates/stream-router/src/lib.rs
@@ -5,13 +5,17 @@
 pub mod auditing;
 pub mod budget;
 pub mod chain;
+pub mod counters;
 pub mod deliver;
 pub mod dialect;
 pub mod events;
 pub mod feed;
+mod following;
 pub mod passage;
 pub mod placing;
 pub mod progress;
 pub mod run;
+pub mod setup;
 pub mod shared;
 pub mod sharing;
+mod telling;
--- a/crates/stream-router/src/placing.rs
+++ b/crates/stream-router/src/placing.rs
@@ -6,7 +6,7 @@
 use prefix_table::blocks;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use way_choice::backlog::key;
 use way_choice::place::Seat;
 use way_choice::rank::{Candidate, Held, Parts, Source, choose};
@@ -15,6 +15,8 @@
 pub(crate) const LINK: &str = "link of ";
 /// Trouble at the core is that much older than its change of machines, at the most.
 const CORE_TROUBLE: Duration = Duration::from_millis(1500);
+/// A request begins so long after what waited before it, at the least.
+const BEGINS: Duration = Duration::from_millis(250);
 /// A store whose link is busy for longer gets nothing more.
 const STORE_BUSY_US: f64 = 150_000.0;
 /// A token's time on a link of which nothing is said, in microseconds.
@@ -39,6 +41,10 @@
     /// What reading takes at a replica of ordinary pace, and how long it was thought to wait.
     pub work: Duration,
     pub waiting: Duration,
+    /// The share of its memory that is asked for.
+    pub memory: f64,
+    /// By when it must begin, where the replica runs old weights.
+    pub begins_by: Option<Instant>,
 }
 
 fn parts_of(passage: &Passage, salt: &str) -> Parts {
@@ -53,7 +59,7 @@
     let named = fleet.blueprint.as_ref().and_then(|b| b.models.get(model)).map(|m| m.weights.clone());
     let old_until = fleet.weights_since.get(model).map(|(_, at)| old_until(*at, &fleet, shared.setup.old_weights));
     let ledger = shared.ledger();
-    let begins = |seat: &Seat| shared.now() + ledger.waiting(shared.now(), key(&seat.id)).mul_f64(1.5);
+    let begins = |seat: &Seat| shared.now() + ledger.waiting(shared.now(), key(&seat.id)).mul_f64(2.0) + BEGINS;
     let old_too = |seat: &Seat| old_until.is_some_and(|until| begins(seat) < until);
     let service = |at: usize| fleet.replicas.get(at).is_some_and(|r| r.service == passage.service);
     let runs = |seat: &Seat| match &named {
@@ -70,6 +76,15 @@
     if up.is_empty() { all } else { up }
 }
 
+/// By when a request must begin at a replica that runs other weights than are named.
+fn begins_by(shared: &Shared, passage: &Passage, seat: &Seat, named: Option<&str>) -> Option<Instant> {
+    let old = named.is_some_and(|named| !seat.weights.is_empty() && seat.weights != named);
+    let fleet = shared.fleet.read();
+    let (_, since) = fleet.weights_since.get(&passage.asked.model).filter(|_| old)?;
+    let until = old_until(*since, &fleet, shared.setup.old_weights);
+    Some(Instant::now() + until.saturating_sub(shared.now()))
+}
+
 /// Until when replicas may begin requests on old weights: so long after new ones were named, and after the
 /// control machines last changed, which holds roll-outs up.
 fn old_until(named: Duration, fleet: &Fleet, bound: Duration) -> Duration {
@@ -121,7 +136,8 @@
             let busy = (load + mine.since).max(mine.running) as f64;
             let key = key(&seat.id);
             let (waiting_us, pace) = (ledger.waiting(now, key).as_micros() as f64, ledger.pace(key));
-            Some(Candidate { seat, parts, busy, waiting_us, pace, near: seat.district == shared.setup.zone })
+            let memory = memory(&fleet, passage, ledger.tokens(now, key), parts);
+            Some(Candidate { seat, parts, busy, waiting_us, pace, memory, near: seat.district == shared.setup.zone })
         })
         .collect();
     drop(ledger);
@@ -177,9 +193,22 @@
         anew: choice.anew,
         work: Duration::from_micros(choice.work_us as u64),
         waiting: Duration::from_micros(candidate.waiting_us as u64),
+        memory: candidate.memory,
+        begins_by: begins_by(shared, passage, candidate.seat, named.as_deref()),
     })
 }
 
+/// The share of a replica's memory that is asked for with this prompt, by what the configuration says it has.
+fn memory(fleet: &Fleet, passage: &Passage, asked: u64, parts: &Parts) -> f64 {
+    let services = fleet.configuration.as_ref().map(|c| &c.services);
+    let engine = services.and_then(|s| s.get(&passage.service)).and_then(|s| s.row.engine.as_ref());
+    let own: u64 = parts.iter().map(|(_, tokens)| tokens).sum();
+    match engine.map_or(0, |e| e.cache_tokens) {
+        0 => 0.0,
+        whole => (asked + own) as f64 / whole as f64,
+    }
+}
+
 /// What handing one token over takes on a source's link, by what the configuration says of it.
 fn link_us(fleet: &Fleet, passage: &Passage, source: &Seat) -> f64 {
     let Some(configuration) = &fleet.configuration else { return USUAL_LINK_US };
--- /dev/null
+++ b/crates/stream-router/src/setup.rs
@@ -0,0 +1,49 @@
+//! How a router is set.
+use crate::budget::Bound;
+use control_chain::configuration::Route;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How a router is set.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    pub name: String,
+    pub zone: String,
+    /// Where the agent beside it listens.
+    pub agent: SocketAddr,
+    /// Where other routers and index nodes reach this one.
+    pub at: SocketAddr,
+    pub bound: Bound,
+    /// How long after new weights were named replicas may go on with old ones.
+    pub old_weights: Duration,
+    pub patience: Patience,
+    /// How long a warned router may finish what it has.
+    pub grace: Duration,
+}
+
+/// How long callers wait for the next event of a stream: the longest of a time, so many aims, so many pauses.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Patience {
+    pub least: Duration,
+    pub aims: u32,
+    pub gaps: u32,
+}
+
+impl Default for Patience {
+    fn default() -> Self {
+        Patience { least: Duration::from_secs(2), aims: 4, gaps: 8 }
+    }
+}
+
+impl Patience {
+    /// A route's callers' patience.
+    /// ```
+    /// use control_chain::configuration::Route;
+    /// let route = Route { aim_ms: 600, gap_ms: 400, ..Route::default() };
+    /// assert_eq!(stream_router::setup::Patience::default().of(&route).as_millis(), 3200);
+    /// ```
+    pub fn of(&self, route: &Route) -> Duration {
+        let (aim, gap) = (Duration::from_millis(route.aim_ms), Duration::from_millis(route.gap_ms));
+        self.least.max(aim * self.aims).max(gap * self.gaps)
+    }
+}
--- a/crates/stream-router/src/shared.rs
+++ b/crates/stream-router/src/shared.rs
@@ -1,9 +1,11 @@
 //! What all workers of a router share. Tables are read-copy-update; the rest is behind short locks, none of
 //! which is taken while another is held.
 use crate::auditing::Tried;
-use crate::budget::{Bound, Budget};
+use crate::budget::Budget;
+pub use crate::counters::{Counters, count};
 use crate::dialect::Dialect;
-use crate::sharing::{Begun, News, Sharing, told_parts};
+pub use crate::setup::{Patience, Setup};
+use crate::sharing::Sharing;
 use control_chain::fleet::Fleet;
 use crossbeam::channel::{Receiver, Sender, bounded};
 use fleet_common::{Rcu, hash};
@@ -14,64 +16,14 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
-use way_choice::backlog::{Backlogs, key};
+use way_choice::backlog::Backlogs;
 use way_choice::desk::{self, Down, seats};
 use way_choice::fresh::Fresh;
-use way_choice::ledger::{Ledger, Sent};
+use way_choice::ledger::Ledger;
 use way_choice::place::Seat;
 use way_choice::rank::{Prices, Recent};
 use way_choice::source::Mirrors;
 
-macro_rules! counters {
-    ($($name:ident),* $(,)?) => {
-        /// Plain counts.
-        #[derive(Default)]
-        pub struct Counters { $(pub $name: AtomicU64),* }
-        impl Counters {
-            /// Names and counts, one a line.
-            /// ```
-            /// assert!(stream_router::shared::Counters::default().words().contains("requests 0"));
-            /// ```
-            pub fn words(&self) -> String {
-                let mut text = String::new();
-                $(text += &format!("coursebend_router_{} {}\n", stringify!($name), self.$name.load(Ordering::Relaxed));)*
-                text
-            }
-        }
-    };
-}
-
-counters! {
-    requests, whole, cut, refused, passed_on, retries, resumed, handovers, false_hits, filter_pushes,
-    filter_pulls, parts_held, parts_anew, not_fresh, misdirected, caller_left, late_answers, connections,
-}
-
-/// Counts one.
-/// ```
-/// let counter = Default::default();
-/// stream_router::shared::count(&counter);
-/// assert_eq!(counter.into_inner(), 1);
-/// ```
-pub fn count(counter: &AtomicU64) {
-    counter.fetch_add(1, Ordering::Relaxed);
-}
-
-/// How a router is set.
-#[derive(Clone, Debug)]
-pub struct Setup {
-    pub name: String,
-    pub zone: String,
-    /// Where the agent beside it listens.
-    pub agent: SocketAddr,
-    /// Where other routers and index nodes reach this one.
-    pub at: SocketAddr,
-    pub bound: Bound,
-    /// How long after new weights were named replicas may go on with old ones.
-    pub old_weights: Duration,
-    /// How long a warned router may finish what it has.
-    pub grace: Duration,
-}
-
 /// What this router has running and waiting at a replica by its own doing.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Own {
@@ -279,68 +231,6 @@
         seats
     }
 
-    /// A request was sent to a replica.
-    pub(crate) fn starts_at(&self, replica: &str, id: u64, sent: Sent) {
-        self.tell(News::Begun(Begun {
-            replica: key(replica),
-            id,
-            work_us: sent.work.as_micros().min(u32::MAX as u128) as u32,
-            tokens: sent.tokens.min(u32::MAX as u64) as u32,
-            parts: told_parts(&sent.parts).into(),
-        }));
-        let mut all = self.own();
-        let own = all.entry(replica.to_string()).or_default();
-        (own.running, own.since) = (own.running + 1, own.since + 1);
-    }
-
-    /// Puts news to use, and tells the other routers.
-    pub(crate) fn tell(&self, news: News) {
-        self.take_news(&news);
-        self.sharing.tell(&self.others.read(), &news);
-    }
-
-    /// What this router or another one did.
-    pub(crate) fn take_news(&self, news: &News) {
-        let now = self.now();
-        match news {
-            News::Begun(b) => {
-                let parts = b.parts.items().to_vec();
-                let sent = Sent { work: Duration::from_micros(b.work_us.into()), tokens: b.tokens.into(), parts };
-                self.recent().note(now, false, b.replica, &sent.parts);
-                self.ledger().begin(now, b.replica, b.id, sent);
-            }
-            News::Read(e) => {
-                let sent = self.ledger().read(now, e.replica, e.id);
-                sent.iter().for_each(|sent| self.recent().note(now, true, e.replica, &sent.parts));
-            }
-            News::Undone(e) => {
-                let sent = self.ledger().undo(now, e.replica, e.id);
-                sent.iter().for_each(|sent| self.recent().undo(now, e.replica, &sent.parts));
-            }
-            News::Moved(m) => self.links().add(now, m.link, Duration::from_micros(m.took_us.into())),
-        }
-    }
-
-    /// It ended there.
-    pub(crate) fn ends_at(&self, replica: &str) {
-        if let Some(own) = self.own().get_mut(replica) {
-            own.running = own.running.saturating_sub(1);
-        }
-    }
-
-    /// A replica said how much it has running and waiting.
-    pub(crate) fn hear_load(&self, replica: &str, load: u64) {
-        let now = self.now();
-        let mut all = self.own();
-        let own = all.entry(replica.to_string()).or_default();
-        (own.heard, own.since) = (Some((load, now)), 0);
-    }
-
-    /// A hand-over try is to be audited; with too many waiting it is passed over.
-    pub(crate) fn audit(&self, tried: Tried) {
-        let _ = self.tried.0.try_send(tried);
-    }
-
     /// A replica said which weights it runs.
     /// ```no_run
     /// # fn show(shared: &stream_router::shared::Shared) {
--- /dev/null
+++ b/crates/stream-router/src/telling.rs
@@ -0,0 +1,71 @@
+//! What happens at replicas by this router's doing and others': told, heard and put to use.
+use crate::auditing::Tried;
+use crate::shared::Shared;
+use crate::sharing::{Begun, News, told_parts};
+use std::time::Duration;
+use way_choice::backlog::key;
+use way_choice::ledger::Sent;
+
+impl Shared {
+    /// A request was sent to a replica.
+    pub(crate) fn starts_at(&self, replica: &str, id: u64, sent: Sent) {
+        self.tell(News::Begun(Begun {
+            replica: key(replica),
+            id,
+            work_us: sent.work.as_micros().min(u32::MAX as u128) as u32,
+            tokens: sent.tokens.min(u32::MAX as u64) as u32,
+            parts: told_parts(&sent.parts).into(),
+        }));
+        let mut all = self.own();
+        let own = all.entry(replica.to_string()).or_default();
+        (own.running, own.since) = (own.running + 1, own.since + 1);
+    }
+
+    /// Puts news to use, and tells the other routers.
+    pub(crate) fn tell(&self, news: News) {
+        self.take_news(&news);
+        self.sharing.tell(&self.others.read(), &news);
+    }
+
+    /// What this router or another one did.
+    pub(crate) fn take_news(&self, news: &News) {
+        let now = self.now();
+        match news {
+            News::Begun(b) => {
+                let parts = b.parts.items().to_vec();
+                let sent = Sent { work: Duration::from_micros(b.work_us.into()), tokens: b.tokens.into(), parts };
+                self.recent().note(now, false, b.replica, &sent.parts);
+                self.ledger().begin(now, b.replica, b.id, sent);
+            }
+            News::Read(e) => {
+                let sent = self.ledger().read(now, e.replica, e.id);
+                sent.iter().for_each(|sent| self.recent().note(now, true, e.replica, &sent.parts));
+            }
+            News::Undone(e) => {
+                let sent = self.ledger().undo(now, e.replica, e.id);
+                sent.iter().for_each(|sent| self.recent().undo(now, e.replica, &sent.parts));
+            }
+            News::Moved(m) => self.links().add(now, m.link, Duration::from_micros(m.took_us.into())),
+        }
+    }
+
+    /// It ended there.
+    pub(crate) fn ends_at(&self, replica: &str) {
+        if let Some(own) = self.own().get_mut(replica) {
+            own.running = own.running.saturating_sub(1);
+        }
+    }
+
+    /// A replica said how much it has running and waiting.
+    pub(crate) fn hear_load(&self, replica: &str, load: u64) {
+        let now = self.now();
+        let mut all = self.own();
+        let own = all.entry(replica.to_string()).or_default();
+        (own.heard, own.since) = (Some((load, now)), 0);
+    }
+
+    /// A hand-over try is to be audited; with too many waiting it is passed over.
+    pub(crate) fn audit(&self, tried: Tried) {
+        let _ = self.tried.0.try_send(tried);
+    }
+}
--- a/crates/way-choice/src/rank.rs
+++ b/crates/way-choice/src/rank.rs
@@ -25,6 +25,8 @@
     pub crowd_us: f64,
     /// Each request that runs or waits there.
     pub busy_us: f64,
+    /// Memory asked for beyond half of it, for each whole: what is kept gives way, and requests wait for room.
+    pub memory_us: f64,
     /// The way to another zone and back.
     pub far_us: f64,
 }
@@ -38,6 +40,7 @@
             again_us: 15.0,
             crowd_us: 120_000.0,
             busy_us: 1500.0,
+            memory_us: 500_000.0,
             far_us: 3000.0,
         }
     }
@@ -136,6 +139,8 @@
     /// How long what was sent there will be read yet, in microseconds, and how much slower it reads than others.
     pub waiting_us: f64,
     pub pace: f64,
+    /// The share of its memory that requests ask for, this one among them; 0 where nothing is known of it.
+    pub memory: f64,
     pub near: bool,
 }
 
@@ -205,7 +210,7 @@
 /// let mut recent = Recent::default();
 /// recent.note(Default::default(), true, way_choice::backlog::key("r2"), &[7]);
 /// let held = Held { mirrors: &Default::default(), recent: &recent, now: Default::default() };
-/// let with = |seat, busy| Candidate { seat, parts: &parts, busy, waiting_us: 0.0, pace: 1.0, near: true };
+/// let with = |seat, busy| Candidate { seat, parts: &parts, busy, waiting_us: 0.0, pace: 1.0, memory: 0.0, near: true };
 /// let choice = choose(&[with(&one, 0.0), with(&two, 0.0)], &[], &held, &Prices::default(), 0).unwrap();
 /// assert_eq!((choice.at, choice.own, choice.anew), (1, 5000, 0), "r2 holds it");
 /// let choice = choose(&[with(&one, 0.0), with(&two, 400.0)], &[], &held, &Prices::default(), 0).unwrap();
@@ -251,6 +256,7 @@
         let weight = fleet_common::hash::bytes(spread, candidate.seat.id.as_bytes());
         let parted_us = (mix(weight) % 4000) as f64;
         choice.cost_us = prompt_us + way_us + parted_us + candidate.waiting_us + candidate.busy * prices.busy_us;
+        choice.cost_us += (candidate.memory - 0.5).max(0.0) * prices.memory_us;
         if best.as_ref().is_none_or(|b| choice.cost_us < b.cost_us) {
             best = Some(choice);
         }
--- a/crates/way-choice/tests/ranking.rs
+++ b/crates/way-choice/tests/ranking.rs
@@ -152,6 +152,7 @@
                 busy: dice.next(20) as f64,
                 waiting_us: (dice.next(40_000) * [1, 75][dice.next(2) as usize]) as f64,
                 pace: 0.5 + dice.next(5) as f64 / 2.0,
+                memory: dice.next(20) as f64 / 10.0,
                 near: dice.next(2) == 0,
             })
             .collect();
@@ -172,10 +173,11 @@
             let parted = (mix(hash::bytes(spread, candidate.seat.id.as_bytes())) % 4000) as f64;
             let way = if candidate.near { 0.0 } else { world.prices.far_us };
             let fixed = parted + way + candidate.waiting_us + candidate.busy * world.prices.busy_us;
+            let full = (candidate.memory - 0.5).max(0.0) * world.prices.memory_us;
             all.extend(
                 ways(&world, candidate, &sources, crowd)
                     .into_iter()
-                    .map(|way| (at, fixed + way.us, way))
+                    .map(|way| (at, fixed + full + way.us, way))
                     .map(|(at, us, way)| (at, way, us)),
             );
         }
