--- a/crates/fleet-common/src/lib.rs
+++ b/crates/fleet-common/src/lib.rs
@@ -2,6 +2,7 @@
 //! step and colleague, the ring log, hashes, HTTP edges, and checked JSON.
 
 pub mod ask;
+pub mod counters;
 pub mod frame;
 pub mod hash;
 pub mod http_cut;
--- a/crates/http-streams/src/inbound.rs
+++ b/crates/http-streams/src/inbound.rs
@@ -1,6 +1,7 @@
 //! A caller's connection: requests read whole within bounds, answers written whole or event by event.
 use crate::framing::{Framing, of_request};
 use crate::head::{self, RequestHead};
+pub use crate::limits::Limits;
 use crate::wait::{Came, bound, cut, wait};
 use std::io::{self, Read, Write};
 use std::net::TcpStream;
@@ -9,23 +10,6 @@
 const WRITE_WAIT: Duration = Duration::from_secs(5);
 const UNHEARD: Duration = Duration::from_secs(5);
 
-/// What a caller may send, and how long it may take.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Limits {
-    pub header_bytes: usize,
-    pub body_bytes: usize,
-    pub header: Duration,
-    pub body: Duration,
-    pub idle: Duration,
-}
-
-impl Default for Limits {
-    fn default() -> Self {
-        let second = Duration::from_secs(1);
-        Limits { header_bytes: 16 << 10, body_bytes: 4 << 20, header: second * 3, body: second * 10, idle: second * 15 }
-    }
-}
-
 /// What came on a caller's connection.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Got {
--- a/crates/request-router/src/mirrors.rs
+++ b/crates/request-router/src/mirrors.rs
@@ -3,25 +3,14 @@
 use fleet_common::ask::{Answer, Ask, Filter};
 use fleet_common::frame::Caller;
 use fleet_common::ring;
-use prefix_table::filter::Mirror;
-use std::sync::Arc;
 use std::time::Duration;
 use way_choice::desk;
+use way_choice::source::{self, take_filter};
 
 /// Takes a filter unless a later fence or version is held, or the core knows a later fence.
 fn take(shared: &Shared, filter: Filter) -> bool {
     let fence = shared.fleet.read().duties.get(filter.replica.as_str()).map_or(0, |duty| duty.fence);
-    let Some(mirror) = Mirror::from_filter(filter) else { return false };
-    if mirror.fence < fence {
-        return false;
-    }
-    shared.mirrors.change(|mirrors| {
-        let newer = mirrors.get(&mirror.replica).is_none_or(|held| held.older_than(&mirror));
-        if newer {
-            mirrors.insert(mirror.replica.clone(), Arc::new(mirror));
-        }
-        newer
-    })
+    shared.mirrors.change(|mirrors| take_filter(mirrors, fence, filter))
 }
 
 /// What colleagues may ask of a router: to take filters and news.
@@ -51,9 +40,7 @@
 pub fn false_hit(shared: &Shared, replica: &str) {
     count(&shared.counters.false_hits);
     let alpha = shared.fleet.read().blueprint.as_ref().map_or(5, |b| b.index.alpha);
-    let stale = shared
-        .mirrors
-        .change(|mirrors| mirrors.get_mut(replica).is_some_and(|mirror| Arc::make_mut(mirror).false_hit(alpha)));
+    let stale = shared.mirrors.change(|mirrors| source::false_hit(mirrors, replica, alpha));
     if stale {
         pull(shared, replica);
     }
--- a/crates/request-router/src/shared.rs
+++ b/crates/request-router/src/shared.rs
@@ -9,7 +9,7 @@
 use fleet_common::frame::Caller;
 use fleet_common::hash;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use way_choice::desk::{Down, News, seats};
@@ -21,30 +21,14 @@
 use way_choice::source::Mirrors;
 use way_choice::tokens::Tokens;
 
-macro_rules! counters {
-    ($($name:ident),* $(,)?) => {
-        /// Plain counts, shown at /metrics.
-        #[derive(Default)]
-        pub struct Counters { $(pub $name: AtomicU64),* }
-        impl Counters {
-            pub fn words(&self) -> String {
-                let mut text = String::new();
-                $(text += &format!("coursebend_router_{} {}\n", stringify!($name), self.$name.load(Ordering::Relaxed));)*
-                text
-            }
-        }
-    };
-}
+pub use fleet_common::counters::count;
 
-counters! {
+fleet_common::counters! {
+    "coursebend_router_",
     requests, answered_whole, cut, refused, over_limit, passed_on, retries, handovers_named, handovers_audited,
     false_hits, filter_pushes, filter_pulls, prefix_hits, prefix_misses, moves, not_fresh, slow_handovers,
 }
 
-pub fn count(counter: &AtomicU64) {
-    counter.fetch_add(1, Ordering::Relaxed);
-}
-
 pub struct Shared {
     pub name: String,
     pub district: String,
--- a/crates/stream-router/src/chain.rs
+++ b/crates/stream-router/src/chain.rs
@@ -162,8 +162,7 @@
     Flow::Next
 }
 
-/// Whether the request may be sent at this moment: under a lease, with a key that still holds, on a route
-/// that is still there.
+/// Whether the request may be sent at this moment: under a lease, with a key that still holds.
 /// ```no_run
 /// # fn show(shared: &stream_router::shared::Shared, passage: &stream_router::passage::Passage) {
 /// assert!(stream_router::chain::may_go_on(shared, passage).is_ok());
--- a/crates/stream-router/src/feed.rs
+++ b/crates/stream-router/src/feed.rs
@@ -2,16 +2,15 @@
 //! news that the index pushes, and filters pulled anew when false hits made them stale.
 use crate::placing::LINK;
 use crate::shared::{Shared, count};
+use crate::subsets::{Router, Subsets};
 use fleet_common::ask::{Answer, Ask, Filter, Pull};
 use fleet_common::frame::Caller;
 use fleet_common::{Mishap as Error, ring};
-use prefix_table::filter::Mirror;
 use std::collections::HashSet;
-use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 use way_choice::backlog::key;
 use way_choice::desk;
+use way_choice::source::{self, take_filter};
 
 const PARK_MS: u32 = 400;
 const PRUNE: Duration = Duration::from_secs(2);
@@ -34,13 +33,13 @@
     let news = pulled.changed.items();
     let taken = news.is_empty() || shared.fleet.change(|fleet| fleet.take_all(shared.now(), news));
     if !news.is_empty() {
-        let own = shared.setup.at;
-        let edges: Vec<SocketAddr> = {
-            let fleet = shared.fleet.read();
-            fleet.members.values().filter(|m| m.kind == "edge").filter_map(|m| m.at.parse().ok()).collect()
-        };
-        shared.budget().share(edges.len());
-        shared.others.change(|others| *others = edges.into_iter().filter(|at| *at != own).collect());
+        let fleet = shared.fleet.read();
+        let edges = fleet.members.iter().filter(|(_, m)| m.kind == "edge");
+        let routers: Vec<Router> = edges.filter_map(|(name, m)| Some((name.clone(), m.at.parse().ok()?))).collect();
+        shared.budget().share(routers.len());
+        let replicas = fleet.replicas.iter().map(|r| r.id.as_str());
+        let cut = Subsets::cut(&shared.setup.name, &routers, replicas);
+        shared.subsets.change(|held| *held = cut);
     }
     if pulled.member != 0 && taken {
         // What came with the confirmation is in use by now, so the freshness may count.
@@ -96,17 +95,7 @@
 /// Takes a filter unless a later fence or version is held, or the core knows a later fence.
 fn take(shared: &Shared, filter: Filter) -> bool {
     let fence = shared.fleet.read().duties.get(filter.replica.as_str()).map_or(0, |duty| duty.fence);
-    let Some(mirror) = Mirror::from_filter(filter) else { return false };
-    if mirror.fence < fence {
-        return false;
-    }
-    shared.mirrors.change(|mirrors| {
-        let newer = mirrors.get(&mirror.replica).is_none_or(|held| held.older_than(&mirror));
-        if newer {
-            mirrors.insert(mirror.replica.clone(), Arc::new(mirror));
-        }
-        newer
-    })
+    shared.mirrors.change(|mirrors| take_filter(mirrors, fence, filter))
 }
 
 /// What others may ask of a router: to take filters and news.
@@ -145,9 +134,7 @@
 pub fn false_hit(shared: &Shared, replica: &str) {
     count(&shared.counters.false_hits);
     let alpha = shared.fleet.read().blueprint.as_ref().map_or(5, |b| b.index.alpha);
-    let stale = shared
-        .mirrors
-        .change(|mirrors| mirrors.get_mut(replica).is_some_and(|mirror| Arc::make_mut(mirror).false_hit(alpha)));
+    let stale = shared.mirrors.change(|mirrors| source::false_hit(mirrors, replica, alpha));
     if stale {
         pull_filter(shared, replica);
     }
--- a/crates/stream-router/src/following.rs
+++ b/crates/stream-router/src/following.rs
@@ -102,15 +102,18 @@
 
     /// Passes a stream on, event by event.
     fn stream(&mut self, place: &Place, mut up: Outbound, head: AnswerHead, sent: Instant) -> Try {
-        let until = self.passage.until + LAST_WORD;
+        let end = self.passage.until + LAST_WORD;
         loop {
+            // On old weights its first event comes in time or not at all.
+            let until = place.begins_by.filter(|_| !self.first).map_or(end, |by| by.min(end));
             let bytes = match up.body(Some(self.inbound.socket()), until) {
                 Heard::Body(bytes) => bytes,
                 Heard::Whole => Vec::new(),
                 Heard::CallerLeft => return self.left(up),
                 Heard::TimedOut => {
                     up.cut();
-                    return self.timed_out();
+                    let over = Instant::now() >= self.passage.until;
+                    return if over { self.timed_out() } else { Try::Failed(Failure::Unknown, None) };
                 }
                 _ => return Try::Failed(Failure::Unknown, None),
             };
--- a/crates/stream-router/src/lib.rs
+++ b/crates/stream-router/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod setup;
 pub mod shared;
 pub mod sharing;
+pub mod subsets;
 mod telling;
--- a/crates/stream-router/src/placing.rs
+++ b/crates/stream-router/src/placing.rs
@@ -70,8 +70,14 @@
         let seat = &seats[*at];
         service(*at) && !seat.leaving && !passage.tried.contains(&seat.id) && runs(seat)
     };
+    let subsets = shared.subsets.read();
     let all: Vec<usize> = (0..seats.len()).filter(open).collect();
     let up: Vec<usize> = all.iter().copied().filter(|at| !seats[*at].down).collect();
+    // Those it serves come first: of them it knows all that waits.
+    let own: Vec<usize> = up.iter().copied().filter(|at| subsets.serves(&seats[*at].id)).collect();
+    if !own.is_empty() {
+        return own;
+    }
     // With none that is known to be up, one that is taken for down may be better than its name.
     if up.is_empty() { all } else { up }
 }
--- a/crates/stream-router/src/setup.rs
+++ b/crates/stream-router/src/setup.rs
@@ -14,6 +14,9 @@
     /// Where other routers and index nodes reach this one.
     pub at: SocketAddr,
     pub bound: Bound,
+    /// How long a confirmed pull lets this router work, where that is shorter than a node's lease: whatever was
+    /// withdrawn is out of use after that.
+    pub lease: Duration,
     /// How long after new weights were named replicas may go on with old ones.
     pub old_weights: Duration,
     pub patience: Patience,
--- a/crates/stream-router/src/shared.rs
+++ b/crates/stream-router/src/shared.rs
@@ -6,13 +6,13 @@
 use crate::dialect::Dialect;
 pub use crate::setup::{Patience, Setup};
 use crate::sharing::Sharing;
+use crate::subsets::Subsets;
 use control_chain::fleet::Fleet;
 use crossbeam::channel::{Receiver, Sender, bounded};
 use fleet_common::{Rcu, hash};
 use http_streams::inbound::Limits;
 use http_streams::pool::Pool;
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -56,8 +56,8 @@
     ledger: Mutex<Ledger>,
     links: Mutex<Backlogs>,
     pub(crate) sharing: Sharing,
-    /// Where the other routers are reached.
-    pub(crate) others: Rcu<Vec<SocketAddr>>,
+    /// Which routers serve which replicas.
+    pub(crate) subsets: Rcu<Subsets>,
     own: Mutex<HashMap<String, Own>>,
     prices: Mutex<Prices>,
     pub(crate) tried: (Sender<Tried>, Receiver<Tried>),
@@ -96,7 +96,7 @@
             ledger: Mutex::default(),
             links: Mutex::default(),
             sharing,
-            others: Rcu::default(),
+            subsets: Rcu::default(),
             own: Mutex::default(),
             prices: Mutex::default(),
             tried: bounded(256),
@@ -120,7 +120,7 @@
     /// # }
     /// ```
     pub fn is_fresh(&self) -> bool {
-        self.fresh.holds(Instant::now())
+        self.fresh.holds_for(Instant::now(), self.setup.lease)
     }
 
     /// Whether callers should come: fresh, with a configuration, not leaving.
@@ -164,12 +164,7 @@
     }
 
     /// How busy links are with hand-overs.
-    /// ```no_run
-    /// # fn show(shared: &stream_router::shared::Shared) {
-    /// assert!(shared.links().waiting(shared.now(), 7).is_zero());
-    /// # }
-    /// ```
-    pub fn links(&self) -> MutexGuard<'_, Backlogs> {
+    pub(crate) fn links(&self) -> MutexGuard<'_, Backlogs> {
         held(&self.links)
     }
 
--- a/crates/stream-router/src/sharing.rs
+++ b/crates/stream-router/src/sharing.rs
@@ -25,6 +25,8 @@
     }
 }
 
+/// After a socket's error nothing is heard for so long.
+const BROKEN: std::time::Duration = std::time::Duration::from_millis(50);
 /// Parts told of one prompt, at the most: the first ones matter most.
 const PARTS_MOST: usize = 32;
 
@@ -76,7 +78,11 @@
     std::thread::spawn(move || {
         let mut bytes = [0u8; 512];
         loop {
-            let Ok((got, _)) = socket.recv_from(&mut bytes) else { continue };
+            let Ok((got, _)) = socket.recv_from(&mut bytes) else {
+                // What is broken for good must not take the processor.
+                std::thread::sleep(BROKEN);
+                continue;
+            };
             if let Ok((_, news)) = News::from_bytes((&bytes[..got], 0)) {
                 shared.take_news(&news);
             }
--- a/crates/stream-router/src/telling.rs
+++ b/crates/stream-router/src/telling.rs
@@ -1,7 +1,8 @@
 //! What happens at replicas by this router's doing and others': told, heard and put to use.
 use crate::auditing::Tried;
 use crate::shared::Shared;
-use crate::sharing::{Begun, News, told_parts};
+use crate::sharing::{Begun, Ended, Moved, News, told_parts};
+use fleet_common::hash;
 use std::time::Duration;
 use way_choice::backlog::key;
 use way_choice::ledger::Sent;
@@ -21,10 +22,23 @@
         (own.running, own.since) = (own.running + 1, own.since + 1);
     }
 
-    /// Puts news to use, and tells the other routers.
+    /// Puts news to use, and tells the other routers: of a replica those that serve it too, of a link a few of
+    /// them for all.
     pub(crate) fn tell(&self, news: News) {
         self.take_news(&news);
-        self.sharing.tell(&self.others.read(), &news);
+        let subsets = self.subsets.read();
+        match &news {
+            News::Begun(Begun { replica, .. })
+            | News::Read(Ended { replica, .. })
+            | News::Undone(Ended { replica, .. }) => {
+                self.sharing.tell(subsets.others(*replica), &news);
+            }
+            News::Moved(moved) => {
+                let (few, times) = subsets.few(hash::unique());
+                let took_us = (f64::from(moved.took_us) * times).min(f64::from(u32::MAX)) as u32;
+                self.sharing.tell(&few, &News::Moved(Moved { link: moved.link, took_us }));
+            }
+        }
     }
 
     /// What this router or another one did.
--- a/crates/stream-router/tests/events_model.rs
+++ b/crates/stream-router/tests/events_model.rs
@@ -12,7 +12,7 @@
     let end = ["\n", "\r\n"][dice.next(2) as usize];
     let mut lines = Vec::new();
     if dice.next(4) == 0 {
-        lines.push("weight-versions: m1=3".to_string());
+        lines.push("weights-told: m1=3".to_string());
     }
     let own = (dice.next(4) > 0).then(|| (number * 3).to_string());
     let colon = ["id: ", "id:"][dice.next(2) as usize];
@@ -86,7 +86,7 @@
 
 #[rstest]
 #[case("id: 12\r\ndata: x\r\n\r\n", Some("12"))]
-#[case("weight-versions: 3\nid:12\n\n", Some("12"))]
+#[case("weights-told: 3\nid:12\n\n", Some("12"))]
 #[case("id: 1\nid: 2\n\n", Some("2"))]
 #[case("data: id: 3\n\n", None)]
 #[case("idx: 3\n\n", None)]
--- a/crates/way-choice/src/fresh.rs
+++ b/crates/way-choice/src/fresh.rs
@@ -36,7 +36,18 @@
     /// assert!(!fresh.holds(std::time::Instant::now()), "nothing is confirmed yet");
     /// ```
     pub fn holds(&self, now: Instant) -> bool {
+        self.holds_for(now, TERM)
+    }
+
+    /// Whether it holds where it may be no longer than so long.
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// let (fresh, now) = (way_choice::fresh::Fresh::default(), Instant::now());
+    /// fresh.confirm(now + Duration::from_secs(5), Duration::ZERO);
+    /// assert!(!fresh.holds_for(now + Duration::from_secs(7), Duration::from_secs(1)));
+    /// ```
+    pub fn holds_for(&self, now: Instant, lease: Duration) -> bool {
         let last = self.last_us.load(Ordering::Acquire);
-        last > 0 && now.saturating_duration_since(self.begun) < Duration::from_micros(last) + TERM
+        last > 0 && now.saturating_duration_since(self.begun) < Duration::from_micros(last) + lease.min(TERM)
     }
 }
--- a/crates/way-choice/src/lib.rs
+++ b/crates/way-choice/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod place;
 pub mod placing;
 pub mod rank;
+pub mod recent;
 pub mod settling;
 pub mod source;
 pub mod tokens;
--- a/crates/way-choice/src/rank.rs
+++ b/crates/way-choice/src/rank.rs
@@ -2,9 +2,9 @@
 //! waits there, what must be read anew, what can be handed over, and the way there.
 use crate::backlog::key;
 use crate::place::Seat;
+pub use crate::recent::Recent;
 use crate::source::Mirrors;
 use fleet_common::hash::mix;
-use std::collections::HashMap;
 use std::time::Duration;
 
 /// A prompt's parts: hashes under one salt, with their tokens, in order.
@@ -58,78 +58,6 @@
     }
 }
 
-/// What routers sent lately, before any filter tells of it: a replica's parts, from when to when they count.
-#[derive(Clone, Debug, Default)]
-pub struct Recent {
-    sent: HashMap<(u64, u64), (Duration, Duration)>,
-}
-
-/// For how long a part counts as held where it was sent to be read, once it was.
-const LATELY: Duration = Duration::from_secs(4);
-/// For how long one that is not read yet counts as about to be.
-const UNREAD: Duration = Duration::from_secs(6);
-const NEVER: Duration = Duration::from_secs(1 << 40);
-const RECENT_MOST: usize = 16_384;
-
-impl Recent {
-    /// Parts were sent to a replica (by its key), or have been read there by now.
-    /// ```
-    /// use std::time::Duration;
-    /// let (mut recent, second) = (way_choice::rank::Recent::default(), Duration::from_secs(1));
-    /// recent.note(Duration::ZERO, false, 1, &[7]);
-    /// assert!(recent.sent(second, 1, 7) && !recent.read(second, 1, 7));
-    /// recent.note(second, true, 1, &[7]);
-    /// assert!(recent.read(second * 2, 1, 7) && !recent.sent(second * 9, 1, 7));
-    /// ```
-    pub fn note(&mut self, now: Duration, read: bool, replica: u64, parts: &[u64]) {
-        if self.sent.len() > RECENT_MOST {
-            self.sent.retain(|_, (_, until)| *until > now);
-        }
-        let fresh = if read { (now, now + LATELY) } else { (NEVER, now + UNREAD) };
-        for part in parts {
-            let row = self.sent.entry((replica, *part)).or_insert(fresh);
-            // What was read there stays; only its end moves on.
-            *row = (if row.1 > now { row.0.min(fresh.0) } else { fresh.0 }, fresh.1);
-        }
-    }
-
-    /// Whether a part was sent there lately: whatever is sent after it finds it read.
-    /// ```
-    /// assert!(!way_choice::rank::Recent::default().sent(std::time::Duration::ZERO, 1, 7));
-    /// ```
-    pub fn sent(&self, now: Duration, replica: u64, part: u64) -> bool {
-        self.sent.get(&(replica, part)).is_some_and(|(_, until)| *until > now)
-    }
-
-    /// Whether it has been read there by now.
-    /// ```
-    /// assert!(!way_choice::rank::Recent::default().read(std::time::Duration::ZERO, 1, 7));
-    /// ```
-    pub fn read(&self, now: Duration, replica: u64, part: u64) -> bool {
-        self.sent.get(&(replica, part)).is_some_and(|(ready, until)| *ready <= now && *until > now)
-    }
-
-    /// Parts that were sent there and will not be read after all.
-    /// ```
-    /// way_choice::rank::Recent::default().undo(std::time::Duration::ZERO, 1, &[7]);
-    /// ```
-    pub fn undo(&mut self, now: Duration, replica: u64, parts: &[u64]) {
-        for part in parts {
-            if self.sent.get(&(replica, *part)).is_some_and(|(ready, _)| *ready > now) {
-                self.sent.remove(&(replica, *part));
-            }
-        }
-    }
-
-    /// Nothing that was sent there counts any more.
-    /// ```
-    /// way_choice::rank::Recent::default().forget(1);
-    /// ```
-    pub fn forget(&mut self, replica: u64) {
-        self.sent.retain(|(at, _), _| *at != replica);
-    }
-}
-
 /// A replica that would do, with the prompt's parts under the salt of its weights.
 pub struct Candidate<'a> {
     pub seat: &'a Seat,
--- a/crates/way-choice/src/source.rs
+++ b/crates/way-choice/src/source.rs
@@ -3,6 +3,7 @@
 use crate::place::Seat;
 use control_chain::blueprint::Model;
 use control_chain::fleet::STORE;
+use fleet_common::ask::Filter;
 use indexmap::IndexMap;
 use prefix_table::filter::Mirror;
 
@@ -41,6 +42,32 @@
 /// Mirrors by replica.
 pub type Mirrors = IndexMap<String, std::sync::Arc<Mirror>>;
 
+/// Takes a filter unless a later fence or version is held, or the core knows a later fence.
+/// ```
+/// use fleet_common::ask::Filter;
+/// let filter = Filter { replica: "r".into(), index: "i".into(), fence: 1, version: 1, weights: "w".into(), m: 64, k: 2,
+///     items: 0, bits: vec![0; 8].into() };
+/// let mut mirrors = way_choice::source::Mirrors::new();
+/// assert!(!way_choice::source::take_filter(&mut mirrors, 2, filter.clone()), "the duty is under a later fence");
+/// assert!(way_choice::source::take_filter(&mut mirrors, 1, filter));
+/// ```
+pub fn take_filter(mirrors: &mut Mirrors, fence: u64, filter: Filter) -> bool {
+    let Some(mirror) = Mirror::from_filter(filter).filter(|mirror| mirror.fence >= fence) else { return false };
+    let newer = mirrors.get(&mirror.replica).is_none_or(|held| held.older_than(&mirror));
+    if newer {
+        mirrors.insert(mirror.replica.clone(), std::sync::Arc::new(mirror));
+    }
+    newer
+}
+
+/// Counts a false hit on a replica's mirror: whether it is stale by now and a fresh filter is to be pulled.
+/// ```
+/// assert!(!way_choice::source::false_hit(&mut Default::default(), "r1", 5));
+/// ```
+pub fn false_hit(mirrors: &mut Mirrors, replica: &str, alpha: u64) -> bool {
+    mirrors.get_mut(replica).is_some_and(|mirror| std::sync::Arc::make_mut(mirror).false_hit(alpha))
+}
+
 fn trusted<'a>(mirrors: &'a Mirrors, seat: &Seat, weights: &str) -> Option<&'a Mirror> {
     let same = |m: &&std::sync::Arc<Mirror>| {
         !m.stale && (m.fence, m.version) >= seat.floor && (m.weights == weights || seat.model == STORE)
