--- a/crates/scale-fleet/src/main.rs
+++ b/crates/scale-fleet/src/main.rs
@@ -6,6 +6,7 @@
 mod report;
 mod roles;
 mod stirs;
+mod tables;
 
 use point::Point;
 use scale_fleet::size::{self, AXES};
@@ -44,6 +45,8 @@
             optional --lose
             /// Measure nothing: tables and plots from the points kept.
             optional --only-report
+            /// Measure one table alone, at the sizes of --parts.
+            optional --only-tables
             /// A child's role (JSON); for this program itself.
             optional --role text: String
         }
@@ -56,6 +59,11 @@
 }
 
 fn run(flags: &flags::ScaleFleet) -> Result<(), String> {
+    if flags.only_tables {
+        let (sizes, seed) = (size::list(flags.parts.as_deref().unwrap_or("100"))?, flags.seed.unwrap_or(1));
+        print!("{}", tables::rows(&sizes, seed..seed + flags.repeats.unwrap_or(3)));
+        return Ok(());
+    }
     let points = flags.points.clone().unwrap_or_else(|| PathBuf::from("scale-points.jsonl"));
     if !flags.only_report {
         let texts = [&flags.nodes, &flags.replicas, &flags.events, &flags.parts, &flags.tenants];
