--- a/crates/scale-fleet/src/child.rs
+++ b/crates/scale-fleet/src/child.rs
@@ -19,7 +19,7 @@
         let text = sonic_rs::to_string(role).map_err(|e| fault(&e))?;
         let program = std::env::current_exe().map_err(|e| fault(&e))?;
         let mut command = Command::new(program);
-        command.args(["--role", &text]).stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(Stdio::null());
+        command.args(["--role", &text]).stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(Stdio::inherit());
         let mut process = command.spawn().map_err(|e| fault(&e))?;
         let (to, from) = (process.stdin.take(), process.stdout.take());
         let (to, from) = to.zip(from).ok_or_else(|| fault(&"no pipes"))?;
