--- a/crates/prefix-index/src/shared.rs
+++ b/crates/prefix-index/src/shared.rs
@@ -12,6 +12,8 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+/// Senders of colleagues that are gone go when there are more than a fleet has nodes.
+const SENDERS_MOST: usize = 4096;
 const TICK: Duration = Duration::from_millis(50);
 const WORKERS: usize = 6;
 
@@ -135,7 +137,7 @@
     /// One sender a colleague, so that a dead one holds nobody up. What it has no room for is told again.
     fn tell(&self, at: &str, ask: Ask) {
         let mut senders = self.senders.lock().unwrap_or_else(|held| held.into_inner());
-        if senders.len() > 256 {
+        if senders.len() > SENDERS_MOST {
             senders.clear();
         }
         let sender = senders.entry(at.to_string()).or_insert_with(|| doing::sender(at));
--- a/crates/prefix-table/src/table.rs
+++ b/crates/prefix-table/src/table.rs
@@ -164,8 +164,9 @@
         if self.held.swap_remove(&hash).is_some() {
             self.counting.remove(hash);
             self.removed.insert(hash);
-            if self.removed.len() > REMOVED_KEPT {
-                self.removed.shift_remove_index(0);
+            if self.removed.len() > REMOVED_KEPT + REMOVED_KEPT / 8 {
+                // The oldest go together: each alone would move all others.
+                self.removed.drain(..REMOVED_KEPT / 8);
             }
             self.fit();
         }
