Drills wait until their caller has its head and a piece

Now a call in the background tells of its first piece, and the drills that mean a stream under way wait for that: three in faults, one each in cuts and serving. Nothing is asserted less; the wait itself is asserted.

--- a/crates/run-fleet/tests/cuts.rs
+++ b/crates/run-fleet/tests/cuts.rs
@@ -4,6 +4,7 @@
 
 use run_fleet::fleet::Fleet;
 use run_fleet::relay::Relay;
+use stand_in::begun::begin;
 use stand_in::checks::call;
 use world::*;
 
@@ -62,14 +63,15 @@
     let relay = Relay::default();
     let fleet = fleet_behind("cutoff", &relay);
     let long = job(&fleet, 0, "canal", &text(300), 6000);
-    let stream = std::thread::spawn(move || call(&long));
+    let stream = begin(long);
     assert!(Fleet::until(LONG, || runs(&fleet).len() == 1));
+    assert!(stream.has_piece(LONG), "its caller has the head and a piece");
     // The edge is heard, but hears nothing any more.
     for core in 1..=4 {
         relay.cut(&format!("core-{core}"), "edge-1");
     }
     assert!(fleet.query(&["key-withdraw", "key-canal", "--wait"]).status.success());
-    let result = stream.join().unwrap();
+    let result = stream.end();
     assert!(result.cut && result.wrong.is_none(), "status {}", result.status);
     let let_go = || runs(&fleet).iter().all(|(_, run)| field(run, "ended") == "left");
     assert!(Fleet::until(LONG, let_go), "the replica ran on under a withdrawn key");
--- a/crates/run-fleet/tests/faults.rs
+++ b/crates/run-fleet/tests/faults.rs
@@ -3,6 +3,7 @@
 
 use run_fleet::fleet::Fleet;
 use sonic_rs::JsonValueTrait;
+use stand_in::begun::begin;
 use stand_in::checks::call;
 use world::*;
 
@@ -42,15 +43,16 @@
 fn a_withdrawn_key_stops_even_in_mid_stream_and_on_a_cut_off_edge() {
     let mut fleet = fleet("keys");
     let long = |edge| job(&fleet, edge, "canal", &text(300), 6000);
-    let streams: Vec<_> = (0..3).map(long).map(|job| std::thread::spawn(move || call(&job))).collect();
+    let streams: Vec<_> = (0..3).map(long).map(begin).collect();
     let begun = || runs(&fleet).len() == 3;
     assert!(Fleet::until(LONG, begun));
+    assert!(streams.iter().all(|stream| stream.has_piece(LONG)), "each caller has its head and a piece");
     // Edge 2 loses its agent, edge 3 its whole way to the core: neither hears of the withdrawal.
     fleet.process("agent-2").kill();
     fleet.process("agent-3").signal(libc::SIGSTOP);
     assert!(fleet.query(&["key-withdraw", "key-canal", "--wait"]).status.success());
     for stream in streams {
-        let result = stream.join().unwrap();
+        let result = stream.end();
         assert!(result.cut && !result.whole && result.wrong.is_none(), "status {}", result.status);
     }
     let refused = call(&job(&fleet, 0, "canal", "x", 4));
@@ -71,13 +73,14 @@
 fn a_frozen_router_wakes_to_cut_what_it_carried() {
     let mut fleet = fleet("frozen");
     let long = job(&fleet, 0, "canal", &text(300), 4000);
-    let stream = std::thread::spawn(move || call(&long));
+    let stream = begin(long);
     assert!(Fleet::until(LONG, || runs(&fleet).len() == 1));
+    assert!(stream.has_piece(LONG), "its caller has the head and a piece");
     fleet.process("edge-1").signal(libc::SIGSTOP);
     // Its key is withdrawn while it sleeps; `in force` waits until its term has run out.
     assert!(fleet.query(&["key-withdraw", "key-canal", "--wait"]).status.success());
     fleet.process("edge-1").signal(libc::SIGCONT);
-    let result = stream.join().unwrap();
+    let result = stream.end();
     assert!(result.cut && result.wrong.is_none(), "whole {} status {}", result.whole, result.status);
     let wakes = |r: &stand_in::checks::Result| r.status == 403;
     assert!(calls_until(LONG, &job(&fleet, 0, "canal", "x", 4), wakes));
@@ -189,12 +192,13 @@
     let mut fleet = fleet("claims");
     let mut long = job(&fleet, 0, "canal", &text(300), 6000);
     long.once = Some("stop-40".into());
-    let running = std::thread::spawn(move || call(&long));
+    let running = begin(long);
     let runs_there = |fleet: &Fleet| runs(fleet).iter().filter(|(_, run)| field(run, "once") == "stop-40").count();
     assert!(Fleet::until(LONG, || runs_there(&fleet) == 1));
+    assert!(running.has_piece(LONG), "its caller has the head and a piece");
     fleet.process("edge-1").kill();
     fleet.process("agent-1").kill();
-    let result = running.join().unwrap();
+    let result = running.end();
     assert!(result.cut && result.wrong.is_none());
     // While its edge may still be about, the claim is claimed; once the edge's term is over, unknown.
     let mut again = job(&fleet, 1, "canal", &text(300), 4);
--- a/crates/run-fleet/tests/serving.rs
+++ b/crates/run-fleet/tests/serving.rs
@@ -2,6 +2,7 @@
 mod world;
 
 use sonic_rs::JsonValueTrait;
+use stand_in::begun::begin;
 use stand_in::checks::call;
 use world::*;
 
@@ -151,12 +152,13 @@
     let mut long = job(&fleet, 0, "canal", &text(400), 3000);
     long.once = Some("stop-18".into());
     let edge = long.edge.clone();
-    let running = std::thread::spawn(move || call(&long));
+    let running = begin(long);
     let place = || runs(&fleet).into_iter().find(|(_, run)| field(run, "once") == "stop-18").map(|(id, _)| id);
     assert!(run_fleet::fleet::Fleet::until(LONG, || place().is_some()));
+    assert!(running.has_piece(LONG), "its caller has the head and a piece");
     let replica = place().unwrap();
     fleet.process(&replica).kill();
-    let result = running.join().unwrap();
+    let result = running.end();
     assert!(result.cut && !result.whole && result.wrong.is_none());
     let claim = || String::from_utf8(fleet.query(&["claim", "canal", "stop-18"]).stdout).unwrap();
     assert!(run_fleet::fleet::Fleet::until(LONG, || claim().contains("\"unknown\"")), "{}", claim());
--- a/crates/stand-in/src/checks.rs
+++ b/crates/stand-in/src/checks.rs
@@ -39,6 +39,11 @@
 /// assert!(result.cut, "nobody is there");
 /// ```
 pub fn call(job: &Job) -> Result {
+    call_telling(job, &|| {})
+}
+
+/// As `call`; tells when the first piece has come.
+pub(crate) fn call_telling(job: &Job, first: &dyn Fn()) -> Result {
     let mut headers = vec![
         ("content-type", "application/json".to_string()),
         ("authorization", format!("Bearer {}", job.key)),
@@ -64,7 +69,7 @@
     if result.status == 200 {
         let reader = BufReader::new(opened.body);
         if job.stream {
-            read_stream(job, reader, begun, &mut result)
+            read_stream(job, reader, begun, &mut result, first)
         } else {
             read_whole(job, reader, begun, &mut result)
         }
@@ -72,7 +77,7 @@
     result
 }
 
-fn read_stream(job: &Job, mut reader: impl BufRead, begun: Instant, result: &mut Result) {
+fn read_stream(job: &Job, mut reader: impl BufRead, begun: Instant, result: &mut Result, first: &dyn Fn()) {
     let (mut number, mut done, mut last) = (0, false, begun);
     let mut line = String::new();
     loop {
@@ -91,6 +96,9 @@
                     result.gap_us = result.gap_us.max(gap);
                 }
                 check_piece(job, line.strip_prefix("data: ").unwrap_or_default(), number, result);
+                if number == 0 {
+                    first();
+                }
                 number += 1;
             }
             Err(_) => {
--- a/crates/stand-in/src/lib.rs
+++ b/crates/stand-in/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for what surrounds the fleet: model replicas, a prefix store, an app service, the
 //! platform and callers. For trying the fleet out and for its tests; none of it is the product.
 mod app;
+pub mod begun;
 mod cache;
 pub mod caller;
 pub mod checks;
