--- a/crates/fleet-common/src/node.rs
+++ b/crates/fleet-common/src/node.rs
@@ -104,7 +104,7 @@
     /// ```
     /// # use fleet_common::node::{Identity, Link};
     /// # let me = Identity { name: "e1".into(), kind: "edge", incarnation: 1, at: "".into(), district: "a".into() };
-    /// assert!(Link::new(me, Default::default()).pull([0; 8], [0; 6], true, 10).is_err());
+    /// assert!(Link::new(me, Default::default()).pull([0; 8], [0; 8], true, 10).is_err());
     /// ```
     pub fn pull(
         &mut self,
