A control replica without a majority says so at once; one that hears nobody is left out

Cause: (1) an operator's call waited 3.5 s at a replica that heard no majority, and 4 s for a head that took the call and fell silent, while operators go on after one second. (2) A replica that is heard but hears nobody (a cut in one direction) was taken for fit: the chain waited for it as long as the cut lasted.

Change: Answer::Unavailable where no majority is heard; a replica that may answer is looked for 400 ms at the most; commands that wait at a head are given up when it hears no majority; heartbeats carry a typed condition (fit, leaving, disk trouble, isolated).

--- a/crates/control-chain/src/answering.rs
+++ b/crates/control-chain/src/answering.rs
@@ -62,7 +62,11 @@
                 let text = self.query(text.as_str());
                 self.answer_json(token, text);
             }
-            Ask::Pull(_) | Ask::Query(_) => self.elsewhere(token, tail),
+            Ask::Pull(_) => self.elsewhere(token, tail),
+            Ask::Query(_) | Ask::Command(_) | Ask::Cores(_) if !self.hears_majority() => {
+                self.answer(token, Answer::Unavailable("no majority of the voters is heard".into()));
+            }
+            Ask::Query(_) => self.elsewhere(token, tail),
             Ask::Command(_) | Ask::Cores(_) if !self.is_head() || self.sick => self.elsewhere(token, head),
             Ask::Command(_) if self.overfull() => self.elsewhere(token, None),
             Ask::Cores(wish) => self.on_cores(token, wish),
@@ -98,7 +102,8 @@
         }
     }
 
-    /// Commands that were on their way when this core stopped being head: nobody can say yet.
+    /// Commands that were on their way when this core stopped being head, or lost the majority: nobody
+    /// can say yet whether they were taken.
     pub(crate) fn give_up_waiting(&mut self) {
         let waiting = std::mem::take(&mut self.waiting);
         for (token, _) in waiting.into_values().flatten() {
--- a/crates/control-chain/src/core.rs
+++ b/crates/control-chain/src/core.rs
@@ -39,6 +39,7 @@
     pub(crate) committed: u64,
     pub(crate) sent_on: u64,
     pub(crate) sick: bool,
+    pub(crate) leaving: bool,
     pub(crate) stall_told: bool,
     pub(crate) heard: BTreeMap<u32, Heard>,
     pub(crate) tickets: VecDeque<(u64, Duration, After)>,
@@ -122,6 +123,7 @@
             committed: 0,
             sent_on: last,
             sick: false,
+            leaving: false,
             stall_told: false,
             heard: BTreeMap::new(),
             tickets: VecDeque::new(),
@@ -226,9 +228,9 @@
             Input::Synced(ticket, true) => self.on_synced(ticket),
             Input::Synced(_, false) => self.on_disk_failed(),
             Input::Leave => {
-                self.sick = true;
+                (self.sick, self.leaving) = (true, true);
                 self.note("warned: leaving the chain".into());
-                self.beat_all(true);
+                self.beat_all();
             }
             Input::Listed(number, listed) => self.on_listed(number, listed),
             Input::Asked(token, ask) => self.on_asked(token, ask),
--- a/crates/control-chain/src/hearing.rs
+++ b/crates/control-chain/src/hearing.rs
@@ -1,7 +1,7 @@
 //! Signs of life between cores, and where each message goes.
 use crate::command::Envelope;
 use crate::core::{BEAT, Core, Record, STALL};
-use crate::message::{Ack, Beat, Chain, Sent};
+use crate::message::{Ack, Beat, Chain, Condition, Sent};
 use crate::steps::{After, Heard};
 use crate::view::Member;
 
@@ -18,25 +18,40 @@
         self.stall_told = stalled;
         if self.last_beat.is_none_or(|at| self.now.saturating_sub(at) >= BEAT) {
             self.last_beat = Some(self.now);
-            self.beat_all(stalled);
+            self.beat_all();
+        }
+        if !self.waiting.is_empty() && !self.hears_majority() {
+            self.give_up_waiting();
         }
         self.agree_tick();
         self.answer_tick();
         self.chores_tick();
     }
 
-    fn own_beat(&self, stalled: bool) -> Beat {
+    fn condition(&self) -> Condition {
+        if self.leaving {
+            Condition::Leaving
+        } else if self.sick || self.stalled() {
+            Condition::DiskTrouble
+        } else if !self.hears_majority() {
+            Condition::Isolated
+        } else {
+            Condition::Fit
+        }
+    }
+
+    fn own_beat(&self) -> Beat {
         Beat {
             view: self.meta.view.n,
             seq: self.synced,
             committed: self.committed,
             full: self.meta.full,
-            sick: (self.sick || stalled).into(),
+            condition: self.condition(),
         }
     }
 
-    pub(crate) fn beat_all(&mut self, stalled: bool) {
-        let beat = self.own_beat(stalled);
+    pub(crate) fn beat_all(&mut self) {
+        let beat = self.own_beat();
         let known = self.known();
         self.greet(&known);
         for to in known {
@@ -53,7 +68,7 @@
         }
         if beat.view > view && self.own.is_some() && self.meta.view.at(from).is_none() {
             // A stranger knows a newer view: this sign of life has it tell.
-            let own = self.own_beat(false);
+            let own = self.own_beat();
             return self.send(from, Chain::Beat(own));
         }
         if beat.view > view || !self.meta.view.holds(&Member { id: from, incarnation }) {
--- a/crates/control-chain/src/installing.rs
+++ b/crates/control-chain/src/installing.rs
@@ -80,7 +80,7 @@
         }
         self.send_parked_elsewhere();
         self.note_commits();
-        self.beat_all(false);
+        self.beat_all();
     }
 
     /// A new head applies what it holds, synced or not, before it takes commands.
--- a/crates/control-chain/src/knowing.rs
+++ b/crates/control-chain/src/knowing.rs
@@ -64,8 +64,7 @@
 
     fn says_hello(&self) -> bool {
         let view = &self.meta.view;
-        let heard = view.voters.items().iter().filter(|m| self.alive(m)).count();
-        self.own.as_ref().is_some_and(|own| view.at(self.me.id) != Some(own) || heard < view.majority())
+        self.own.as_ref().is_some_and(|own| view.at(self.me.id) != Some(own) || !self.hears_majority())
     }
 
     /// Goes out ahead of the signs of life.
--- a/crates/control-chain/src/message.rs
+++ b/crates/control-chain/src/message.rs
@@ -3,8 +3,19 @@
 use fleet_common::{Bytes, List};
 
 fleet_common::messages! {
+    /// Whether a replica can do its part in the chain.
+    pub enum Condition {
+        0 = Fit,
+        /// It was told to stop.
+        1 = Leaving,
+        /// Its disk fails or stalls.
+        2 = DiskTrouble,
+        /// It hears no majority of the voters, though others may hear it.
+        3 = Isolated,
+    }
+
     /// A sign of life with how far its sender is; it doubles as an acknowledgement.
-    pub struct Beat { pub view: u64, pub seq: u64, pub committed: u64, pub full: u8, pub sick: u8 }
+    pub struct Beat { pub view: u64, pub seq: u64, pub committed: u64, pub full: u8, pub condition: Condition }
     pub struct Prepare { pub n: u64, pub ballot: u64 }
     pub struct Promise { pub n: u64, pub ballot: u64, pub accepted: List<Accepted> }
     pub struct Accept { pub n: u64, pub ballot: u64, pub view: View }
--- a/crates/control-chain/src/wishing.rs
+++ b/crates/control-chain/src/wishing.rs
@@ -1,5 +1,7 @@
 //! Which next view would suit what is heard now.
 use crate::core::{Core, SUSPECT};
+use crate::message::Condition;
+use crate::steps::Heard;
 use crate::view::{CoreAt, Member, View};
 use std::time::Duration;
 
@@ -15,9 +17,23 @@
         if *member == self.me {
             return !self.sick;
         }
-        self.heard.get(&member.id).is_some_and(|h| {
-            h.incarnation == member.incarnation && h.beat.sick == 0 && self.now.saturating_sub(h.at) < SUSPECT
-        })
+        let fit = |heard: &Heard| heard.beat.condition == Condition::Fit;
+        self.hears(member) && self.heard.get(&member.id).is_some_and(fit)
+    }
+
+    /// Whether a member was heard lately, fit or not.
+    fn hears(&self, member: &Member) -> bool {
+        let fresh =
+            |heard: &Heard| heard.incarnation == member.incarnation && self.now.saturating_sub(heard.at) < SUSPECT;
+        self.heard.get(&member.id).is_some_and(fresh)
+    }
+
+    /// Whether a majority of this view's voters was heard lately. A replica that hears none may have been
+    /// left behind by a newer view and can tell nothing.
+    pub(crate) fn hears_majority(&self) -> bool {
+        let view = &self.meta.view;
+        let heard = view.voters.items().iter().filter(|voter| **voter == self.me || self.hears(voter)).count();
+        heard >= view.majority()
     }
 
     pub(crate) fn holds_all(&self, member: &Member) -> bool {
--- a/crates/control-chain/tests/sim/history.rs
+++ b/crates/control-chain/tests/sim/history.rs
@@ -29,7 +29,19 @@
     Blueprint::read(&fleet_common::json::root(text.as_bytes()).unwrap()).unwrap()
 }
 
+/// Whether an answer says that a command took effect.
+pub fn accepted(answer: &Answer) -> bool {
+    let Answer::Json(text) = answer else { return false };
+    sonic_rs::from_slice::<Outcome>(text.as_slice()).is_ok_and(|outcome| outcome.accepted())
+}
+
 impl History {
+    /// A command of its own to put to one replica; whatever becomes of it changes no blueprint.
+    pub fn order(id: &str, number: u64) -> Ask {
+        let command = Command::NameWeights { model: "probe".into(), revision: number + 1 };
+        Ask::Command(Envelope { id: id.into(), expect: None, command }.pack().into())
+    }
+
     /// An operator races others: expects the newest version it was told of, or the one before.
     pub fn command(&mut self, world: &mut World) {
         self.number += 1;
@@ -50,7 +62,7 @@
         for id in ids {
             if let Some(token) = world.ask(id, ask.clone()) {
                 match world.answers.get(&token) {
-                    Some(Answer::Elsewhere(_)) => continue,
+                    Some(Answer::Elsewhere(_) | Answer::Unavailable(_)) => continue,
                     _ => {
                         told.token = Some(token);
                         return;
--- a/crates/control-core/src/drive.rs
+++ b/crates/control-core/src/drive.rs
@@ -14,6 +14,10 @@
 
 const TICK: Duration = Duration::from_millis(20);
 const ANSWER_WAIT: Duration = Duration::from_secs(4);
+/// A replica that may answer is looked for no longer than this.
+const SEARCH_WAIT: Duration = Duration::from_millis(400);
+/// The pause between two looks for one.
+const SEARCH_PAUSE: Duration = Duration::from_millis(60);
 
 pub(crate) enum Inbox {
     Heard(Sent),
@@ -96,12 +100,17 @@
     /// # }
     /// ```
     pub fn ask(&self, ask: Ask) -> Answer {
+        self.ask_within(ask, ANSWER_WAIT)
+    }
+
+    fn ask_within(&self, ask: Ask, wait: Duration) -> Answer {
         let (sender, receiver) = bounded(1);
         let _ = self.inbox.send(Inbox::Asked(ask, sender));
-        receiver.recv_timeout(ANSWER_WAIT).unwrap_or_else(|_| Answer::Refused("unknown".into()))
+        receiver.recv_timeout(wait).unwrap_or_else(|_| Answer::Refused("unknown".into()))
     }
 
-    /// Asks here or, when sent elsewhere, there.
+    /// Asks here or, when sent elsewhere, there. Where no replica is found that may answer, this is said
+    /// after at most 400 ms; one that was found is waited for until `wait` is over.
     /// ```no_run
     /// # fn example(driver: &control_core::drive::Driver) {
     /// use fleet_common::ask::Ask;
@@ -109,27 +118,24 @@
     /// # }
     /// ```
     pub fn ask_fleet(&self, ask: Ask, wait: Duration) -> Result<Answer, Mishap> {
-        let until = Instant::now() + wait;
-        let mut answer = self.ask(ask.clone());
+        let begun = Instant::now();
+        let left = || wait.saturating_sub(begun.elapsed());
+        let mut answer = self.ask_within(ask.clone(), wait);
         loop {
-            let Answer::Elsewhere(at) = &answer else {
-                return Ok(answer);
+            let next = match &answer {
+                Answer::Elsewhere(at) => at.as_str().parse().ok(),
+                Answer::Unavailable(_) => None,
+                _ => return Ok(answer),
             };
-            if Instant::now() >= until {
+            if left().is_zero() || (next.is_none() && begun.elapsed() >= SEARCH_WAIT) {
                 return Err(Mishap::at(Step::Query, "cores", "no core holds the term to answer"));
             }
-            answer = match at.as_str().parse() {
-                Ok(to) => match Caller::new(to, ANSWER_WAIT).ask(&ask) {
-                    Ok(answer) => answer,
-                    Err(mishap) if mishap.step == Step::Connect => {
-                        std::thread::sleep(Duration::from_millis(60));
-                        self.ask(ask.clone())
-                    }
-                    Err(mishap) => return Err(mishap),
-                },
-                Err(_) => {
-                    std::thread::sleep(Duration::from_millis(60));
-                    self.ask(ask.clone())
+            answer = match next.map(|to| Caller::new(to, left().min(ANSWER_WAIT)).ask(&ask)) {
+                Some(Ok(answer)) => answer,
+                Some(Err(mishap)) if mishap.step != Step::Connect => return Err(mishap),
+                Some(Err(_)) | None => {
+                    std::thread::sleep(SEARCH_PAUSE.min(left()));
+                    self.ask_within(ask.clone(), left())
                 }
             };
         }
--- a/crates/fleet-common/src/ask.rs
+++ b/crates/fleet-common/src/ask.rs
@@ -89,6 +89,8 @@
         6 = Table(TableCopy),
         7 = Done,
         8 = Refused(Text),
+        /// Nobody here can tell: this replica hears no majority. The reason is for logs.
+        9 = Unavailable(Text),
     }
 }
 
--- a/crates/fleet-common/src/frame.rs
+++ b/crates/fleet-common/src/frame.rs
@@ -10,6 +10,8 @@
 const FRAME_MAX: usize = 64 << 20;
 const STREAMS_MAX: usize = 512;
 const WRITE_WAIT: Duration = Duration::from_secs(3);
+/// A peer that does not accept a connection for so long is not reached.
+const CONNECT_WAIT: Duration = Duration::from_millis(500);
 
 /// Packs a message into a whole frame.
 /// ```
@@ -86,14 +88,15 @@
     unpack(&body, colleague).map(Some)
 }
 
-/// Opens a stream to a colleague with bounds on connecting and writing.
+/// Opens a stream to a peer with bounds on connecting, reading and writing. A caller that waits less than
+/// the bound on connecting is not held up longer than it waits.
 /// ```
 /// let gone = fleet_common::frame::connect("127.0.0.1:1".parse().unwrap(), std::time::Duration::from_millis(50));
 /// assert!(gone.is_err());
 /// ```
 pub fn connect(to: SocketAddr, read_wait: Duration) -> Result<TcpStream, Mishap> {
     let fault = |e| Mishap::at(Step::Connect, to, e);
-    let stream = TcpStream::connect_timeout(&to, Duration::from_millis(500)).map_err(fault)?;
+    let stream = TcpStream::connect_timeout(&to, CONNECT_WAIT.min(read_wait)).map_err(fault)?;
     stream.set_nodelay(true).map_err(fault)?;
     stream.set_read_timeout(Some(read_wait)).map_err(fault)?;
     stream.set_write_timeout(Some(WRITE_WAIT)).map_err(fault)?;
--- a/crates/fleet-common/src/node.rs
+++ b/crates/fleet-common/src/node.rs
@@ -91,6 +91,7 @@
                         return Err(Mishap::at(Step::Pull, caller.to(), "no tail holds its term"));
                     }
                 },
+                Answer::Unavailable(reason) => return Err(Mishap::at(Step::Pull, caller.to(), reason)),
                 answer => {
                     self.caller = Some(caller);
                     return Ok(answer);
