Core can be cloned and gives a fingerprint of its protocol state

A search over states needs to branch from one state and to tell states that it has seen. Messages derive Hash; Core::fingerprint hashes what decides further steps, with times relative to now. No change of behaviour.

--- a/crates/control-chain/src/agreeing.rs
+++ b/crates/control-chain/src/agreeing.rs
@@ -14,14 +14,15 @@
 const AGAIN: Duration = Duration::from_millis(1500);
 
 /// A try to have a next view agreed.
+#[derive(Clone)]
 pub(crate) struct Proposal {
-    n: u64,
-    ballot: u64,
-    wish: View,
-    promises: BTreeMap<u32, Option<Accepted>>,
-    asked: Option<View>,
-    votes: BTreeSet<u32>,
-    begun: Duration,
+    pub(crate) n: u64,
+    pub(crate) ballot: u64,
+    pub(crate) wish: View,
+    pub(crate) promises: BTreeMap<u32, Option<Accepted>>,
+    pub(crate) asked: Option<View>,
+    pub(crate) votes: BTreeSet<u32>,
+    pub(crate) begun: Duration,
 }
 
 impl Core {
--- a/crates/control-chain/src/answering.rs
+++ b/crates/control-chain/src/answering.rs
@@ -14,6 +14,7 @@
 const PARK_MAX: Duration = Duration::from_millis(1000);
 
 /// A pull that waits for news.
+#[derive(Clone)]
 pub(crate) struct Parked {
     token: u64,
     pull: Pull,
@@ -21,6 +22,7 @@
 }
 
 /// What the tail knows of a node from its pulls.
+#[derive(Clone)]
 pub(crate) struct Seen {
     pub at: Duration,
     pub incarnation: u64,
--- a/crates/control-chain/src/chores.rs
+++ b/crates/control-chain/src/chores.rs
@@ -10,7 +10,7 @@
 /// How much time each `Minute` command stands for, at the least.
 pub const MINUTE: Duration = Duration::from_secs(60);
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub(crate) struct Chores {
     pub lister: Lister,
     minute_begun: Option<Duration>,
--- a/crates/control-chain/src/command.rs
+++ b/crates/control-chain/src/command.rs
@@ -183,7 +183,7 @@
 }
 
 /// What came of a command. `code` follows HTTP; 202 is accepted.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Outcome {
     pub code: u16,
     pub source: String,
--- a/crates/control-chain/src/core.rs
+++ b/crates/control-chain/src/core.rs
@@ -27,6 +27,7 @@
 pub const CAPTURE_EVERY: usize = 2048;
 
 /// One core machine.
+#[derive(Clone)]
 pub struct Core {
     pub(crate) me: Member,
     pub(crate) now: Duration,
--- /dev/null
+++ b/crates/control-chain/src/fingerprint.rs
@@ -0,0 +1,89 @@
+//! A fingerprint of a core's whole protocol state, by which a search tells states that it has seen.
+use crate::agreeing::Proposal;
+use crate::core::{Core, SETTLE, STALL, SUSPECT, TAIL_TERM};
+use crate::wishing::UNLIST;
+use std::hash::{Hash, Hasher};
+use std::time::Duration;
+
+/// The longest delay of the agreement on views: a proposal older than this is due to be repeated.
+const AGREEMENT_DELAY: Duration = Duration::from_secs(4);
+
+impl Core {
+    /// Feeds everything that decides this core's further steps to `hasher`. Times count relative to
+    /// `now`, and no further back than the core itself looks, so that two cores which will behave alike
+    /// have the same fingerprint whenever they got there. Left out is what only serves pulls of nodes,
+    /// the polling of the platform's listing and the figures of versions in force.
+    /// ```
+    /// use control_chain::{core::{Core, Found}, view::Member};
+    /// use std::{hash::{DefaultHasher, Hasher}, time::Duration};
+    /// let fingerprint = |start: Duration, age: Duration| {
+    ///     let core = Core::start(start, Member { id: 1, incarnation: 9 }, vec![], Found::default()).unwrap();
+    ///     let mut hasher = DefaultHasher::new();
+    ///     core.fingerprint(start + age, &mut hasher);
+    ///     hasher.finish()
+    /// };
+    /// let (second, minute) = (Duration::from_secs(1), Duration::from_secs(60));
+    /// assert_eq!(fingerprint(second, second), fingerprint(minute, second));
+    /// assert_ne!(fingerprint(second, second), fingerprint(second, Duration::ZERO));
+    /// ```
+    pub fn fingerprint(&self, now: Duration, hasher: &mut impl Hasher) {
+        self.hash_storage(hasher);
+        self.hash_progress(now, hasher);
+        self.hash_peers(now, hasher);
+        self.hash_agreement(now, hasher);
+    }
+
+    fn hash_storage(&self, hasher: &mut impl Hasher) {
+        (&self.me, &self.meta, &self.log, &self.capture).hash(hasher);
+        (self.last, self.synced, self.committed, self.sent_on).hash(hasher);
+        (self.capturing, self.capture_every).hash(hasher);
+        self.state.pack().hash(hasher);
+    }
+
+    fn hash_progress(&self, now: Duration, hasher: &mut impl Hasher) {
+        (self.sick, self.stall_told, &self.waiting).hash(hasher);
+        for (ticket, since, after) in &self.tickets {
+            (self.next_ticket - ticket, age(now, *since, STALL), after).hash(hasher);
+        }
+        self.last_beat.map(|at| age(now, at, crate::core::BEAT)).hash(hasher);
+        age(now, self.begun, SETTLE).hash(hasher);
+    }
+
+    fn hash_peers(&self, now: Duration, hasher: &mut impl Hasher) {
+        let silence_that_counts = if self.own.is_some() { UNLIST } else { SUSPECT };
+        for (id, heard) in &self.heard {
+            (id, age(now, heard.at, silence_that_counts), heard.incarnation, &heard.beat).hash(hasher);
+        }
+        for (id, (at, place)) in &self.strangers {
+            (id, age(now, *at, SUSPECT), place).hash(hasher);
+        }
+        (&self.own, &self.seeds, &self.wanted_cores).hash(hasher);
+        if self.own.is_some() {
+            (self.beats % crate::knowing::TELL_EVERY, age(now, self.tail_since, UNLIST)).hash(hasher);
+        }
+    }
+
+    fn hash_agreement(&self, now: Duration, hasher: &mut impl Hasher) {
+        for (id, sent) in &self.grants {
+            (id, age(now, *sent, TAIL_TERM)).hash(hasher);
+        }
+        self.granted_until.saturating_sub(now).hash(hasher);
+        (&self.held_prepare, self.ballot_round).hash(hasher);
+        self.trouble_since.map(|at| age(now, at, AGREEMENT_DELAY)).hash(hasher);
+        self.prepare_heard.map(|at| age(now, at, AGREEMENT_DELAY)).hash(hasher);
+        if let Some(proposal) = &self.proposal {
+            hash_proposal(proposal, now, hasher);
+        }
+    }
+}
+
+fn hash_proposal(proposal: &Proposal, now: Duration, hasher: &mut impl Hasher) {
+    (proposal.n, proposal.ballot, &proposal.wish, &proposal.promises).hash(hasher);
+    (&proposal.asked, &proposal.votes, age(now, proposal.begun, AGREEMENT_DELAY)).hash(hasher);
+}
+
+/// How long ago something was, up to and a little beyond the limit after which it makes no difference.
+fn age(now: Duration, then: Duration, limit: Duration) -> Duration {
+    const BEYOND: Duration = Duration::from_millis(1);
+    now.saturating_sub(then).min(limit + BEYOND)
+}
--- a/crates/control-chain/src/knowing.rs
+++ b/crates/control-chain/src/knowing.rs
@@ -8,7 +8,7 @@
 /// So many strangers are remembered at the most.
 const STRANGERS_MOST: usize = 64;
 /// Every so many beats a listed core that is not heard is told the view: it may know nobody.
-const TELL_EVERY: u64 = 8;
+pub(crate) const TELL_EVERY: u64 = 8;
 
 impl Core {
     /// Has this core make itself known at this address, and let in others that do so.
--- a/crates/control-chain/src/lib.rs
+++ b/crates/control-chain/src/lib.rs
@@ -20,6 +20,7 @@
 mod appending;
 mod asked;
 mod bounds;
+mod fingerprint;
 mod forcing;
 mod hearing;
 mod installing;
--- a/crates/control-chain/src/steps.rs
+++ b/crates/control-chain/src/steps.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 /// What goes to disk, in order.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Record {
     Meta(Meta),
     Entry(u64, Bytes),
@@ -44,6 +44,7 @@
 }
 
 /// What to do once a ticket's records are synced.
+#[derive(Clone, Hash)]
 pub(crate) enum After {
     Entries(u64),
     Captured(u64, Bytes),
@@ -51,6 +52,7 @@
     Nothing,
 }
 
+#[derive(Clone)]
 pub(crate) struct Heard {
     pub at: Duration,
     pub incarnation: u64,
--- a/crates/fleet-common/src/packed.rs
+++ b/crates/fleet-common/src/packed.rs
@@ -66,7 +66,7 @@
 }
 
 /// A list with a 32 bit count in front.
-#[derive(Clone, Debug, PartialEq, Eq, DekuRead, DekuWrite)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, DekuRead, DekuWrite)]
 #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
 pub struct List<T>
 where
@@ -125,14 +125,14 @@
     () => {};
     ($(#[$meta:meta])* pub struct $name:ident { $($(#[$fm:meta])* pub $field:ident : $kind:ty),* $(,)? } $($rest:tt)*) => {
         $(#[$meta])*
-        #[derive(Clone, Debug, PartialEq, Eq, deku::DekuRead, deku::DekuWrite)]
+        #[derive(Clone, Debug, PartialEq, Eq, Hash, deku::DekuRead, deku::DekuWrite)]
         #[deku(endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
         pub struct $name { $($(#[$fm])* pub $field: $kind),* }
         $crate::messages! { $($rest)* }
     };
     ($(#[$meta:meta])* pub enum $name:ident { $($(#[$vm:meta])* $id:literal = $case:ident $(($inner:ty))?),* $(,)? } $($rest:tt)*) => {
         $(#[$meta])*
-        #[derive(Clone, Debug, PartialEq, Eq, deku::DekuRead, deku::DekuWrite)]
+        #[derive(Clone, Debug, PartialEq, Eq, Hash, deku::DekuRead, deku::DekuWrite)]
         #[deku(id_type = "u8", endian = "endian", ctx = "endian: deku::ctx::Endian", ctx_default = "deku::ctx::Endian::Little")]
         pub enum $name { $($(#[$vm])* #[deku(id = $id)] $case $(($inner))?),* }
         $crate::messages! { $($rest)* }
