--- a/crates/control-chain/src/claiming.rs
+++ b/crates/control-chain/src/claiming.rs
@@ -1,6 +1,6 @@
 //! Once-claims: who may run a once-request, what came of it, and when that may be forgotten.
 use crate::command::Ran;
-use crate::ruling::{Ruling, no};
+use crate::ruling::{CommandError, Effect, Ruling};
 use crate::state::{CLAIM_MINUTES, CLAIMS_MOST, Claim, State, VOIDED_MOST, claim_name};
 
 impl State {
@@ -8,27 +8,27 @@
         let (name, minute) = (claim_name(tenant, key), self.minute);
         let Some(claim) = self.claims.get_mut(&name) else {
             if !self.members.contains_key(edge) {
-                return no(403, "no term is held");
+                return Err(CommandError::NoLease);
             }
             if self.claims.len() >= CLAIMS_MOST {
-                return no(429, "no room for further once-claims");
+                return Err(CommandError::TooManyClaims);
             }
             let (edge, request) = (edge.into(), request.into());
             self.claims.insert(name, Claim { edge, request, ran: Ran::Claimed, minute, voided: vec![] });
-            return Ok("claimed".into());
+            return Ok(Effect::Claimed);
         };
         if claim.request == request && claim.ran == Ran::Claimed {
-            return Ok("claimed".into());
+            return Ok(Effect::Claimed);
         }
         if claim.ran != Ran::NotRun {
-            return no(409, sonic_rs::to_string(claim).unwrap_or_default());
+            return Err(CommandError::ClaimTaken(sonic_rs::to_string(claim).unwrap_or_default()));
         }
         if claim.voided.iter().any(|r| r == request) {
-            return no(410, "this request said already that it will not run");
+            return Err(CommandError::RequestVoided);
         }
         (claim.edge, claim.request) = (edge.into(), request.into());
         (claim.ran, claim.minute) = (Ran::Claimed, minute);
-        Ok("claimed".into())
+        Ok(Effect::Claimed)
     }
 
     /// A settlement may come before its claim, which was held up: it is kept, and the claim refused.
@@ -36,7 +36,7 @@
         let (name, minute) = (claim_name(tenant, key), self.minute);
         if ran == Ran::NotRun {
             if self.claims.len() >= CLAIMS_MOST && !self.claims.contains_key(&name) {
-                return no(429, "no room for further once-claims");
+                return Err(CommandError::TooManyClaims);
             }
             let void = Claim { edge: String::new(), request: request.into(), ran, minute, voided: vec![] };
             let claim = self.claims.entry(name.clone()).or_insert(void);
@@ -50,11 +50,11 @@
         match self.claims.get_mut(&name) {
             Some(claim) if claim.request == request && claim.ran == Ran::Claimed => {
                 (claim.ran, claim.minute) = (ran, minute);
-                Ok("settled".into())
+                Ok(Effect::Settled)
             }
-            Some(claim) if claim.request == request && claim.ran == ran => Ok("nothing to change".into()),
-            Some(_) if ran == Ran::NotRun => Ok("kept against a late claim".into()),
-            _ => no(409, "not this request's claim, or settled otherwise"),
+            Some(claim) if claim.request == request && claim.ran == ran => Ok(Effect::Unchanged),
+            Some(_) if ran == Ran::NotRun => Ok(Effect::KeptAgainstLateClaim),
+            _ => Err(CommandError::OtherClaim),
         }
     }
 
--- a/crates/control-chain/src/command.rs
+++ b/crates/control-chain/src/command.rs
@@ -1,6 +1,7 @@
 //! Commands: what should hold. Read strictly from JSON; every fault names its pointer.
 use crate::blueprint::Blueprint;
 use crate::configuration::Change;
+pub use crate::outcome::Outcome;
 use fleet_common::hash::key_print;
 use fleet_common::json::{self, Fault, Place};
 use serde::{Deserialize, Serialize};
@@ -181,23 +182,3 @@
         })
     }
 }
-
-/// What came of a command. `code` follows HTTP; 202 is accepted.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Outcome {
-    pub code: u16,
-    pub source: String,
-    pub version: u64,
-    pub detail: String,
-}
-
-impl Outcome {
-    /// Whether the command took effect (or already had).
-    /// ```
-    /// use control_chain::command::Outcome;
-    /// assert!(!Outcome { code: 409, source: "".into(), version: 0, detail: "".into() }.accepted());
-    /// ```
-    pub fn accepted(&self) -> bool {
-        self.code < 300
-    }
-}
--- a/crates/control-chain/src/lib.rs
+++ b/crates/control-chain/src/lib.rs
@@ -1,5 +1,6 @@
 //! The control state and the chain that keeps it: no I/O here, only steps.
 
+pub mod accepted_changes;
 pub mod blueprint;
 mod chores;
 mod claiming;
@@ -10,6 +11,7 @@
 pub mod fleet;
 pub mod lister;
 pub mod message;
+pub mod outcome;
 pub mod relay;
 pub mod rules;
 pub mod state;
@@ -18,6 +20,7 @@
 mod agreeing;
 mod answering;
 mod appending;
+mod applying;
 mod asked;
 mod bounds;
 mod forcing;
--- a/crates/control-chain/src/state.rs
+++ b/crates/control-chain/src/state.rs
@@ -1,8 +1,10 @@
 //! The control state: every chain member applies the same commands in the same order to it.
+use crate::accepted_changes::AcceptedChanges;
 use crate::blueprint::Blueprint;
-use crate::command::{Envelope, Node, Outcome, Ran, Replica};
+use crate::command::{Envelope, Node, Ran, Replica};
 use crate::configuration::Configuration;
-use crate::ruling::no;
+use crate::outcome::{ACCEPTED_CODE, Outcome};
+use crate::ruling::{CommandError, Effect, Ruling};
 use fleet_common::ask::{BLUEPRINT, CONFIGURATION, CORES, DUTIES, KEYS, MEMBERS, REPLICAS, SOURCES, Vector, WEIGHTS};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -72,11 +74,15 @@
     pub claims: BTreeMap<String, Claim>,
     #[serde(default)]
     pub minute: u64,
-    /// The configuration of routes that holds, and a digest of each change that was taken, by its number.
+    /// The configuration of routes that holds.
     #[serde(default)]
     pub configuration: Option<Configuration>,
+    /// The newest changes of it that were accepted.
     #[serde(default)]
-    pub taken: BTreeMap<u64, u64>,
+    pub accepted_changes: AcceptedChanges,
+    /// The same as a former release wrote it: plain digests by number. `unpack` moves them to `accepted_changes`.
+    #[serde(default, rename = "taken", skip_serializing)]
+    plain_digests: BTreeMap<u64, u64>,
     /// The newest version of each model's weights that was named.
     #[serde(default)]
     pub weights: BTreeMap<String, u64>,
@@ -106,19 +112,16 @@
             return outcome.clone();
         }
         let source = Self::source_of(&envelope.command);
-        let ruling = match (envelope.expect, source) {
-            (Some(expect), Some(at)) if expect != self.versions[at] => {
-                no(409, format!("version {} holds, not {expect}", self.versions[at]))
-            }
-            _ => self.rule(&envelope.command),
-        };
-        let (code, detail) = match ruling {
-            Ok(detail) => (202, detail),
-            Err((code, detail)) => (code, detail),
-        };
-        if let (Some(at), true) = (source, code == 202 && detail != "nothing to change") {
+        let ruling = self.rule_over_expected(envelope, source);
+        if let (Some(at), Ok(effect)) = (source, &ruling)
+            && *effect != Effect::Unchanged
+        {
             self.versions[at] = self.seq;
         }
+        let (code, detail) = match ruling {
+            Ok(effect) => (ACCEPTED_CODE, effect.to_string()),
+            Err(error) => (error.code(), error.to_string()),
+        };
         let name = source.map_or("claims", |at| SOURCES[at]);
         let version = source.map_or(self.seq, |at| self.versions[at]);
         let outcome = Outcome { code, source: name.into(), version, detail };
@@ -132,6 +135,16 @@
         outcome
     }
 
+    /// Rules on a command unless it expects to replace another version than the one that holds.
+    fn rule_over_expected(&mut self, envelope: &Envelope, source: Option<usize>) -> Ruling {
+        if let (Some(expected), Some(at)) = (envelope.expect, source)
+            && expected != self.versions[at]
+        {
+            return Err(CommandError::OtherVersion { held: self.versions[at], expected });
+        }
+        self.rule(&envelope.command)
+    }
+
     /// A source's whole value as JSON. The cores come from the view, not from here.
     /// ```
     /// assert_eq!(control_chain::state::State::default().value(fleet_common::ask::KEYS), "{}");
@@ -161,11 +174,16 @@
         sonic_rs::to_vec(self).unwrap_or_default()
     }
 
-    /// Reads a capture.
+    /// Reads a capture, also one of a former release.
     /// ```
     /// assert_eq!(control_chain::state::State::unpack(b"?"), None);
     /// ```
     pub fn unpack(bytes: &[u8]) -> Option<Self> {
-        sonic_rs::from_slice(bytes).ok()
+        let mut state: State = sonic_rs::from_slice(bytes).ok()?;
+        let plain_digests = std::mem::take(&mut state.plain_digests);
+        if !plain_digests.is_empty() {
+            state.accepted_changes = AcceptedChanges::from_plain_digests(&plain_digests);
+        }
+        Some(state)
     }
 }
