control-chain: modules bear the standard names of what they do

Moves only, no change of behaviour: agreeing is view_change, appending replication, wishing membership, hearing heartbeat, knowing discovery, terms lease, installing view_install, forcing applied_everywhere, asked queries, answering requests, chores background.

--- a/crates/control-chain/src/forcing.rs
+++ b/crates/control-chain/src/applied_everywhere.rs
@@ -1,6 +1,6 @@
 //! When a version is in force everywhere.
-use crate::answering::LAPSE_MARGIN;
 use crate::core::Core;
+use crate::requests::LAPSE_MARGIN;
 use fleet_common::ask::TERM;
 use std::time::Duration;
 
--- a/crates/control-chain/src/core.rs
+++ b/crates/control-chain/src/core.rs
@@ -1,13 +1,13 @@
 //! A core machine as a state machine: (now, input) gives outputs. Threads or a simulator drive it.
-use crate::agreeing::Proposal;
-use crate::answering::{Parked, Seen};
-use crate::chores::Chores;
+use crate::background::Chores;
 use crate::command::{Envelope, Outcome};
 use crate::message::{Chain, Sent};
+use crate::requests::{Parked, Seen};
 use crate::state::State;
 use crate::steps::{After, Heard};
 pub use crate::steps::{Found, Input, Output, Record};
 use crate::view::{CoreAt, Member, Meta, View};
+use crate::view_change::Proposal;
 use fleet_common::Bytes;
 use fleet_common::ask::Vector;
 use std::collections::{BTreeMap, VecDeque};
--- a/crates/control-chain/src/fingerprint.rs
+++ b/crates/control-chain/src/fingerprint.rs
@@ -1,7 +1,7 @@
 //! A fingerprint of a core's whole protocol state, by which a search tells states that it has seen.
-use crate::agreeing::Proposal;
 use crate::core::{Core, SETTLE, STALL, SUSPECT, TAIL_TERM};
-use crate::wishing::UNLIST;
+use crate::membership::UNLIST;
+use crate::view_change::Proposal;
 use std::hash::{Hash, Hasher};
 use std::time::Duration;
 
@@ -59,7 +59,7 @@
         }
         (&self.own, &self.seeds, &self.wanted_cores).hash(hasher);
         if self.own.is_some() {
-            (self.beats % crate::knowing::TELL_EVERY, age(now, self.tail_since, UNLIST)).hash(hasher);
+            (self.beats % crate::discovery::TELL_EVERY, age(now, self.tail_since, UNLIST)).hash(hasher);
         }
     }
 
--- a/crates/control-chain/src/lib.rs
+++ b/crates/control-chain/src/lib.rs
@@ -1,8 +1,8 @@
 //! The control state and the chain that keeps it: no I/O here, only steps.
 
 pub mod accepted_changes;
+mod background;
 pub mod blueprint;
-mod chores;
 mod claiming;
 pub mod command;
 pub mod configuration;
@@ -17,18 +17,18 @@
 pub mod state;
 pub mod view;
 
-mod agreeing;
-mod answering;
-mod appending;
+mod applied_everywhere;
 mod applying;
-mod asked;
 mod bounds;
+mod discovery;
 mod fingerprint;
-mod forcing;
-mod hearing;
-mod installing;
-mod knowing;
+mod heartbeat;
+mod lease;
+mod membership;
+mod queries;
+mod replication;
+mod requests;
 mod ruling;
 mod steps;
-mod terms;
-mod wishing;
+mod view_change;
+mod view_install;
