--- /dev/null
+++ b/crates/control-chain/tests/explore/world.rs
@@ -0,0 +1,231 @@
+//! A small world of cores in which every step is a choice: which message arrives, which disk syncs, who
+//! is stepped, when time passes. Parts that a move does not touch are shared between states.
+use super::disk::Disk;
+use super::ledger::Ledger;
+use control_chain::blueprint::Blueprint;
+use control_chain::command::{Command, Envelope};
+use control_chain::core::{Core, Input, Output};
+use control_chain::message::Sent;
+use control_chain::view::{CoreAt, Member, Meta, View};
+use fleet_common::Bytes;
+use fleet_common::ask::Ask;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Incarnations of emptied disks begin here.
+const FIRST_EMPTIED: u64 = 100;
+/// Snapshots are made after so many entries; explored worlds have few.
+const SNAPSHOT_AFTER: usize = 2;
+
+/// An ordered pair of machines: the stream from the first to the second.
+pub type Pair = (u32, u32);
+
+#[derive(Clone)]
+pub struct Machine {
+    /// None while the machine is without power.
+    pub core: Option<Core>,
+    pub disk: Disk,
+    /// A frozen machine is not stepped; a stalled disk does not sync.
+    pub frozen: bool,
+    pub stalled: bool,
+    /// The time of the last tick: one tick at a time is enough, as a second would change nothing.
+    pub ticked: Option<Duration>,
+}
+
+#[derive(Clone)]
+pub struct World {
+    pub now: Duration,
+    pub machines: BTreeMap<u32, Arc<Machine>>,
+    pub streams: BTreeMap<Pair, VecDeque<Arc<Sent>>>,
+    /// Streams on which nothing arrives for now.
+    pub held: BTreeSet<Pair>,
+    pub commands_sent: u64,
+    pub commands_most: u64,
+    pub losses: u32,
+    pub losses_most: u32,
+    /// Disks that report a batch as synced before it is, to show that the invariants would notice.
+    pub lying_disks: bool,
+    /// Whether machines make themselves known, so that a joiner is let in.
+    pub open: bool,
+    /// Whether committed commands must be on enough disks. Only a search for what lies behind a known
+    /// loss of copies goes without.
+    pub copies_count: bool,
+    pub ledger: Arc<Ledger>,
+    /// The fingerprints of machines as they are now, as far as they are known.
+    pub hashes: BTreeMap<u32, u64>,
+}
+
+pub fn place(id: u32) -> CoreAt {
+    CoreAt { id, chain: "".into(), node: format!("{id}").into(), http: "".into() }
+}
+
+/// The command of this number: each puts a configuration of its own.
+pub fn envelope(number: u64) -> Envelope {
+    let text =
+        format!("{{\"tenants\":{{\"t{number}\":{{\"wall\":\"shared\"}}}},\"models\":{{}},\"kinds\":{{}},\"ways\":[]}}");
+    let root = fleet_common::json::root(text.as_bytes()).unwrap();
+    let command = Command::Blueprint { blueprint: Blueprint::read(&root).unwrap() };
+    Envelope { id: format!("c{number}"), expect: None, command }
+}
+
+impl World {
+    /// So many founding machines, all up, that bear one loss.
+    pub fn founded(machines: u32, open: bool) -> Self {
+        let mut world = World {
+            now: Duration::from_secs(100),
+            machines: BTreeMap::new(),
+            streams: BTreeMap::new(),
+            held: BTreeSet::new(),
+            commands_sent: 0,
+            commands_most: 2,
+            losses: 0,
+            losses_most: 1,
+            lying_disks: false,
+            copies_count: true,
+            open,
+            ledger: Arc::default(),
+            hashes: BTreeMap::new(),
+        };
+        for id in 1..=machines {
+            let view = View::founding((1..=machines).map(place).collect(), 1);
+            let meta = Meta { incarnation: 1, view, promised: 0, accepted: vec![].into(), full: 1 };
+            world.add(id, meta);
+        }
+        world
+    }
+
+    /// A machine with an empty disk comes, which no view lists yet.
+    pub fn join(&mut self, id: u32) {
+        let meta = self.empty_meta();
+        self.add(id, meta);
+    }
+
+    fn empty_meta(&self) -> Meta {
+        let incarnation = FIRST_EMPTIED + u64::from(self.losses);
+        Meta { incarnation, view: View::outside(seeds()), promised: 0, accepted: vec![].into(), full: 0 }
+    }
+
+    fn add(&mut self, id: u32, meta: Meta) {
+        let machine = Machine { core: None, disk: Disk::with(meta), frozen: false, stalled: false, ticked: None };
+        self.machines.insert(id, Arc::new(machine));
+        self.start(id);
+    }
+
+    pub fn machine(&mut self, id: u32) -> &mut Machine {
+        self.hashes.remove(&id);
+        Arc::make_mut(self.machines.get_mut(&id).expect("a machine of this world"))
+    }
+
+    pub fn start(&mut self, id: u32) {
+        let (now, open) = (self.now, self.open);
+        let machine = self.machine(id);
+        let me = Member { id, incarnation: machine.disk.meta.incarnation };
+        let core = Core::start(now, me, seeds(), machine.disk.found()).expect("an explored disk is never damaged");
+        let core = if open { core.makes_itself_known(place(id)) } else { core };
+        machine.core = Some(core.capture_every(SNAPSHOT_AFTER));
+        machine.ticked = None;
+    }
+
+    pub fn lose_power(&mut self, id: u32, kept: usize) {
+        let machine = self.machine(id);
+        machine.core = None;
+        machine.frozen = false;
+        machine.disk.lose_power(kept);
+        self.drop_streams(|(_, to)| to == id);
+    }
+
+    /// The disk is replaced by an empty one, and the machine starts from it.
+    pub fn empty(&mut self, id: u32) {
+        self.lose_power(id, 0);
+        self.losses += 1;
+        let meta = self.empty_meta();
+        self.machine(id).disk = Disk::with(meta);
+        self.drop_streams(|(from, _)| from == id);
+        self.start(id);
+    }
+
+    /// Messages in flight on these streams are lost.
+    pub fn drop_streams(&mut self, which: impl Fn(Pair) -> bool) {
+        self.streams.retain(|pair, _| !which(*pair));
+    }
+
+    /// Steps a core that has power and is not frozen, and takes in what it wants done.
+    pub fn step(&mut self, id: u32, input: Input) {
+        let (now, lying) = (self.now, self.lying_disks);
+        let machine = self.machine(id);
+        let Some(core) = machine.core.as_mut() else { return };
+        let mut sent = Vec::new();
+        let mut answers = Vec::new();
+        let mut reported = Vec::new();
+        for output in core.step(now, input) {
+            match output {
+                Output::Send(to, message) if core.address(to).is_some() => sent.push((to, message)),
+                Output::Keep(ticket, records) => {
+                    machine.disk.write(ticket, records);
+                    reported.extend(lying.then_some(ticket));
+                }
+                Output::Answer(number, answer) => answers.push((number, answer)),
+                _ => {}
+            }
+        }
+        let (view, incarnation) = (core.view().clone(), machine.disk.meta.incarnation);
+        if !self.ledger.knows(&view) {
+            Arc::make_mut(&mut self.ledger).installed(&view);
+        }
+        for (number, answer) in answers {
+            Arc::make_mut(&mut self.ledger).answered(number, view.n, &answer);
+        }
+        for (to, message) in sent {
+            let message = Sent { from: id, incarnation, message };
+            self.streams.entry((id, to)).or_default().push_back(Arc::new(message));
+        }
+        for ticket in reported {
+            self.step(id, Input::Synced(ticket, true));
+        }
+    }
+
+    /// The oldest message of a stream arrives, or is lost where nobody listens.
+    pub fn deliver(&mut self, (from, to): Pair) {
+        let Some(queue) = self.streams.get_mut(&(from, to)) else { return };
+        let sent = queue.pop_front();
+        if queue.is_empty() {
+            self.streams.remove(&(from, to));
+        }
+        if let Some(sent) = sent {
+            self.step(to, Input::Heard(sent.as_ref().clone()));
+        }
+    }
+
+    pub fn sync(&mut self, id: u32) {
+        let lying = self.lying_disks;
+        if let Some(ticket) = self.machine(id).disk.sync_oldest()
+            && !lying
+        {
+            self.step(id, Input::Synced(ticket, true));
+        }
+    }
+
+    pub fn tick(&mut self, id: u32) {
+        let now = self.now;
+        self.machine(id).ticked = Some(now);
+        self.step(id, Input::Tick);
+    }
+
+    pub fn pass(&mut self, length: Duration) {
+        self.now += length;
+        self.hashes.clear();
+    }
+
+    /// The next command is put to a machine that takes itself for the head.
+    pub fn command(&mut self, id: u32) {
+        self.commands_sent += 1;
+        let number = self.commands_sent;
+        let bytes: Bytes = envelope(number).pack().into();
+        self.step(id, Input::Asked(number, Ask::Command(bytes)));
+    }
+}
+
+fn seeds() -> Vec<CoreAt> {
+    (1..=3).map(place).collect()
+}
