--- a/crates/control-chain/tests/explore.rs
+++ b/crates/control-chain/tests/explore.rs
@@ -9,7 +9,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-const THREADS: usize = 4;
+const THREADS: u16 = 4;
 /// Searches run one after the other, so that they take no more threads than these.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
 /// Turns until a founded world has a tail under its lease, and a joiner its place.
@@ -60,7 +60,7 @@
     world.copies_count = number("EXPLORE_COPIES", 1) == 1;
     let report = {
         let _turn = ONE_AT_A_TIME.lock().unwrap();
-        search(world, bounds, THREADS, most)
+        search(world, bounds, number("EXPLORE_THREADS", THREADS).into(), most)
     };
     println!(
         "{what}: {bounds:?}: {} states, {} moves, runs of up to {} moves, complete: {}",
--- a/crates/control-chain/tests/explore/search.rs
+++ b/crates/control-chain/tests/explore/search.rs
@@ -7,6 +7,8 @@
 use std::time::{Duration, Instant};
 
 const SHARDS: usize = 256;
+/// A thread visits so many states before it looks whether others have any left to visit.
+const STATES_A_SLICE: usize = 200;
 
 /// How far runs go. A state that was seen with at least as much left in each respect is not gone into
 /// again: everything that can be reached from it within the bounds was, or will be, reached from there.
@@ -111,13 +113,34 @@
 }
 
 impl Search {
+    /// Each thread goes deep into its own states, and shares the oldest when others have none.
     fn run(&self) {
         while let Some(open) = self.take() {
-            let further = self.visit(open);
+            let mut own = vec![open];
+            while !own.is_empty() && !self.is_stopped() {
+                for _ in 0..STATES_A_SLICE {
+                    let Some(open) = own.pop() else { break };
+                    own.extend(self.visit(open));
+                }
+                self.share(&mut own);
+            }
             let mut work = self.work.lock().unwrap();
-            work.open.extend(further);
+            work.open.append(&mut own);
             work.busy -= 1;
-            work.stopped |= Instant::now() > self.until;
+            self.changed.notify_all();
+        }
+    }
+
+    fn is_stopped(&self) -> bool {
+        let mut work = self.work.lock().unwrap();
+        work.stopped |= Instant::now() > self.until;
+        work.stopped
+    }
+
+    fn share(&self, own: &mut Vec<Open>) {
+        let mut work = self.work.lock().unwrap();
+        if work.open.is_empty() {
+            work.open.extend(own.drain(..own.len() / 2));
             self.changed.notify_all();
         }
     }
