--- a/crates/control-chain/tests/explore/disk.rs
+++ b/crates/control-chain/tests/explore/disk.rs
@@ -1,5 +1,6 @@
 //! A disk in an explored world: batches of records become durable in their order.
 use control_chain::core::{Found, Record};
+use control_chain::log::{Entry, Snapshot};
 use control_chain::view::Meta;
 use fleet_common::Bytes;
 use std::collections::{BTreeMap, VecDeque};
@@ -14,14 +15,14 @@
 #[derive(Clone)]
 pub struct Disk {
     pub meta: Meta,
-    capture: Option<(u64, Bytes)>,
-    entries: BTreeMap<u64, Bytes>,
+    snapshot: Option<Snapshot>,
+    entries: BTreeMap<u64, Entry>,
     pub unsynced: VecDeque<Batch>,
 }
 
 impl Disk {
     pub fn with(meta: Meta) -> Self {
-        Disk { meta, capture: None, entries: BTreeMap::new(), unsynced: VecDeque::new() }
+        Disk { meta, snapshot: None, entries: BTreeMap::new(), unsynced: VecDeque::new() }
     }
 
     pub fn write(&mut self, ticket: u64, records: Vec<Record>) {
@@ -38,15 +39,12 @@
     fn apply(&mut self, record: Record) {
         match record {
             Record::Meta(meta) => self.meta = meta,
-            Record::Entry(seq, bytes) => _ = self.entries.insert(seq, bytes),
-            Record::Capture(seq, bytes) => {
-                self.entries = self.entries.split_off(&(seq + 1));
-                self.capture = Some((seq, bytes));
-            }
-            Record::Wipe => {
-                self.entries.clear();
-                self.capture = None;
+            Record::Entry(entry) => _ = self.entries.insert(entry.at.seq, entry),
+            Record::Snapshot(snapshot) => {
+                self.entries = self.entries.split_off(&(snapshot.at.seq + 1));
+                self.snapshot = Some(snapshot);
             }
+            Record::Truncate(seq) => _ = self.entries.split_off(&(seq + 1)),
         }
     }
 
@@ -59,23 +57,23 @@
     /// Whether the synced part of the disk has this very entry, by itself or within a snapshot.
     pub fn has_entry(&self, seq: u64, number: u64, entry: &Bytes) -> bool {
         let name = format!("\"c{number}\"");
-        let captured = self.capture.as_ref().filter(|(upto, _)| *upto >= seq);
-        let in_capture = captured.is_some_and(|(_, state)| String::from_utf8_lossy(state.as_slice()).contains(&name));
-        in_capture || self.entries.get(&seq) == Some(entry)
+        let covering = self.snapshot.as_ref().filter(|snapshot| snapshot.at.seq >= seq);
+        let in_snapshot = covering.is_some_and(|held| String::from_utf8_lossy(held.state.as_slice()).contains(&name));
+        in_snapshot || self.entries.get(&seq).is_some_and(|held| held.command == *entry)
     }
 
     pub fn found(&self) -> Found {
         Found {
             meta: Some(self.meta.clone()),
-            capture: self.capture.as_ref().map(|(seq, bytes)| (*seq, bytes.as_slice().to_vec())),
-            entries: self.entries.iter().map(|(seq, bytes)| (*seq, bytes.clone())).collect(),
+            snapshot: self.snapshot.clone(),
+            entries: self.entries.values().cloned().collect(),
         }
     }
 }
 
 impl std::hash::Hash for Disk {
     fn hash<H: std::hash::Hasher>(&self, hasher: &mut H) {
-        (&self.meta, &self.capture, &self.entries).hash(hasher);
+        (&self.meta, &self.snapshot, &self.entries).hash(hasher);
         for batch in &self.unsynced {
             batch.records.hash(hasher);
         }
--- a/crates/control-chain/tests/explore/fingerprint.rs
+++ b/crates/control-chain/tests/explore/fingerprint.rs
@@ -37,10 +37,10 @@
 /// Lease messages carry a time of their sender's clock, which counts relative to now.
 fn hash_message(now: Duration, sent: &Sent, hasher: &mut impl Hasher) {
     match &sent.message {
-        Chain::TermAsk(lease) | Chain::TermGrant(lease) => {
-            let grant = matches!(sent.message, Chain::TermGrant(_));
+        Chain::LeaseAsk(lease) | Chain::LeaseGrant(lease) | Chain::LeaseEnd(lease) => {
             let since = now.as_micros() as u64 - lease.sent_us;
-            (sent.from, sent.incarnation, grant, lease.view, since).hash(hasher);
+            (sent.from, sent.incarnation, std::mem::discriminant(&sent.message)).hash(hasher);
+            (lease.view, lease.process, since).hash(hasher);
         }
         _ => sent.hash(hasher),
     }
--- a/crates/control-chain/tests/explore/ledger.rs
+++ b/crates/control-chain/tests/explore/ledger.rs
@@ -46,7 +46,8 @@
 /// The log entry of a command.
 fn entry(number: u64) -> &'static Bytes {
     static ENTRIES: OnceLock<Vec<Bytes>> = OnceLock::new();
-    let entries = ENTRIES.get_or_init(|| (0..=COMMANDS).map(|number| envelope(number).pack().into()).collect());
+    let entries =
+        ENTRIES.get_or_init(|| (0..=COMMANDS).map(|number| envelope(number).pack().unwrap().into()).collect());
     &entries[number as usize]
 }
 
--- a/crates/control-chain/tests/explore/world.rs
+++ b/crates/control-chain/tests/explore/world.rs
@@ -7,8 +7,6 @@
 use control_chain::core::{Core, Input, Output};
 use control_chain::message::Sent;
 use control_chain::view::{CoreAt, Member, Meta, View};
-use fleet_common::Bytes;
-use fleet_common::ask::Ask;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,6 +29,8 @@
     pub stalled: bool,
     /// The time of the last tick: one tick at a time is enough, as a second would change nothing.
     pub ticked: Option<Duration>,
+    /// How often it was started.
+    processes: u64,
 }
 
 #[derive(Clone)]
@@ -89,7 +89,7 @@
         };
         for id in 1..=machines {
             let view = View::founding((1..=machines).map(place).collect(), 1);
-            let meta = Meta { incarnation: 1, view, promised: 0, accepted: vec![].into(), full: 1 };
+            let meta = Meta { incarnation: 1, view, promised: 0, accepted: vec![].into(), full: 1, proposed: 0 };
             world.add(id, meta);
         }
         world
@@ -103,11 +103,12 @@
 
     fn empty_meta(&self) -> Meta {
         let incarnation = FIRST_EMPTIED + u64::from(self.losses);
-        Meta { incarnation, view: View::outside(seeds()), promised: 0, accepted: vec![].into(), full: 0 }
+        Meta { incarnation, view: View::outside(seeds()), promised: 0, accepted: vec![].into(), full: 0, proposed: 0 }
     }
 
     fn add(&mut self, id: u32, meta: Meta) {
-        let machine = Machine { core: None, disk: Disk::with(meta), frozen: false, stalled: false, ticked: None };
+        let machine =
+            Machine { core: None, disk: Disk::with(meta), frozen: false, stalled: false, ticked: None, processes: 0 };
         self.machines.insert(id, Arc::new(machine));
         self.start(id);
     }
@@ -123,7 +124,8 @@
         let me = Member { id, incarnation: machine.disk.meta.incarnation };
         let core = Core::start(now, me, seeds(), machine.disk.found()).expect("an explored disk is never damaged");
         let core = if open { core.makes_itself_known(place(id)) } else { core };
-        machine.core = Some(core.capture_every(SNAPSHOT_AFTER));
+        machine.processes += 1;
+        machine.core = Some(core.snapshot_every(SNAPSHOT_AFTER).in_process(machine.processes));
         machine.ticked = None;
     }
 
@@ -221,8 +223,7 @@
     pub fn command(&mut self, id: u32) {
         self.commands_sent += 1;
         let number = self.commands_sent;
-        let bytes: Bytes = envelope(number).pack().into();
-        self.step(id, Input::Asked(number, Ask::Command(bytes)));
+        self.step(id, Input::Asked(number, envelope(number).ask().unwrap()));
     }
 }
 
