--- a/crates/day-generator/play-days.sh
+++ b/crates/day-generator/play-days.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Plays generated days of one site with the bench, and prints those that broke a rule or did not end well.
-# Each day leaves its entry in journal/. Run it at the root of the repository.
+# Plays generated days of one site with the bench, and prints those that broke a rule or were not played to their end.
+# Each day leaves its entry in journal/. Run it at the root of the repository. Ends with 1 where a day failed.
 set -euo pipefail
 if [ $# -lt 6 ]; then
   echo "usage: $0 BENCH SITE SEED FIRST LAST FOLDER [SIDE_BY_SIDE [JOBS]]" >&2
@@ -13,6 +13,18 @@
 generator=${CARGO_TARGET_DIR:-target}/debug/day-generator
 site_name=$(basename "$site" .toml)
 
+# The bench ends with 0 also where a rule was broken, and says so in the row of the day.
+verdict() {
+  local output=$1 status=$2
+  if grep -q 'BROKEN' "$output"; then
+    grep -o 'BROKEN: .*' "$output" | head -1
+  elif [ "$status" -ne 0 ] || ! grep -q '^worth ' "$output"; then
+    echo "NOT PLAYED TO ITS END, exit $status"
+  else
+    echo "ok"
+  fi
+}
+
 play() {
   local number=$1 day=$folder/$site_name-$seed-$1
   "$generator" "$site" --seed "$seed" --day "$number" >"$day.toml"
@@ -21,7 +33,7 @@
   local status=0
   "$bench" run "$site" "$day.toml" --jobs "$jobs" --why "generated day $site_name seed $seed day $number: $name" \
     >"$day.out" 2>&1 || status=$?
-  echo "$number $name: exit $status" >>"$folder/$site_name-$seed.played"
+  echo "$number $name: $(verdict "$day.out" "$status")" >>"$folder/$site_name-$seed.played"
 }
 
 for number in $(seq "$first" "$last"); do
@@ -30,4 +42,7 @@
 done
 wait
 echo "played $((last - first + 1)) days of $site_name, seed $seed"
-grep -v 'exit 0$' "$folder/$site_name-$seed.played" || echo "no day failed"
+if grep -v ': ok$' "$folder/$site_name-$seed.played"; then
+  exit 1
+fi
+echo "no day failed"
