Answers to several operators at once are judged by a linearizability checker

Cause: that each of several operators under way at once is answered rightly was judged by the final state alone; nothing judged the answers on the way, nor repeats after lost answers.

Two to eight operators change one configuration in the simulated world, on the newest version, the one before or the one to come, under numbers that others use as well, now and then invalid; they follow redirects, wait a second and send an order again to any machine. All calls and returns, and reads at every machine, are compared with a compare-and-set register of versions and contents: a refusal needs another version at some moment between call and return, a repeat is one write, what was refused never holds, a call without an answer may have happened late or never.

Ruled out: a general search over orders of calls. Reads, refusals and repeats have no effect, so each can be given its moment as soon as it is true, and only open writes on the current version branch.

--- /dev/null
+++ b/crates/control-chain/tests/linearizability/faults.rs
@@ -0,0 +1,136 @@
+//! What goes wrong while operators work.
+use crate::sim::{World, ms};
+use control_chain::view::Member;
+use std::time::Duration;
+
+/// A kind of trouble.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    None,
+    Crash,
+    PowerLoss,
+    Freeze,
+    Cut,
+    OneWayCut,
+    EmptiedDisk,
+    SlowDisk,
+    LostMessages,
+    Replaced,
+    Mixed,
+}
+
+impl Fault {
+    /// Every kind.
+    pub const ALL: [Fault; 11] = [
+        Fault::None,
+        Fault::Crash,
+        Fault::PowerLoss,
+        Fault::Freeze,
+        Fault::Cut,
+        Fault::OneWayCut,
+        Fault::EmptiedDisk,
+        Fault::SlowDisk,
+        Fault::LostMessages,
+        Fault::Replaced,
+        Fault::Mixed,
+    ];
+
+    /// What `Mixed` is made of.
+    const MIXTURE: [Fault; 9] = [
+        Fault::Crash,
+        Fault::PowerLoss,
+        Fault::Freeze,
+        Fault::Cut,
+        Fault::OneWayCut,
+        Fault::EmptiedDisk,
+        Fault::SlowDisk,
+        Fault::LostMessages,
+        Fault::Replaced,
+    ];
+
+    /// How long operators work under it.
+    pub fn length(self) -> Duration {
+        match self {
+            Fault::Cut | Fault::OneWayCut => Duration::from_secs(20),
+            Fault::Mixed => Duration::from_secs(8),
+            _ => Duration::from_secs(4),
+        }
+    }
+
+    /// How often it comes anew meanwhile.
+    pub fn interval(self) -> Duration {
+        match self {
+            Fault::Cut | Fault::OneWayCut => Duration::from_secs(20),
+            Fault::Mixed => ms(800),
+            _ => ms(1300),
+        }
+    }
+
+    /// Brings it about on a machine that chance picks.
+    pub fn strike(self, world: &mut World) {
+        let ids = world.ids();
+        let id = ids[world.dice.next(ids.len() as u64) as usize];
+        match self {
+            Fault::None => {}
+            Fault::Crash => {
+                world.power_loss(id);
+                if world.dice.next(2) == 0 {
+                    world.start(id);
+                }
+            }
+            Fault::PowerLoss => {
+                ids.iter().for_each(|id| world.power_loss(*id));
+                ids.iter().for_each(|id| world.start(*id));
+            }
+            Fault::Freeze => {
+                let length = ms(200 + world.dice.next(4000));
+                world.nodes.get_mut(&id).unwrap().frozen_until = world.now + length;
+            }
+            Fault::Cut => ids.into_iter().filter(|other| *other != id).for_each(|other| {
+                world.cut.insert((id, other));
+                world.cut.insert((other, id));
+            }),
+            Fault::OneWayCut => cut_one_way(world, id, &ids),
+            Fault::EmptiedDisk if whole(world) => world.empty(id),
+            Fault::Replaced if world.open && whole(world) => replace(world, id),
+            Fault::EmptiedDisk | Fault::Replaced => {}
+            Fault::SlowDisk => {
+                let until = world.now + ms(500 + world.dice.next(4000));
+                world.nodes.get_mut(&id).unwrap().disk.stalled_until = until;
+            }
+            Fault::LostMessages => world.drop_percent = 5 + world.dice.next(25),
+            Fault::Mixed => {
+                let fault = Fault::MIXTURE[world.dice.next(Fault::MIXTURE.len() as u64) as usize];
+                fault.strike(world);
+            }
+        }
+    }
+}
+
+/// Whether the chain is whole, and no member of it or voter is one that is gone: only then may a disk be lost.
+pub fn whole(world: &World) -> bool {
+    let up = |member: &Member| {
+        let node = world.nodes.get(&member.id);
+        node.is_some_and(|node| node.core.is_some() && node.disk.incarnation() == member.incarnation)
+    };
+    let view = world.top();
+    world.whole_chain() && view.chain.items().iter().all(up) && view.voters.items().iter().all(up)
+}
+
+/// Nothing that the machine sends, or nothing that is sent to it, arrives at one other or at all others.
+fn cut_one_way(world: &mut World, id: u32, ids: &[u32]) {
+    let others: Vec<u32> = ids.iter().copied().filter(|other| *other != id).collect();
+    let one = others[world.dice.next(others.len() as u64) as usize];
+    let (all, outward) = (world.dice.next(2) == 0, world.dice.next(2) == 0);
+    for other in others.into_iter().filter(|other| all || *other == one) {
+        world.cut.insert(if outward { (id, other) } else { (other, id) });
+    }
+}
+
+/// The machine goes for good, and an empty one comes under another id.
+fn replace(world: &mut World, id: u32) {
+    let newcomer = world.ids().into_iter().max().unwrap_or(0) + 1;
+    world.retire(id);
+    world.seeds = world.ids().into_iter().take(3).map(crate::sim::place).collect();
+    world.add(newcomer, false);
+}
--- a/crates/control-chain/tests/sim/mod.rs
+++ b/crates/control-chain/tests/sim/mod.rs
@@ -1,6 +1,7 @@
 //! A seeded world for four cores: a network that delays, drops and cuts, disks that lose what was not
 //! synced, cores that crash, freeze and are emptied. Nothing here knows how the cores work inside.
 #![allow(dead_code)]
+pub mod calls;
 pub mod disk;
 pub mod edges;
 pub mod history;
@@ -33,6 +34,8 @@
     /// The program tries to open a disk that failed.
     Reopen(u32, u64),
     Listed(u32, u64, u64, Vec<Replica>),
+    /// A call of an operator reaches a machine: its boot when called, the token, what is asked.
+    Asked(u32, u64, u64, Ask),
 }
 
 pub struct Node {
@@ -62,6 +65,8 @@
     order: u64,
     last_on_wire: BTreeMap<(u32, u32), Duration>,
     pub answers: BTreeMap<u64, Answer>,
+    /// When each answer was given.
+    pub answered_at: BTreeMap<u64, Duration>,
     next_token: u64,
     disks: Disks,
     /// What the platform lists now, if there is one, and how long its answers may take at the most.
@@ -106,6 +111,7 @@
             order: 0,
             last_on_wire: BTreeMap::new(),
             answers: BTreeMap::new(),
+            answered_at: BTreeMap::new(),
             next_token: 0,
             disks,
             platform: None,
@@ -159,7 +165,7 @@
                     let when = if self.disks == Disks::Lying { now } else { now + took + slow };
                     self.at(when, Event::Synced(id, boot, ticket));
                 }
-                Output::Answer(token, answer) => _ = self.answers.insert(token, answer),
+                Output::Answer(token, answer) => self.answered(token, answer),
                 Output::Poll(number) => self.poll(id, boot, number),
                 Output::Note(_) => {}
             }
@@ -198,7 +204,7 @@
     fn handle(&mut self, order: u64, event: Event) {
         let id = match &event {
             Event::Deliver(id, _) | Event::Synced(id, ..) | Event::Tick(id, _) => *id,
-            Event::Listed(id, ..) | Event::Reopen(id, _) => *id,
+            Event::Listed(id, ..) | Event::Reopen(id, _) | Event::Asked(id, ..) => *id,
         };
         let Some(node) = self.nodes.get_mut(&id) else { return };
         if node.frozen_until > self.now {
@@ -221,6 +227,7 @@
                     self.at(next, Event::Reopen(id, boot));
                 }
             }
+            Event::Asked(_, of, token, ask) if of == boot => self.step(id, Input::Asked(token, ask)),
             Event::Reopen(_, of) if of == boot => self.reopen(id, boot),
             Event::Listed(_, of, number, rows) if of == boot => self.listed(id, number, rows),
             Event::Tick(_, of) if of == boot && self.nodes[&id].core.is_some() => {
