--- a/crates/control-chain/tests/linearizability/checker_examples.rs
+++ b/crates/control-chain/tests/linearizability/checker_examples.rs
@@ -3,11 +3,14 @@
 use super::history::{Call, History, Order, Register, Request, Response};
 use crate::sim::ms;
 
+/// What is called, and when it is called and returns with which answer (in milliseconds).
+type Example = (Request, u64, Option<(u64, Response)>);
+
 /// Orders 0 and 1 build on version 0, order 2 on order 0, order 3 is invalid.
-fn history(calls: &[(Request, u64, Option<(u64, Response)>)]) -> History {
+fn history(calls: &[Example]) -> History {
     let order = |base, revision, content, valid| Order { base, revision, content, valid };
     let orders = vec![order(0, 1, 1, true), order(0, 1, 2, true), order(1, 3, 3, true), order(0, 2, 4, false)];
-    let call = |(request, called, returned): &(Request, u64, Option<(u64, Response)>)| Call {
+    let call = |(request, called, returned): &Example| Call {
         request: *request,
         machine: 1,
         called: ms(*called),
@@ -16,15 +19,15 @@
     History { orders, calls: calls.iter().map(call).collect() }
 }
 
-fn write(order: usize, called: u64, returned: u64, response: Response) -> (Request, u64, Option<(u64, Response)>) {
+fn write(order: usize, called: u64, returned: u64, response: Response) -> Example {
     (Request::Write(order), called, Some((returned, response)))
 }
 
-fn unanswered(order: usize, called: u64) -> (Request, u64, Option<(u64, Response)>) {
+fn unanswered(order: usize, called: u64) -> Example {
     (Request::Write(order), called, None)
 }
 
-fn read(called: u64, returned: u64, version: u64, content: u64) -> (Request, u64, Option<(u64, Response)>) {
+fn read(called: u64, returned: u64, version: u64, content: u64) -> Example {
     (Request::Read, called, Some((returned, Response::Value(Register { version, content }))))
 }
 
