--- a/crates/control-chain/tests/linearizability/faults.rs
+++ b/crates/control-chain/tests/linearizability/faults.rs
@@ -100,6 +100,9 @@
             }
             Fault::LostMessages => world.drop_percent = 5 + world.dice.next(25),
             Fault::Mixed => {
+                if world.dice.next(2) == 0 {
+                    world.heal();
+                }
                 let fault = Fault::MIXTURE[world.dice.next(Fault::MIXTURE.len() as u64) as usize];
                 fault.strike(world);
             }
