--- a/crates/control-chain/src/accepted_changes.rs
+++ b/crates/control-chain/src/accepted_changes.rs
@@ -32,7 +32,7 @@
 impl From<ChangeDigest> for String {
     fn from(digest: ChangeDigest) -> String {
         match digest {
-            ChangeDigest::Sha256(bytes) => bytes.iter().map(|byte| format!("{byte:02x}")).collect(),
+            ChangeDigest::Sha256(bytes) => bytes.iter().flat_map(|byte| hex_digits(*byte)).collect(),
             ChangeDigest::Plain(hash) => format!("{hash:016x}"),
         }
     }
@@ -52,6 +52,12 @@
     }
 }
 
+/// The two digits of a byte; a snapshot holds many, so no text is made for each.
+fn hex_digits(byte: u8) -> [char; 2] {
+    const DIGITS: &[u8; 16] = b"0123456789abcdef";
+    [byte >> 4, byte & 0xf].map(|digit| char::from(DIGITS[usize::from(digit)]))
+}
+
 fn parse_sha256(text: &str) -> Option<[u8; SHA256_BYTES]> {
     let mut bytes = [0; SHA256_BYTES];
     for (byte, at) in bytes.iter_mut().zip((0..).step_by(2)) {
