An unknown outcome is called unknown by the queries and the operators' tool as well

Cause: a command whose outcome is 503 (a change that may repeat a forgotten one) was shown as refused where it was asked for by id, and would have been at POST /commands, which takes no such change today. No test of its own: the verdict is tested in accepted_changes and operator_orders.

--- a/crates/control-chain/src/asked.rs
+++ b/crates/control-chain/src/asked.rs
@@ -1,5 +1,6 @@
 //! Queries: what holds now, as JSON.
 use crate::core::Core;
+use crate::outcome::Verdict;
 use crate::state::claim_name;
 use fleet_common::ask::SOURCES;
 use fleet_common::json::quote;
@@ -45,10 +46,11 @@
                 Some((_, outcome)) => {
                     let at = SOURCES.iter().position(|s| *s == outcome.source);
                     let force = outcome.accepted() && at.is_some_and(|at| self.in_force(at, outcome.version));
-                    let words = match (outcome.accepted(), force) {
-                        (true, true) => "in force",
-                        (true, false) => "accepted",
-                        _ => "refused",
+                    let words = match outcome.verdict() {
+                        Verdict::Accepted if force => "in force",
+                        Verdict::Accepted => "accepted",
+                        Verdict::Refused => "refused",
+                        Verdict::Unknown => "unknown",
                     };
                     format!(
                         "{{\"id\":{},\"status\":\"{words}\",\"outcome\":{}}}",
--- a/crates/control-core/src/operators.rs
+++ b/crates/control-core/src/operators.rs
@@ -2,6 +2,7 @@
 use crate::drive::Driver;
 use crate::explain::story;
 use control_chain::command::Envelope;
+use control_chain::outcome::{Outcome, Verdict};
 use fleet_common::ask::{Answer, Ask, CoresWish};
 use fleet_common::http_in::Incoming;
 use fleet_common::json::{self, Fault, quote};
@@ -52,8 +53,9 @@
     match driver.ask_fleet(Ask::Command(envelope.pack().into()), WAIT) {
         Ok(Answer::Json(text)) => {
             let text = String::from_utf8_lossy(text.as_slice()).into_owned();
-            let outcome: Option<control_chain::command::Outcome> = sonic_rs::from_str(&text).ok();
+            let outcome: Option<Outcome> = sonic_rs::from_str(&text).ok();
             match outcome {
+                Some(outcome) if outcome.verdict() == Verdict::Unknown => unknown(incoming, &outcome.detail),
                 Some(outcome) => {
                     let status = if outcome.accepted() { "accepted" } else { "refused" };
                     let body = format!("{{\"id\":{id},\"status\":\"{status}\",\"outcome\":{text}}}");
