--- a/crates/control-chain/tests/configure_properties.rs
+++ b/crates/control-chain/tests/configure_properties.rs
@@ -144,7 +144,7 @@
     fn send(&mut self, base: u64, change: &Change, valid: bool) -> Result<u16, TestCaseError> {
         let before = (self.model.version, self.state.versions);
         let expected = self.model.answer(base, change, valid);
-        let packed = Envelope::bare(Command::Configure { over: base, change: change.clone() }).pack();
+        let packed = Envelope::bare(Command::Configure { over: base, change: change.clone() }).pack().unwrap();
         let outcome = self.state.apply(&Envelope::unpack(&packed).expect("an entry is read as it was written"));
         prop_assert_eq!(outcome.code, expected, "{} on {}: {}", change.revision(), base, outcome.detail);
         prop_assert_eq!(self.held(), (self.model.version, self.model.services.clone()));
@@ -195,7 +195,8 @@
                     }
                 }
                 Step::Snapshot => {
-                    let read = State::unpack(&self.state.pack()).expect("a snapshot is read as it was written");
+                    let read =
+                        State::unpack(&self.state.pack().unwrap()).expect("a snapshot is read as it was written");
                     prop_assert_eq!(&read, &self.state);
                     self.state = read;
                 }
--- a/crates/control-chain/tests/linearizability/recorder.rs
+++ b/crates/control-chain/tests/linearizability/recorder.rs
@@ -35,7 +35,7 @@
     pub fn write(&mut self, world: &mut World, machine: u32, order: OrderId, lost: bool) -> Option<CallId> {
         let over = self.history.orders[order].base;
         let command = Command::Configure { over, change: self.changes[order].clone() };
-        let ask = Ask::Command(Envelope::bare(command).pack().into());
+        let ask = Envelope::bare(command).ask().unwrap();
         self.call(world, machine, Request::Write(order), ask, lost)
     }
 
--- a/crates/control-chain/tests/repeated_orders_sim.rs
+++ b/crates/control-chain/tests/repeated_orders_sim.rs
@@ -4,7 +4,7 @@
 use control_chain::command::{Command, Envelope};
 use control_chain::configuration::{Change, Configuration, Item, Route, Service};
 use control_chain::outcome::Outcome;
-use fleet_common::ask::{Answer, Ask};
+use fleet_common::ask::Answer;
 use sim::{Disks, World, ms};
 use std::time::Duration;
 
@@ -32,7 +32,7 @@
 }
 
 fn call(world: &mut World, machine: u32, over: u64, change: Change) -> u64 {
-    let ask = Ask::Command(Envelope::bare(Command::Configure { over, change }).pack().into());
+    let ask = Envelope::bare(Command::Configure { over, change }).ask().unwrap();
     world.call(machine, ask).expect("the machine is up")
 }
 
