Older weights serve until a bound after the first newer ones, not after the newest

Cause: a router kept one time for each model, that of the newest naming, and measured all older weights by it.

Change: WeightsHistory remembers which weights were named when; weights end a bound after the first that followed them. What a router finds named at its start counts as named before. Changes of the control machines count as new trouble only if they are not the settling of the last one and not merely a drop of one long away.

--- a/crates/control-chain/src/fleet.rs
+++ b/crates/control-chain/src/fleet.rs
@@ -3,8 +3,9 @@
 use crate::command::{Node, Replica};
 use crate::configuration::Configuration;
 use crate::state::{Duty, Key};
+use crate::weights::WeightsHistory;
 use fleet_common::ask::{
-    BLUEPRINT, CONFIGURATION, DUTIES, KEYS, MEMBERS, REPLICAS, SOURCES, Vector, Versioned, WEIGHTS,
+    BLUEPRINT, CONFIGURATION, CORES, DUTIES, KEYS, MEMBERS, REPLICAS, SOURCES, Vector, Versioned, WEIGHTS,
 };
 use fleet_common::node::Identity;
 use fleet_common::{hash, ring};
@@ -17,19 +18,27 @@
 /// The model name under which the platform lists the app service.
 pub const APP: &str = "@app";
 
+/// Further changes of the control machines within this time belong to the same trouble.
+const CORE_SETTLING: Duration = Duration::from_secs(5);
+
 /// A node's knowledge of the fleet.
 #[derive(Clone, Default)]
 pub struct Fleet {
     pub vector: Vector,
     pub blueprint: Option<Blueprint>,
-    /// For each model its weights and since when this node knows them to be named.
-    pub weights_since: BTreeMap<String, (String, Duration)>,
-    /// When the list of control machines last changed, as far as this node saw it change: trouble at the core.
-    pub cores_changed: Option<Duration>,
+    /// Which weights of each model this node saw named, and when.
+    pub weights_history: WeightsHistory,
+    /// Since when the control machines were last in trouble, as far as this node saw their list change.
+    pub core_trouble: Option<Duration>,
+    /// The control machines, and when their list or view last changed.
+    cores: Vec<String>,
+    cores_changed: Option<Duration>,
     pub keys: BTreeMap<String, Key>,
     /// As the platform lists them, and the stores that a configuration names.
     pub replicas: Vec<Replica>,
     listed: Vec<Replica>,
+    /// Whether the answer that is being taken is the first: what it tells may have held for long.
+    begins: bool,
     pub members: BTreeMap<String, Node>,
     pub duties: BTreeMap<String, Duty>,
     /// The configuration of routes, where operators sent one: tenants, keys and models are then its.
@@ -80,12 +89,7 @@
             }),
             MEMBERS => parse(news).map(|v| self.members = v),
             DUTIES => parse(news).map(|v| self.duties = v),
-            _ => {
-                if self.vector[at] > 0 {
-                    self.cores_changed = Some(now);
-                }
-                Some(())
-            }
+            _ => parse(news).map(|v| self.take_cores(now, v)),
         };
         if taken.is_some() {
             self.vector[at] = news.version;
@@ -101,10 +105,24 @@
     /// assert!(!Fleet::default().take_all(std::time::Duration::ZERO, &[broken]));
     /// ```
     pub fn take_all(&mut self, now: Duration, news: &[Versioned]) -> bool {
+        self.begins = self.vector == Vector::default();
         news.iter().for_each(|one| self.take(now, one));
+        self.begins = false;
         news.iter().all(|one| self.vector.get(one.source as usize).is_some_and(|held| *held >= one.version))
     }
 
+    /// A change of the control machines tells of trouble among them, unless it belongs to what began shortly
+    /// before, or only drops a machine that has been away for long.
+    fn take_cores(&mut self, now: Duration, cores: Vec<String>) {
+        let only_drops = cores.len() < self.cores.len() && cores.iter().all(|core| self.cores.contains(core));
+        let settling = self.cores_changed.is_some_and(|at| now.saturating_sub(at) < CORE_SETTLING);
+        if self.vector[CORES] > 0 && !only_drops && !settling {
+            self.core_trouble = Some(now);
+            self.cores_changed = Some(now);
+        }
+        self.cores = cores;
+    }
+
     fn take_configuration(&mut self, now: Duration, configuration: Option<Configuration>) {
         let Some(configuration) = configuration else { return };
         self.keys = configuration.key_table();
@@ -140,9 +158,7 @@
 
     fn take_blueprint(&mut self, now: Duration, blueprint: Option<Blueprint>) {
         for (name, model) in blueprint.iter().flat_map(|b| &b.models) {
-            if self.weights_since.get(name).is_none_or(|(weights, _)| *weights != model.weights) {
-                self.weights_since.insert(name.clone(), (model.weights.clone(), now));
-            }
+            self.weights_history.note(name, &model.weights, now, self.begins);
         }
         self.blueprint = blueprint;
     }
--- a/crates/measure-index/src/world.rs
+++ b/crates/measure-index/src/world.rs
@@ -135,7 +135,7 @@
         session: &request.session,
         model: "m",
         weights: "w",
-        old_weights_too: false,
+        older_may_serve: &|_| false,
         kept: None,
         tried: &[],
         per_replica: 8,
--- a/crates/stream-router/src/placing.rs
+++ b/crates/stream-router/src/placing.rs
@@ -2,6 +2,7 @@
 use crate::passage::Passage;
 use crate::shared::{Shared, count};
 use control_chain::fleet::{Fleet, STORE};
+use control_chain::weights::OlderWeights;
 use fleet_common::hash;
 use prefix_table::blocks;
 use std::collections::BTreeMap;
@@ -13,6 +14,8 @@
 
 /// Links are told apart from what is read at a replica.
 pub(crate) const LINK: &str = "link of ";
+/// A router that was just started lets older weights serve for so long, and counts as out of touch meanwhile.
+const STARTED_WITH: Duration = Duration::from_millis(2500);
 /// Trouble at the core is that much older than its change of machines, at the most.
 const CORE_TROUBLE: Duration = Duration::from_millis(1500);
 /// A request begins so long after what waited before it, at the least.
@@ -57,10 +60,9 @@
     let fleet = shared.fleet.read();
     let model = &passage.asked.model;
     let named = fleet.blueprint.as_ref().and_then(|b| b.models.get(model)).map(|m| m.weights.clone());
-    let old_until = fleet.weights_since.get(model).map(|(_, at)| old_until(*at, &fleet, shared.setup.old_weights));
     let ledger = shared.ledger();
     let begins = |seat: &Seat| shared.now() + ledger.waiting(shared.now(), key(&seat.id)).mul_f64(2.0) + BEGINS;
-    let old_too = |seat: &Seat| old_until.is_some_and(|until| begins(seat) < until);
+    let old_too = |seat: &Seat| old_until(&fleet, model, &seat.weights, shared).is_some_and(|end| begins(seat) < end);
     let service = |at: usize| fleet.replicas.get(at).is_some_and(|r| r.service == passage.service);
     let runs = |seat: &Seat| match &named {
         Some(named) => seat.weights.is_empty() || seat.weights == *named || old_too(seat),
@@ -86,16 +88,19 @@
 fn begins_by(shared: &Shared, passage: &Passage, seat: &Seat, named: Option<&str>) -> Option<Instant> {
     let old = named.is_some_and(|named| !seat.weights.is_empty() && seat.weights != named);
     let fleet = shared.fleet.read();
-    let (_, since) = fleet.weights_since.get(&passage.asked.model).filter(|_| old)?;
-    let until = old_until(*since, &fleet, shared.setup.old_weights);
+    let until = old_until(&fleet, &passage.asked.model, &seat.weights, shared).filter(|_| old)?;
     Some(Instant::now() + until.saturating_sub(shared.now()))
 }
 
-/// Until when replicas may begin requests on old weights: so long after new ones were named, and after the
-/// control machines last changed, which holds roll-outs up.
-fn old_until(named: Duration, fleet: &Fleet, bound: Duration) -> Duration {
-    let changed = fleet.cores_changed.map_or(Duration::ZERO, |at| at.saturating_sub(CORE_TROUBLE));
-    named.max(changed) + bound
+/// Until when replicas may begin requests on these older weights: so long after the first newer ones were named,
+/// and after the control machines last changed, which holds roll-outs up. What was named before this router began
+/// may have been so for as long as is borne.
+fn old_until(fleet: &Fleet, model: &str, weights: &str, shared: &Shared) -> Option<Duration> {
+    let bound = shared.setup.old_weights;
+    let bounds = OlderWeights { after_naming: bound, after_start: STARTED_WITH };
+    let own = fleet.weights_history.serves_until(model, weights, bounds)?;
+    let core_trouble = fleet.core_trouble.map(|at| at.saturating_sub(CORE_TROUBLE) + bound);
+    Some(core_trouble.map_or(own, |until| until.max(own)))
 }
 
 /// Finds a place for the next try.
--- a/crates/way-choice/src/place.rs
+++ b/crates/way-choice/src/place.rs
@@ -53,8 +53,8 @@
     pub session: &'a str,
     pub model: &'a str,
     pub weights: &'a str,
-    /// Whether replicas still on other weights may serve (a roll-out is young).
-    pub old_weights_too: bool,
+    /// Whether replicas still on these older weights may serve (a roll-out is young).
+    pub older_may_serve: &'a dyn Fn(&str) -> bool,
     /// The place named by the caller, from an earlier answer.
     pub kept: Option<&'a str>,
     /// Replicas that were tried already.
@@ -67,7 +67,7 @@
 /// use way_choice::place::{Reason, Seat, Wish, place};
 /// let seat = |id: &str| Seat { id: id.into(), at: "".into(), district: "a".into(), model: "m".into(), weights: "w".into(),
 ///     leaving: false, down: false, load: 0, floor: (0, 0) };
-/// let wish = Wish { session: "s", model: "m", weights: "w", old_weights_too: false, kept: None, tried: &[], per_replica: 8 };
+/// let wish = Wish { session: "s", model: "m", weights: "w", older_may_serve: &|_| false, kept: None, tried: &[], per_replica: 8 };
 /// let seats = [seat("r1"), seat("r2")];
 /// let (first, reason) = place(&seats, &wish).unwrap();
 /// assert_eq!(reason, Reason::Home);
@@ -75,7 +75,8 @@
 /// ```
 pub fn place<'a>(seats: &'a [Seat], wish: &Wish) -> Option<(&'a Seat, Reason)> {
     let open = |s: &&Seat| s.model == wish.model && !s.leaving && !s.down && !wish.tried.contains(&s.id);
-    let runs = |s: &&Seat| s.weights == wish.weights || (wish.old_weights_too && !s.weights.is_empty());
+    let older = |s: &Seat| !s.weights.is_empty() && (wish.older_may_serve)(&s.weights);
+    let runs = |s: &&Seat| s.weights == wish.weights || older(s);
     let mut fit: Vec<&Seat> = seats.iter().filter(open).filter(runs).collect();
     if fit.is_empty() {
         return None;
--- a/crates/way-choice/src/placing.rs
+++ b/crates/way-choice/src/placing.rs
@@ -4,6 +4,7 @@
 use crate::place::{Reason, Seat, Wish, place};
 use crate::source::{self, Mirrors, Source};
 use control_chain::fleet::Fleet;
+use control_chain::weights::Superseded;
 use prefix_table::blocks;
 use std::time::Duration;
 
@@ -67,12 +68,15 @@
 pub fn find_among(seats: &[Seat], old_weights: Duration, known: &Known, asked: &Asked) -> Option<Found> {
     let blueprint = known.fleet.blueprint.as_ref()?;
     let model = blueprint.models.get(asked.model)?;
-    let since = known.fleet.weights_since.get(asked.model).map(|(_, at)| known.now.saturating_sub(*at));
+    let may_serve = |older: &str| match known.fleet.weights_history.superseded(asked.model, older) {
+        Some(Superseded::At(at) | Superseded::BeforeStart(at)) => known.now.saturating_sub(at) < old_weights,
+        None => false,
+    };
     let wish = Wish {
         session: asked.session,
         model: asked.model,
         weights: &model.weights,
-        old_weights_too: since.is_some_and(|since| since < old_weights),
+        older_may_serve: &may_serve,
         kept: asked.kept,
         tried: asked.tried,
         per_replica: blueprint.limits.per_replica,
--- a/crates/way-choice/tests/choices.rs
+++ b/crates/way-choice/tests/choices.rs
@@ -104,7 +104,7 @@
             session: &session,
             model: "m",
             weights: "w1",
-            old_weights_too: false,
+            older_may_serve: &|_| false,
             kept,
             tried: &[],
             per_replica: 8,
