The test of a disk that fills counts commands, not seconds

Cause: a_disk_that_fills_under_a_storm_costs_one_core_and_no_command gave the storm 40 s, whatever the machine took of it; beside other work 580 commands had been taken by then, and the 64 KiB that were left were not full.

Now the disk must fail before 1,024 commands were taken (64 bytes each), and each command must be taken within 40 s of the one before it.

Ruled out: a longer wait (still a figure of the machine), less room (the segment would fail as it is opened).

--- a/crates/run-fleet/tests/losses.rs
+++ b/crates/run-fleet/tests/losses.rs
@@ -83,6 +83,11 @@
     assert_eq!(figure(&words, "wrong"), 0, "{words}");
 }
 
+/// What the disk still takes, in bytes.
+const ROOM: u64 = 64 << 10;
+/// More commands than there is room for, each of which takes 64 bytes of the log or more.
+const COMMANDS_THAT_FILL: usize = 1024;
+
 /// A core whose disk takes no more in the midst of a storm of commands leaves the chain; nothing that was
 /// acknowledged is lost, and the commands go on.
 #[test]
@@ -95,21 +100,24 @@
     fleet.process(&first).kill();
     let files = std::fs::read_dir(fleet.folder().join(&first)).unwrap();
     let size = files.map(|file| file.unwrap().metadata().unwrap().len()).max().unwrap();
-    fleet.process(&first).file_max = Some(size + (64 << 10));
+    fleet.process(&first).file_max = Some(size + ROOM);
     fleet.process(&first).start();
     let told = || (1..=4).map(|n| fleet.page(&format!("core-{n}"), "/self")).any(|w| w.contains("\"sick\":true"));
     let mut number = 0u64;
     let mut taken = Vec::new();
-    let sick = Fleet::until(LONG, || {
-        for _ in 0..20 {
+    let mut sick = false;
+    // How long the storm takes depends on the machine, how many commands fill the room that is left does not.
+    while !sick && taken.len() < COMMANDS_THAT_FILL {
+        let one = || {
             number += 1;
             let (id, weights) = (format!("storm-{number}"), format!("w1-{number}"));
-            if fleet.query(&["weights", "m1", &weights, "--id", &id]).status.success() {
-                taken.push(id);
-            }
-        }
-        told() || !fleet.page(&first, "/health").contains("up")
-    });
+            let success = fleet.query(&["weights", "m1", &weights, "--id", &id]).status.success();
+            success.then(|| taken.push(id));
+            success
+        };
+        assert!(Fleet::until(LONG, one), "no command was taken after {number} were sent");
+        sick = told() || !fleet.page(&first, "/health").contains("up");
+    }
     assert!(sick, "its disk never failed after {number} commands");
     assert!(Fleet::until(LONG, || fleet.query(&["weights", "m1", "w9", "--id", "after"]).status.success()));
     for id in taken.iter().rev().take(60) {
