--- a/crates/run-fleet/src/fleet.rs
+++ b/crates/run-fleet/src/fleet.rs
@@ -9,6 +9,9 @@
 use std::process::{Command, Output};
 use std::time::{Duration, Instant};
 
+/// Lines of a process's log that are shown where a fleet does not get ready.
+const LOG_LINES: usize = 3;
+
 /// How large a fleet is.
 #[derive(Clone, Copy, Debug)]
 pub struct Size {
@@ -209,11 +212,21 @@
         };
         let edges: Vec<String> = (1..=self.edges.len()).map(|n| format!("edge-{n}")).collect();
         match edges.iter().find(|name| !Self::until(wait, || ready(name))) {
-            Some(name) => Err(format!("{name} is not ready: {}", self.page(name, "/self"))),
+            Some(name) => Err(format!("{name} is not ready: {}; logs: {}", self.page(name, "/self"), self.logs())),
             None => Ok(()),
         }
     }
 
+    /// What the processes have logged, each one's first lines: nothing in a fleet that is well.
+    fn logs(&self) -> String {
+        let first_lines = |name: &str| {
+            let text = std::fs::read_to_string(self.folder.join(format!("{name}.log"))).unwrap_or_default();
+            text.lines().filter(|line| !line.is_empty()).take(LOG_LINES).collect::<Vec<_>>().join(" | ")
+        };
+        let all = self.processes.iter().map(|process| (&process.name, first_lines(&process.name)));
+        all.filter(|(_, text)| !text.is_empty()).map(|(name, text)| format!("{name}: {text}\n")).collect()
+    }
+
     /// The folder of logs and data.
     /// ```no_run
     /// # fn show(fleet: &run_fleet::fleet::Fleet) {
