An answer without the request's id is believed on a new connection only

Cause: own_head took any head without an id for the request's own. On a kept connection such a head may be the late second answer to an earlier request: a refusal of that kind sent a request that may not be repeated to a second replica though the first had run it, and a failure of that kind was handed on as the replica's own.

Found by the new edge_every_byte test: a replica under the test's control closes, resets, falls silent or sends garbage at every byte of an answer, ends at every byte of a request, answers early, twice, late, with a length that is off, or refuses, each on a new and on a kept connection, beside plain requests on the same pool. Callers hold each answer against their request by id and content; runs are counted by id.

Ruled out: that replicas leave the id out of refusals.

--- a/crates/stream-router/src/following.rs
+++ b/crates/stream-router/src/following.rs
@@ -77,23 +77,28 @@
         }
     }
 
-    /// The head of this request's own answer; late answers to others are passed over.
+    /// The head of this request's own answer; late answers to others are passed over. An answer without an id is
+    /// this request's only where none but its own can come: as the first one of a new connection.
     fn own_head(&mut self, place: &Place, up: &mut Outbound) -> Result<(AnswerHead, Said), Heard> {
         let until = self.passage.until + LAST_WORD;
         // On old weights it begins in time or not at all.
         let until = place.begins_by.map_or(until, |by| by.min(until));
-        for _ in 0..LATE_MOST {
+        for passed in 0..LATE_MOST {
             let head = match up.head(Some(self.inbound.socket()), until) {
                 Heard::Head(head) => head,
                 other => return Err(other),
             };
             let said = self.shared.dialect.said(&head, &self.passage.asked.model);
-            if said.id.as_deref().is_none_or(|id| id == self.passage.asked.id) {
-                return Ok((head, said));
+            match said.id.as_deref() {
+                Some(id) if id == self.passage.asked.id => return Ok((head, said)),
+                None if up.fresh && passed == 0 => return Ok((head, said)),
+                None => return Err(Heard::Broken("an answer without an id".into())),
+                Some(_) => count(&self.shared.counters.late_answers),
             }
-            count(&self.shared.counters.late_answers);
-            if rest(up, None, until).is_err() {
-                return Err(Heard::Broken("a late answer broke off".into()));
+            match rest(up, Some(self.inbound.socket()), until) {
+                Ok(_) => {}
+                Err(Heard::CallerLeft) => return Err(Heard::CallerLeft),
+                Err(_) => return Err(Heard::Broken("a late answer broke off".into())),
             }
         }
         up.good = false;
