A stream asked for with HEAD has no body

Cause: Inbound::begin, piece and end wrote chunks whatever the method. After a HEAD request on a route of streams the caller had "0\r\n\r\n", which is read as the beginning of the next answer on its connection: bytes that are no answer.

Whole answers to HEAD were right before.

--- a/crates/http-streams/src/framing.rs
+++ b/crates/http-streams/src/framing.rs
@@ -157,3 +157,12 @@
         }
     }
 }
+
+/// Writes bytes as one chunk; no bytes are no chunk, as an empty one would end the body.
+pub(crate) fn write_chunk(out: &mut Vec<u8>, piece: &[u8]) {
+    if !piece.is_empty() {
+        out.extend_from_slice(format!("{:x}\r\n", piece.len()).as_bytes());
+        out.extend_from_slice(piece);
+        out.extend_from_slice(b"\r\n");
+    }
+}
--- a/crates/http-streams/src/inbound.rs
+++ b/crates/http-streams/src/inbound.rs
@@ -1,5 +1,5 @@
 //! A caller's connection: requests read whole within bounds, answers written whole or event by event.
-use crate::framing::{Framing, of_request};
+use crate::framing::{Framing, of_request, write_chunk};
 use crate::head::{self, RequestHead};
 pub use crate::limits::Limits;
 use crate::wait::{Came, bound, cut, wait};
@@ -195,8 +195,10 @@
         head::write(&mut out, &format!("HTTP/1.1 {status} {reason}"), headers.iter());
         out.extend_from_slice(if close { b"Connection: close\r\n" } else { b"" });
         out.extend_from_slice(b"Transfer-Encoding: chunked\r\n\r\n");
-        self.chunks = true;
-        frame(&mut out, first);
+        self.chunks = !self.headless;
+        if !self.headless {
+            write_chunk(&mut out, first);
+        }
         self.put(&out)
     }
 
@@ -207,9 +209,12 @@
     /// # Ok(()) }
     /// ```
     pub fn piece(&mut self, piece: &[u8]) -> io::Result<()> {
+        if piece.is_empty() || self.headless {
+            return Ok(());
+        }
         let mut out = Vec::with_capacity(piece.len() + 16);
-        frame(&mut out, piece);
-        if out.is_empty() { Ok(()) } else { self.put(&out) }
+        write_chunk(&mut out, piece);
+        self.put(&out)
     }
 
     /// Sends the last pieces and ends the answer: it came whole.
@@ -219,8 +224,11 @@
     /// # Ok(()) }
     /// ```
     pub fn end(&mut self, last: &[u8]) -> io::Result<()> {
+        if self.headless {
+            return Ok(());
+        }
         let mut out = Vec::with_capacity(last.len() + 24);
-        frame(&mut out, last);
+        write_chunk(&mut out, last);
         out.extend_from_slice(b"0\r\n\r\n");
         self.chunks = false;
         self.put(&out)
@@ -237,11 +245,3 @@
         }
     }
 }
-
-fn frame(out: &mut Vec<u8>, piece: &[u8]) {
-    if !piece.is_empty() {
-        out.extend_from_slice(format!("{:x}\r\n", piece.len()).as_bytes());
-        out.extend_from_slice(piece);
-        out.extend_from_slice(b"\r\n");
-    }
-}
