A kept connection is looked at again when a request is written on it

Cause: between the look at a kept connection (Pool::take) and the write lie a check of the lease, the request's head and, at any point, a freeze of the process. An end that had come meanwhile let the write succeed, and nobody knew whether the request ran: 502 for what may not be repeated.

Outbound::send now looks at the socket and at the connection's time to live (usable_until) once more and says Unsent, before any byte. The router then opens a new connection to the same replica, under a lease and a key that still hold, in place of taking the replica for unreachable. SendError is a type in place of a pair. A window of one system call remains; what falls into it is told as unknown.

A flood of interim answers (over 16) and 101, which no request asked for, break the exchange.

Shown by a_connection_that_became_unfit_after_it_was_taken_sends_nothing (without the check it sends), a_kept_connection_is_usable_until_it_was_idle_for_too_long, interim_answers_that_nobody_asked_for_break_the_exchange.

--- a/crates/http-streams/src/head.rs
+++ b/crates/http-streams/src/head.rs
@@ -1,4 +1,5 @@
 //! Heads of requests and answers.
+use std::time::Duration;
 
 const HEADERS_MOST: usize = 128;
 /// Headers that concern only one connection.
@@ -71,6 +72,20 @@
     pub old: bool,
 }
 
+impl AnswerHead {
+    /// For how long its sender keeps the connection idle, where it says so.
+    /// ```
+    /// let text = b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5, max=9\r\n\r\n";
+    /// let (_, head) = http_streams::head::answer(text).unwrap().unwrap();
+    /// assert_eq!(head.keep_alive(), Some(std::time::Duration::from_secs(5)));
+    /// ```
+    pub fn keep_alive(&self) -> Option<Duration> {
+        let value = self.headers.get("keep-alive")?;
+        let stated = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="));
+        stated.unwrap_or(value.trim()).parse().ok().map(Duration::from_secs)
+    }
+}
+
 fn take(parsed: &[httparse::Header<'_>]) -> Headers {
     Headers(parsed.iter().map(|h| (h.name.to_string(), String::from_utf8_lossy(h.value).into_owned())).collect())
 }
--- a/crates/http-streams/src/lib.rs
+++ b/crates/http-streams/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod inbound;
 pub mod limits;
 pub mod outbound;
+mod outcome;
 pub mod pool;
 pub mod serve;
 pub mod wait;
--- a/crates/http-streams/src/outbound.rs
+++ b/crates/http-streams/src/outbound.rs
@@ -2,7 +2,8 @@
 //! caller is watched.
 use crate::framing::{Framing, of_answer};
 use crate::head::{self, AnswerHead};
-use crate::wait::{Came, bound, cut, wait};
+pub use crate::outcome::{Heard, SendError};
+use crate::wait::{Came, bound, cut, quiet, wait};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
@@ -11,19 +12,10 @@
 /// Bytes that a replica's machine has not acknowledged for so long are given up.
 const UNHEARD: Duration = Duration::from_millis(1500);
 const HEAD_MOST: usize = 64 << 10;
-
-/// What came of waiting for an answer.
-#[derive(Debug, PartialEq, Eq)]
-pub enum Heard {
-    Head(AnswerHead),
-    /// Bytes of the body; the framing tells whether more is to come.
-    Body(Vec<u8>),
-    /// The body came whole.
-    Whole,
-    CallerLeft,
-    TimedOut,
-    Broken(String),
-}
+/// Interim answers before an answer, at the most: a flood of them would outlast any deadline.
+const INTERIM_MOST: u32 = 16;
+/// After it the bytes are another protocol's, which no request asked for.
+const SWITCHING_PROTOCOLS: u16 = 101;
 
 /// A connection to a replica.
 pub struct Outbound {
@@ -39,6 +31,8 @@
     pub good: bool,
     /// Whether this is its first request.
     pub fresh: bool,
+    /// Until when a kept connection may carry its next request; a new one has no such bound.
+    pub usable_until: Option<Instant>,
 }
 
 impl Outbound {
@@ -51,9 +45,17 @@
         let stream = TcpStream::connect_timeout(&to, patience.max(Duration::from_millis(1)))?;
         bound(&stream, UNHEARD);
         stream.set_write_timeout(Some(WRITE_WAIT))?;
-        let (used, framing) = (Instant::now(), Framing::Ended);
-        let (buffer, method) = (Vec::new(), String::new());
-        Ok(Outbound { stream, buffer, framing, method, used, keep: None, good: true, fresh: true })
+        Ok(Outbound {
+            stream,
+            buffer: Vec::new(),
+            framing: Framing::Ended,
+            method: String::new(),
+            used: Instant::now(),
+            keep: None,
+            good: true,
+            fresh: true,
+            usable_until: None,
+        })
     }
 
     /// The socket.
@@ -66,23 +68,39 @@
         &self.stream
     }
 
-    /// Sends a request in one write. An error tells whether any byte may have left.
+    /// Whether a kept connection is still fit at this moment: this process may have stood still since it was taken.
+    fn check_usable(&self) -> io::Result<()> {
+        if self.usable_until.is_some_and(|until| Instant::now() > until) {
+            return Err(io::Error::new(io::ErrorKind::TimedOut, "idle for too long"));
+        }
+        if !self.fresh && !quiet(&self.stream) {
+            return Err(io::Error::new(io::ErrorKind::ConnectionAborted, "bytes or an end came on it"));
+        }
+        Ok(())
+    }
+
+    /// Sends a request in one write. The error tells whether any byte may have left.
     /// ```no_run
     /// # fn show(mut outbound: http_streams::outbound::Outbound) {
     /// outbound.send("GET", b"GET / HTTP/1.1\r\n\r\n").unwrap();
     /// # }
     /// ```
-    pub fn send(&mut self, method: &str, bytes: &[u8]) -> Result<(), (bool, io::Error)> {
+    pub fn send(&mut self, method: &str, bytes: &[u8]) -> Result<(), SendError> {
+        self.check_usable().map_err(SendError::Unsent)?;
         self.method = method.to_string();
         self.used = Instant::now();
         let mut sent = 0;
         while sent < bytes.len() {
-            match self.stream.write(&bytes[sent..]) {
-                Ok(0) => return Err((sent > 0, io::ErrorKind::WriteZero.into())),
-                Ok(now) => sent += now,
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) => return Err((sent > 0, e)),
-            }
+            let error = match self.stream.write(&bytes[sent..]) {
+                Ok(0) => io::ErrorKind::WriteZero.into(),
+                Ok(now) => {
+                    sent += now;
+                    continue;
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(e) => e,
+            };
+            return Err(if sent == 0 { SendError::Unsent(error) } else { SendError::SentInPart(error) });
         }
         Ok(())
     }
@@ -118,11 +136,16 @@
     /// # }
     /// ```
     pub fn head(&mut self, caller: Option<&TcpStream>, until: Instant) -> Heard {
+        let mut interim = 0;
         loop {
             match head::answer(&self.buffer) {
                 Err(what) => return self.broken(what),
                 Ok(Some((length, head))) => {
                     self.buffer.drain(..length);
+                    interim += u32::from(head.status < 200);
+                    if head.status == SWITCHING_PROTOCOLS || interim > INTERIM_MOST {
+                        return self.broken("interim answers that nobody asked for");
+                    }
                     if head.status < 200 {
                         continue;
                     }
@@ -144,12 +167,7 @@
     }
 
     fn note(&mut self, head: &AnswerHead) {
-        let stated = head.headers.0.iter().find(|(n, _)| n.eq_ignore_ascii_case("keep-alive")).map(|(_, v)| v);
-        let seconds = stated.and_then(|v| {
-            let part = v.split(',').find_map(|p| p.trim().strip_prefix("timeout=")).unwrap_or(v.trim());
-            part.parse::<u64>().ok()
-        });
-        self.keep = seconds.map(Duration::from_secs).or(self.keep);
+        self.keep = head.keep_alive().or(self.keep);
         if head.headers.lists("connection", "close") || head.old || self.framing == Framing::UntilClose {
             self.good = false;
         }
--- a/crates/http-streams/src/pool.rs
+++ b/crates/http-streams/src/pool.rs
@@ -60,6 +60,8 @@
                     self.lock().entry(to).or_default().push(one);
                     return None;
                 }
+                let unused = if need == Need::Sure { kept.min(self.sure) } else { kept };
+                one.usable_until = one.used.checked_add(unused);
                 one.fresh = false;
                 return Some(one);
             }
--- a/crates/http-streams/tests/pool.rs
+++ b/crates/http-streams/tests/pool.rs
@@ -1,5 +1,5 @@
 //! Kept connections: which are used again.
-use http_streams::outbound::{Heard, Outbound};
+use http_streams::outbound::{Heard, Outbound, SendError};
 use http_streams::pool::{Need, Pool};
 use rstest::rstest;
 use std::io::{Read, Write};
@@ -114,3 +114,67 @@
     pool.prune(|_| false);
     assert_eq!(pool.kept(), 0);
 }
+
+/// Mutation that fails it: interim answers are passed over without a bound, and whatever they say.
+#[rstest]
+#[case::a_flood("HTTP/1.1 102 Processing\r\n\r\n".repeat(17))]
+#[case::another_protocol("HTTP/1.1 101 Switching Protocols\r\n\r\n".to_string())]
+fn interim_answers_that_nobody_asked_for_break_the_exchange(#[case] interim: String) {
+    let (listener, at) = listener();
+    let mut up = Outbound::connect(at, BOUND).unwrap();
+    let (mut replica, _) = listener.accept().unwrap();
+    up.send("GET", b"GET / HTTP/1.1\r\n\r\n").unwrap();
+    replica.write_all((interim + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").as_bytes()).unwrap();
+    assert!(matches!(up.head(None, Instant::now() + BOUND), Heard::Broken(_)));
+    assert!(!up.reusable());
+}
+
+/// What happens between the look at a kept connection and the write on it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Between {
+    Close,
+    Bytes,
+    /// This process stands still for longer than the connection may be idle.
+    Freeze,
+}
+
+/// Mutation that fails it: `Outbound::send` does not look again.
+#[rstest]
+#[case::closed(Between::Close)]
+#[case::spoilt(Between::Bytes)]
+#[case::frozen(Between::Freeze)]
+fn a_connection_that_became_unfit_after_it_was_taken_sends_nothing(#[case] between: Between) {
+    for need in [Need::Any, Need::Sure] {
+        let ((listener, at), pool) = (listener(), Pool::new(Duration::from_millis(500)));
+        let (up, mut replica) = used(&listener, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        pool.give(at, up);
+        let mut up = pool.take(at, need).unwrap();
+        match between {
+            Between::Close => replica.shutdown(std::net::Shutdown::Write).unwrap(),
+            Between::Bytes => replica.write_all(b"HTTP/1.1 200 OK\r\n\r\n").unwrap(),
+            Between::Freeze => up.usable_until = Instant::now().checked_sub(Duration::from_millis(1)),
+        }
+        if between != Between::Freeze {
+            http_streams::wait::wait(up.socket(), None, Instant::now() + BOUND);
+        }
+        let sent = up.send("POST", b"POST / HTTP/1.1\r\n\r\n");
+        assert!(matches!(sent, Err(SendError::Unsent(_))), "{sent:?}");
+        drop(up);
+        let mut rest = Vec::new();
+        let _ = replica.read_to_end(&mut rest);
+        assert!(rest.is_empty(), "the replica had bytes of a request: {rest:?}");
+    }
+}
+
+/// What may not run again gets a bound by its last use; it is the shorter of the two.
+#[test]
+fn a_kept_connection_is_usable_until_it_was_idle_for_too_long() {
+    let ((listener, at), sure) = (listener(), Duration::from_millis(500));
+    let pool = Pool::new(sure);
+    for (need, bound) in [(Need::Sure, sure), (Need::Any, Duration::from_millis(3800))] {
+        let (up, _replica) = used(&listener, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n");
+        let last = up.used;
+        pool.give(at, up);
+        assert_eq!(pool.take(at, need).unwrap().usable_until, Some(last + bound), "{need:?}");
+    }
+}
--- a/crates/stream-router/src/deliver.rs
+++ b/crates/stream-router/src/deliver.rs
@@ -11,8 +11,9 @@
 use fleet_common::hash;
 use http_streams::head::AnswerHead;
 use http_streams::inbound::Inbound;
-use http_streams::outbound::Outbound;
+use http_streams::outbound::{Outbound, SendError};
 use http_streams::pool::Need;
+use std::io;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use way_choice::backlog::key;
@@ -131,8 +132,8 @@
         }
         self.passage.tried.push(place.id.clone());
         let need = if self.passage.progress.repeatable { Need::Any } else { Need::Sure };
-        let patience = CONNECT.min(self.passage.until.saturating_duration_since(Instant::now()));
-        let mut up = match self.shared.pool.open(place.at, need, patience) {
+        let patience = self.connect_timeout();
+        let up = match self.shared.pool.open(place.at, need, patience) {
             Ok(up) => up,
             Err(_) => return self.unreached(&place),
         };
@@ -143,15 +144,14 @@
             self.shared.pool.give(place.at, up);
             return Try::Flow(if self.passage.progress.answered { self.cut() } else { Flow::Reply(reply) });
         }
-        let bytes = self.bytes(&place);
-        match up.send(&self.passage.head.method, &bytes) {
-            Ok(()) => {}
-            Err((false, _)) => return self.unreached(&place),
-            Err((true, _)) => {
+        let up = match self.send(&place, up) {
+            Ok(up) => up,
+            Err(SendError::Unsent(_)) => return self.unreached(&place),
+            Err(SendError::SentInPart(_)) => {
                 self.passage.progress.sent += 1;
                 return Try::Failed(Failure::Unknown, None);
             }
-        }
+        };
         self.passage.progress.sent += 1;
         let id = hash::unique();
         let last = place.parts.len().saturating_sub(1);
@@ -172,6 +172,27 @@
         ended
     }
 
+    fn connect_timeout(&self) -> Duration {
+        CONNECT.min(self.passage.until.saturating_duration_since(Instant::now()))
+    }
+
+    /// Sends the request. A kept connection that nothing could be sent on is replaced by a new one: that says
+    /// nothing about the replica.
+    fn send(&self, place: &Place, mut up: Outbound) -> Result<Outbound, SendError> {
+        let method = &self.passage.head.method;
+        match up.send(method, &self.bytes(place)) {
+            Ok(()) => return Ok(up),
+            Err(SendError::Unsent(_)) if !up.fresh => {}
+            Err(error) => return Err(error),
+        }
+        let mut new = Outbound::connect(place.at, self.connect_timeout()).map_err(SendError::Unsent)?;
+        count(&self.shared.counters.connections);
+        // Connecting took its time: what allowed the request before may not hold any more.
+        may_go_on(self.shared, self.passage).map_err(|_| SendError::Unsent(io::ErrorKind::TimedOut.into()))?;
+        new.send(method, &self.bytes(place))?;
+        Ok(new)
+    }
+
     /// When to come back, where even the best place would bring the first event after its caller has gone: what
     /// is read for nobody makes all others wait.
     fn too_late(&self, place: &Place) -> Option<Duration> {
