Bodies are read alike in whatever pieces they come: properties of the framing

Cause: the bounds on a chunk's size line (256 bytes), a trailer (4 kB) and an answer's head (64 kB) held only for parts of them: one that came in one read was taken, the same bytes in two reads were refused.

--- a/crates/http-streams/src/framing.rs
+++ b/crates/http-streams/src/framing.rs
@@ -1,6 +1,11 @@
 //! Where a body ends: by length, in chunks, or with its connection.
 use crate::head::Headers;
 
+/// A chunk's size with its extensions and line end, at the most, in bytes.
+const SIZE_LINE_MOST: usize = 256;
+/// A trailer with its line end, at the most, in bytes.
+const TRAILER_MOST: usize = 4096;
+
 /// How a body is framed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
@@ -128,12 +133,12 @@
                     return Err("a chunk without a size".into());
                 }
                 Framing::Chunks(ChunkAt::Size) => match httparse::parse_chunk_size(rest) {
-                    Ok(httparse::Status::Complete((length, size))) => {
+                    Ok(httparse::Status::Complete((length, size))) if length <= SIZE_LINE_MOST => {
                         *used += length;
                         let at = if size == 0 { ChunkAt::Trailer } else { ChunkAt::Data(size) };
                         *self = Framing::Chunks(at);
                     }
-                    Ok(httparse::Status::Partial) if rest.len() < 256 => return Ok(()),
+                    Ok(httparse::Status::Partial) if rest.len() < SIZE_LINE_MOST => return Ok(()),
                     _ => return Err("a chunk's size cannot be read".into()),
                 },
                 Framing::Chunks(ChunkAt::After) => match rest {
@@ -149,9 +154,9 @@
                         *used += 2;
                         *self = Framing::Ended;
                     }
-                    Some(end) => *used += end + 2,
-                    None if rest.len() < 4096 => return Ok(()),
-                    None => return Err("trailers without an end".into()),
+                    Some(end) if end + 2 <= TRAILER_MOST => *used += end + 2,
+                    None if rest.len() < TRAILER_MOST => return Ok(()),
+                    _ => return Err("trailers without an end".into()),
                 },
             }
         }
--- a/crates/http-streams/src/outbound.rs
+++ b/crates/http-streams/src/outbound.rs
@@ -140,6 +140,7 @@
         loop {
             match head::answer(&self.buffer) {
                 Err(what) => return self.broken(what),
+                Ok(Some((length, _))) if length > HEAD_MOST => return self.broken("a head too large"),
                 Ok(Some((length, head))) => {
                     self.buffer.drain(..length);
                     interim += u32::from(head.status < 200);
