Threads that cannot be had are an error: load is shed, nothing ends

Cause: std::thread::spawn panics where no thread can be had. In the accept loops of frames it took the listener with it, in a constructor on the main thread the process; a listener of callers whose first worker could not be had heard nobody for ever, and its last worker, serving one connection, heard nobody else for as long.

fleet_common::threads starts all threads of the product's processes now: spawn_named gives a ThreadError, start asks again until it can (threads that a process cannot do without). Without a thread: a caller's connection gets 503 with Retry-After and is closed, its request never sent on; a stream of frames is closed and opened again by its other side; a link or sender to a peer is made when something is next sent to it; a try of the product's own router counts as not sent; a member that cannot be asked knows nothing of a request's story.

Also: a cut of a caller's stream needs no further descriptor (it duplicated the socket, and without one ended plainly), and nor does the thread that hears the load of other routers; a listener of frames without descriptors waits 20 ms in place of turning without end.

Left: tiny_http, behind the operators' pages of the product's own programs, starts its threads itself.

--- a/crates/control-core/src/drive.rs
+++ b/crates/control-core/src/drive.rs
@@ -245,6 +245,6 @@
         jobs,
         polls,
     };
-    std::thread::spawn(move || running.run(receiver));
+    fleet_common::threads::start("core", fleet_common::threads::STACK, move || running.run(receiver));
     Driver { inbox }
 }
--- a/crates/control-core/src/explain.rs
+++ b/crates/control-core/src/explain.rs
@@ -7,6 +7,7 @@
 use fleet_common::json::quote;
 use sonic_rs::JsonValueTrait;
 use std::collections::BTreeMap;
+use std::thread::ScopedJoinHandle;
 use std::time::Duration;
 
 const ASK_WAIT: Duration = Duration::from_millis(900);
@@ -33,11 +34,16 @@
             .iter()
             .map(|(name, node)| {
                 let ask = &ask;
-                let thread = scope.spawn(move || json(Caller::new(node.at.parse().ok()?, ASK_WAIT).ask(ask).ok()?));
+                let asking = move || json(Caller::new(node.at.parse().ok()?, ASK_WAIT).ask(ask).ok()?);
+                // Without a thread a member counts as one that knows nothing.
+                let thread = std::thread::Builder::new().spawn_scoped(scope, asking).ok();
                 (name, node, thread)
             })
             .collect();
-        asked.into_iter().map(|(name, node, thread)| (name, node, thread.join().ok().flatten())).collect()
+        let joined = |(name, node, thread): (_, _, Option<ScopedJoinHandle<'_, Option<String>>>)| {
+            (name, node, thread.and_then(|thread| thread.join().ok().flatten()))
+        };
+        asked.into_iter().map(joined).collect()
     });
     let of = |kind: &str| -> Vec<String> {
         let known = told.iter().filter(|(_, node, words)| node.kind == kind && words.is_some());
--- a/crates/control-core/src/keeping.rs
+++ b/crates/control-core/src/keeping.rs
@@ -3,6 +3,7 @@
 use crate::drive::Inbox;
 use control_chain::core::{Found, Record};
 use crossbeam::channel::{Receiver, Sender};
+use fleet_common::threads::{self, STACK};
 use fleet_common::{Mishap, Step, ring};
 use std::time::{Duration, Instant};
 
@@ -60,7 +61,7 @@
             let _ = inbox.send(Inbox::Opened(1, found));
             store
         });
-        std::thread::spawn(move || {
+        threads::start("disk", STACK, move || {
             if first.is_some_and(|store| !serve(store, 1, &jobs, &inbox)) {
                 return;
             }
--- a/crates/control-core/src/links.rs
+++ b/crates/control-core/src/links.rs
@@ -1,8 +1,10 @@
 //! Streams to the other cores: one sender thread each, which drops what a dead colleague never read.
 use control_chain::message::Sent;
 use crossbeam::channel::{Sender, bounded};
-use fleet_common::frame;
+use fleet_common::threads::{self, STACK, ThreadError};
+use fleet_common::{frame, ring};
 use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -19,28 +21,14 @@
 impl Links {
     pub fn send(&mut self, to: SocketAddr, sent: Sent) {
         let bytes = sent.message.bytes();
-        let (sender, waiting) = self.senders.entry(to).or_insert_with(|| {
-            let waiting = Arc::new(AtomicUsize::new(0));
-            let taken = waiting.clone();
-            let (sender, receiver) = bounded::<Sent>(512);
-            std::thread::spawn(move || {
-                let mut stream = None;
-                let mut closed_until = Instant::now();
-                for sent in receiver {
-                    taken.fetch_sub(sent.message.bytes(), Ordering::Relaxed);
-                    if stream.is_none() && Instant::now() >= closed_until {
-                        stream = frame::connect(to, Duration::from_secs(5)).ok();
-                        closed_until = Instant::now() + Duration::from_millis(100);
-                    }
-                    if let Some(open) = &mut stream
-                        && frame::write(open, &sent, &to.to_string()).is_err()
-                    {
-                        stream = None;
-                    }
-                }
-            });
-            (sender, waiting)
-        });
+        let (sender, waiting) = match self.senders.entry(to) {
+            Entry::Occupied(link) => link.into_mut(),
+            Entry::Vacant(place) => match start(to) {
+                Ok(link) => place.insert(link),
+                // What is dropped here is sent again, and then a thread is asked for again.
+                Err(error) => return ring::note(&error.to_string()),
+            },
+        };
         if waiting.load(Ordering::Relaxed) + bytes <= WAITING_MOST {
             waiting.fetch_add(bytes, Ordering::Relaxed);
             if sender.try_send(sent).is_err() {
@@ -49,3 +37,27 @@
         }
     }
 }
+
+/// The thread that writes to one colleague, and how many bytes wait for it.
+fn start(to: SocketAddr) -> Result<(Sender<Sent>, Arc<AtomicUsize>), ThreadError> {
+    let waiting = Arc::new(AtomicUsize::new(0));
+    let taken = waiting.clone();
+    let (sender, receiver) = bounded::<Sent>(512);
+    threads::spawn_named("link", STACK, move || {
+        let mut stream = None;
+        let mut closed_until = Instant::now();
+        for sent in receiver {
+            taken.fetch_sub(sent.message.bytes(), Ordering::Relaxed);
+            if stream.is_none() && Instant::now() >= closed_until {
+                stream = frame::connect(to, Duration::from_secs(5)).ok();
+                closed_until = Instant::now() + Duration::from_millis(100);
+            }
+            if let Some(open) = &mut stream
+                && frame::write(open, &sent, &to.to_string()).is_err()
+            {
+                stream = None;
+            }
+        }
+    })?;
+    Ok((sender, waiting))
+}
--- a/crates/control-core/src/listing.rs
+++ b/crates/control-core/src/listing.rs
@@ -3,6 +3,7 @@
 use control_chain::command::Replica;
 use crossbeam::channel::Receiver;
 use fleet_common::json::{self, Fault};
+use fleet_common::threads::{self, STACK};
 use fleet_common::{Rcu, http_out};
 use std::sync::Arc;
 use std::time::Duration;
@@ -49,5 +50,7 @@
 
 /// Asks the platform whenever the core wants to know.
 pub(crate) fn follow(driver: Arc<Driver>, listing: Box<dyn Listing>, polls: Receiver<u64>) {
-    std::thread::spawn(move || polls.into_iter().for_each(|number| driver.listed(number, listing.list())));
+    threads::start("listing", STACK, move || {
+        polls.into_iter().for_each(|number| driver.listed(number, listing.list()));
+    });
 }
--- a/crates/fleet-common/src/frame.rs
+++ b/crates/fleet-common/src/frame.rs
@@ -1,4 +1,5 @@
 //! Frames between our own processes: length, checksum, then a message packed by `deku`.
+use crate::threads::{self, STACK};
 use crate::{Mishap, Step, hash, ring};
 use deku::{DekuContainerRead, DekuContainerWrite};
 use std::io::{Read, Write};
@@ -10,6 +11,8 @@
 const FRAME_MAX: usize = 64 << 20;
 const STREAMS_MAX: usize = 512;
 const WRITE_WAIT: Duration = Duration::from_secs(3);
+/// After an error a listener accepts again so much later.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
 /// Packs a message into a whole frame.
 /// ```
@@ -162,38 +165,62 @@
     B: DekuContainerWrite + 'static,
 {
     let answer = Arc::new(answer);
+    threads::start("frame listener", STACK, move || accept(&listener, &answer));
+}
+
+fn accept<A, B>(listener: &TcpListener, answer: &Arc<impl Fn(A) -> Option<B> + Send + Sync + 'static>)
+where
+    A: for<'a> DekuContainerRead<'a> + 'static,
+    B: DekuContainerWrite + 'static,
+{
     let open = Arc::new(AtomicUsize::new(0));
-    std::thread::spawn(move || {
-        for stream in listener.incoming() {
-            let Ok(mut stream) = stream else { continue };
-            if open.fetch_add(1, Ordering::Relaxed) >= STREAMS_MAX {
-                open.fetch_sub(1, Ordering::Relaxed);
-                continue;
+    for stream in listener.incoming() {
+        let Ok(stream) = stream else {
+            // Out of descriptors: give those that hold them time to end.
+            std::thread::sleep(ACCEPT_AGAIN);
+            continue;
+        };
+        if open.fetch_add(1, Ordering::Relaxed) >= STREAMS_MAX {
+            open.fetch_sub(1, Ordering::Relaxed);
+            continue;
+        }
+        let (answer, held) = (answer.clone(), open.clone());
+        let served = threads::spawn_named("frame stream", STACK, move || {
+            serve_stream(stream, &*answer);
+            held.fetch_sub(1, Ordering::Relaxed);
+        });
+        // Without a thread the stream is closed, and its other side opens another one later.
+        if let Err(error) = served {
+            open.fetch_sub(1, Ordering::Relaxed);
+            ring::note(&error.to_string());
+        }
+    }
+}
+
+fn serve_stream<A, B>(mut stream: TcpStream, answer: &impl Fn(A) -> Option<B>)
+where
+    A: for<'a> DekuContainerRead<'a>,
+    B: DekuContainerWrite,
+{
+    let from = stream.peer_addr().map(|a| a.to_string()).unwrap_or_default();
+    let _ = stream.set_nodelay(true);
+    let _ = stream.set_write_timeout(Some(WRITE_WAIT));
+    loop {
+        match read::<A>(&mut stream, &from) {
+            Ok(Some(ask)) => {
+                if let Some(reply) = answer(ask)
+                    && write(&mut stream, &reply, &from).is_err()
+                {
+                    return;
+                }
             }
-            let (answer, open) = (answer.clone(), open.clone());
-            std::thread::spawn(move || {
-                let from = stream.peer_addr().map(|a| a.to_string()).unwrap_or_default();
-                let _ = stream.set_nodelay(true);
-                let _ = stream.set_write_timeout(Some(WRITE_WAIT));
-                loop {
-                    match read::<A>(&mut stream, &from) {
-                        Ok(Some(ask)) => {
-                            if let Some(reply) = answer(ask)
-                                && write(&mut stream, &reply, &from).is_err()
-                            {
-                                break;
-                            }
-                        }
-                        Ok(None) => break,
-                        Err(mishap) if mishap.step == Step::Decode => {
-                            ring::mishap(&mishap);
-                            break;
-                        }
-                        Err(_) => break,
-                    }
+            Ok(None) => return,
+            Err(mishap) => {
+                if mishap.step == Step::Decode {
+                    ring::mishap(&mishap);
                 }
-                open.fetch_sub(1, Ordering::Relaxed);
-            });
+                return;
+            }
         }
-    });
+    }
 }
--- a/crates/fleet-common/src/http_in.rs
+++ b/crates/fleet-common/src/http_in.rs
@@ -2,6 +2,7 @@
 //! ends a body cleanly even after an error, and dropping its raw writer leaves the stream open. So
 //! pieces are framed here on the raw writer, and a cut shuts the stream itself.
 use crate::stream_of::{bound_waiting, caller_left, with_stream};
+use crate::threads::{self, STACK};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
@@ -190,7 +191,7 @@
     let (server, answer) = (Arc::new(server), Arc::new(answer));
     for _ in 0..workers {
         let (server, answer) = (server.clone(), answer.clone());
-        std::thread::spawn(move || {
+        threads::start("pages", STACK, move || {
             while let Ok(request) = server.recv() {
                 if let Some(incoming) = take_in(request) {
                     answer(incoming);
--- a/crates/fleet-common/src/lib.rs
+++ b/crates/fleet-common/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod settings;
 pub mod signals;
 mod stream_of;
+pub mod threads;
 
 pub use mishap::{Mishap, Step};
 pub use packed::{Bytes, List, Text};
--- a/crates/fleet-common/src/signals.rs
+++ b/crates/fleet-common/src/signals.rs
@@ -1,5 +1,6 @@
 //! The platform's words to a process: SIGTERM is its warning before a kill, SIGHUP says that settings
 //! have changed.
+use crate::threads::{self, STACK};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
@@ -18,7 +19,7 @@
 /// ```
 pub fn heed(heed: impl Fn(Word) + Send + 'static) {
     let Ok(mut signals) = Signals::new([SIGTERM, SIGINT, SIGHUP]) else { return };
-    std::thread::spawn(move || {
+    threads::start("signals", STACK, move || {
         for signal in signals.forever() {
             heed(if signal == SIGHUP { Word::Settings } else { Word::Warning });
         }
--- a/crates/http-streams/src/inbound.rs
+++ b/crates/http-streams/src/inbound.rs
@@ -2,7 +2,7 @@
 use crate::framing::{Framing, of_request, write_chunk};
 use crate::head::{self, RequestHead};
 pub use crate::limits::Limits;
-use crate::wait::{Came, bound, cut, wait};
+use crate::wait::{Came, bound, reset_on_close, wait};
 use std::io::{self, Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
@@ -238,10 +238,8 @@
 impl Drop for Inbound {
     fn drop(&mut self) {
         // An answer that was begun and not ended must not look complete.
-        if self.chunks
-            && let Ok(stream) = self.stream.try_clone()
-        {
-            cut(stream);
+        if self.chunks {
+            reset_on_close(&self.stream);
         }
     }
 }
--- a/crates/http-streams/src/serve.rs
+++ b/crates/http-streams/src/serve.rs
@@ -1,11 +1,19 @@
 //! A pool of workers that accept for themselves: one wakes for a new connection and stays with it.
+use crate::inbound::{Got, Inbound, Limits};
+use fleet_common::threads::{self, SMALL_STACK};
 use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
-const STACK: usize = 256 << 10;
 /// Idle workers beyond so many end.
 const IDLE_KEPT: usize = 8;
+/// After an error a listener accepts again so much later.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+/// How long a connection that is turned away may take to say what it wants.
+const SHED_WAIT: Duration = Duration::from_millis(50);
+/// When a caller that is turned away may come back, in seconds.
+const SHED_RETRY_AFTER: &str = "0.20";
 
 struct Pool {
     listener: TcpListener,
@@ -15,7 +23,8 @@
     handle: Box<dyn Fn(TcpStream) + Send + Sync>,
 }
 
-/// Serves a listener with up to `most` workers; connections beyond that wait to be accepted.
+/// Serves a listener with up to `most` workers; connections beyond that wait to be accepted. Where no thread can be
+/// had for a worker, connections are answered 503 with `Retry-After` and closed.
 /// ```
 /// use std::io::{Read, Write};
 /// let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
@@ -27,37 +36,57 @@
 /// ```
 pub fn serve(listener: TcpListener, most: usize, handle: impl Fn(TcpStream) + Send + Sync + 'static) {
     let pool = Pool { listener, most, all: 0.into(), idle: 0.into(), handle: Box::new(handle) };
-    hire(&Arc::new(pool));
+    let pool = Arc::new(pool);
+    start_first(&pool);
 }
 
-fn hire(pool: &Arc<Pool>) {
+/// The first worker: without it nobody would ever be heard.
+fn start_first(pool: &Arc<Pool>) {
+    let first = pool.clone();
+    pool.all.fetch_add(1, Ordering::AcqRel);
+    pool.idle.fetch_add(1, Ordering::AcqRel);
+    threads::start("worker", SMALL_STACK, move || work(&first));
+}
+
+/// What came of asking for one more worker.
+#[derive(Clone, Copy, PartialEq)]
+enum Hired {
+    Yes,
+    /// There are as many as there may be.
+    Full,
+    /// No thread could be had.
+    Refused,
+}
+
+fn hire(pool: &Arc<Pool>) -> Hired {
     if pool.all.fetch_add(1, Ordering::AcqRel) >= pool.most {
         pool.all.fetch_sub(1, Ordering::AcqRel);
-        return;
+        return Hired::Full;
     }
     pool.idle.fetch_add(1, Ordering::AcqRel);
     let worker = pool.clone();
-    let hired = std::thread::Builder::new().stack_size(STACK).spawn(move || work(&worker));
-    if hired.is_err() {
-        pool.idle.fetch_sub(1, Ordering::AcqRel);
-        pool.all.fetch_sub(1, Ordering::AcqRel);
+    if threads::spawn_named("worker", SMALL_STACK, move || work(&worker)).is_ok() {
+        return Hired::Yes;
     }
+    pool.idle.fetch_sub(1, Ordering::AcqRel);
+    pool.all.fetch_sub(1, Ordering::AcqRel);
+    Hired::Refused
 }
 
 fn work(pool: &Arc<Pool>) {
     loop {
         let accepted = pool.listener.accept();
         // Somebody must always be there to accept.
-        if pool.idle.fetch_sub(1, Ordering::AcqRel) == 1 {
-            hire(pool);
-        }
+        let last = pool.idle.fetch_sub(1, Ordering::AcqRel) == 1;
+        let alone = last && hire(pool) == Hired::Refused;
         match accepted {
             Ok((stream, _)) => {
+                let serve = || if alone { shed(stream) } else { (pool.handle)(stream) };
                 // One caller's trouble must not take the worker from the others.
-                let _ = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| (pool.handle)(stream)));
+                let _ = std::panic::catch_unwind(std::panic::AssertUnwindSafe(serve));
             }
             // Out of descriptors: give those that hold them time to end.
-            Err(_) => std::thread::sleep(std::time::Duration::from_millis(20)),
+            Err(_) => std::thread::sleep(ACCEPT_AGAIN),
         }
         if pool.idle.fetch_add(1, Ordering::AcqRel) >= IDLE_KEPT {
             pool.idle.fetch_sub(1, Ordering::AcqRel);
@@ -66,3 +95,14 @@
         }
     }
 }
+
+/// Turns a connection away: its request, if one comes at once, has not run and may be sent again. The last worker
+/// does so where no other can be had, as it would hear nobody else while it serves one.
+fn shed(stream: TcpStream) {
+    let mut inbound = Inbound::new(stream);
+    let limits = Limits { header: SHED_WAIT, body: SHED_WAIT, idle: SHED_WAIT, ..Limits::default() };
+    if let Got::Request(..) = inbound.next(&limits) {
+        let rows = [("Retry-After".to_string(), SHED_RETRY_AFTER.to_string())];
+        let _ = inbound.whole(503, "Service Unavailable", &rows, b"", true);
+    }
+}
--- a/crates/http-streams/src/wait.rs
+++ b/crates/http-streams/src/wait.rs
@@ -76,5 +76,14 @@
 /// http_streams::wait::cut(std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap());
 /// ```
 pub fn cut(stream: TcpStream) {
-    let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+    reset_on_close(&stream);
+}
+
+/// Has a connection end with a reset once it is closed, by whoever holds it.
+/// ```
+/// let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+/// http_streams::wait::reset_on_close(&std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap());
+/// ```
+pub fn reset_on_close(stream: &TcpStream) {
+    let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
--- a/crates/prefix-index/src/doing.rs
+++ b/crates/prefix-index/src/doing.rs
@@ -6,6 +6,7 @@
 use fleet_common::ask::{Answer, Ask};
 use fleet_common::frame::Caller;
 use fleet_common::ring;
+use fleet_common::threads::{self, SMALL_STACK, STACK, ThreadError};
 use prefix_table::keeper::Input;
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -13,7 +14,6 @@
 
 /// A watching thread that was given nothing for so long ends.
 const WATCH_IDLE: Duration = Duration::from_secs(10);
-const WATCH_STACK: usize = 256 << 10;
 const COPY_WAIT: Duration = Duration::from_millis(1500);
 
 pub enum Job {
@@ -43,7 +43,7 @@
             shared.step(Input::Polled(ask.replica, fence, polled));
         }
     };
-    let thread = std::thread::Builder::new().stack_size(WATCH_STACK).spawn(watch).ok()?;
+    let thread = threads::spawn_named("watch", SMALL_STACK, watch).ok()?;
     Some(Watcher { sender, thread })
 }
 
@@ -85,10 +85,10 @@
     ring::note(&format!("a table handed over to {at}: {}", pushed.is_ok()));
 }
 
-pub fn sender(at: &str) -> Sender<Ask> {
+pub fn sender(at: &str) -> Result<Sender<Ask>, ThreadError> {
     let (sender, receiver) = bounded::<Ask>(64);
     let to = at.parse();
-    std::thread::spawn(move || {
+    threads::spawn_named("sender", STACK, move || {
         let Ok(to) = to else { return };
         let mut caller = Caller::new(to, Duration::from_millis(1000));
         for ask in receiver {
@@ -96,6 +96,6 @@
                 std::thread::sleep(Duration::from_millis(50));
             }
         }
-    });
-    sender
+    })?;
+    Ok(sender)
 }
--- a/crates/prefix-index/src/shared.rs
+++ b/crates/prefix-index/src/shared.rs
@@ -7,6 +7,7 @@
 use fleet_common::ask::{Answer, Ask, Pulled, Vector};
 use fleet_common::node::{Identity, Link, Seeds};
 use fleet_common::ring;
+use fleet_common::threads::{self, STACK};
 use prefix_table::keeper::{Input, Keeper, Output};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -140,8 +141,15 @@
         if senders.len() > SENDERS_MOST {
             senders.clear();
         }
-        let sender = senders.entry(at.to_string()).or_insert_with(|| doing::sender(at));
-        let _ = sender.try_send(ask);
+        if !senders.contains_key(at) {
+            match doing::sender(at) {
+                Ok(sender) => _ = senders.insert(at.to_string(), sender),
+                Err(error) => return ring::note(&error.to_string()),
+            }
+        }
+        if let Some(sender) = senders.get(at) {
+            let _ = sender.try_send(ask);
+        }
     }
 
     /// Does the last commands itself and returns when they are done.
@@ -160,14 +168,14 @@
 pub(crate) fn run(shared: &Arc<Shared>) {
     for _ in 0..WORKERS {
         let shared = shared.clone();
-        std::thread::spawn(move || {
+        threads::start("index worker", STACK, move || {
             while let Ok(job) = shared.jobs.1.recv() {
                 doing::job(&shared, job);
             }
         });
     }
     let shared = shared.clone();
-    std::thread::spawn(move || {
+    threads::start("index clock", STACK, move || {
         loop {
             std::thread::sleep(TICK);
             shared.step(Input::Tick);
--- a/crates/request-router/src/claims.rs
+++ b/crates/request-router/src/claims.rs
@@ -6,6 +6,7 @@
 use crossbeam::channel::unbounded;
 use fleet_common::ask::{Answer, Ask};
 use fleet_common::ring;
+use fleet_common::threads::{self, STACK};
 use std::sync::Arc;
 use std::time::Duration;
 use way_choice::trip::{Claimed, Do, Heard, Trip};
@@ -72,7 +73,7 @@
     let (sender, receiver) = unbounded();
     for _ in 0..SENDERS {
         let (shared, receiver) = (shared.clone(), receiver.clone());
-        std::thread::spawn(move || {
+        threads::start("settler", STACK, move || {
             for (number, settle) in receiver {
                 let answered = command(&shared, settle).is_some();
                 let now = shared.now();
@@ -81,7 +82,7 @@
         });
     }
     let shared = shared.clone();
-    std::thread::spawn(move || {
+    threads::start("settlements", STACK, move || {
         loop {
             std::thread::sleep(TICK);
             let due = shared.settling().due(shared.now());
--- a/crates/request-router/src/reporting.rs
+++ b/crates/request-router/src/reporting.rs
@@ -4,6 +4,7 @@
 use fleet_common::ask::{Answer, Ask, Handover, audit};
 use fleet_common::frame::Caller;
 use fleet_common::ring;
+use fleet_common::threads::{self, STACK};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -47,7 +48,7 @@
 }
 
 pub fn start(shared: Arc<Shared>) {
-    std::thread::spawn(move || {
+    threads::start("hand-over reports", STACK, move || {
         let mut callers: HashMap<SocketAddr, Caller> = HashMap::new();
         while let Ok(tried) = shared.tried.1.recv() {
             let holder = shared.fleet.read().holder(&tried.source).and_then(|at| at.parse::<SocketAddr>().ok());
--- a/crates/request-router/src/upstream.rs
+++ b/crates/request-router/src/upstream.rs
@@ -3,6 +3,7 @@
 use crossbeam::channel::{Receiver, Sender, bounded};
 use fleet_common::http_cut::{self, Gate, Shutter};
 use fleet_common::http_out::Opened;
+use fleet_common::threads::{self, STACK};
 use fleet_common::{Mishap, Step};
 use std::io::Read;
 
@@ -58,7 +59,8 @@
     let (sender, coming) = bounded(64);
     let shutter = Shutter::default();
     let held = shutter.clone();
-    std::thread::spawn(move || {
+    let (url, refused) = (wish.url.clone(), sender.clone());
+    let started = threads::spawn_named("upstream", STACK, move || {
         let opened = http_cut::open(&wish.method, &wish.url, &wish.headers, &wish.body, gate, &held);
         let last = match opened {
             Err(mishap) => Coming::Broken(mishap),
@@ -67,6 +69,10 @@
         };
         let _ = sender.send(last);
     });
+    if let Err(error) = started {
+        // Nothing has left, as where nobody could be reached.
+        let _ = refused.send(Coming::Broken(Mishap::at(Step::Connect, url, error)));
+    }
     Upstream { coming, shutter }
 }
 
--- a/crates/stream-router/src/auditing.rs
+++ b/crates/stream-router/src/auditing.rs
@@ -4,6 +4,7 @@
 use fleet_common::ask::{Answer, Ask, Handover, audit};
 use fleet_common::frame::Caller;
 use fleet_common::ring;
+use fleet_common::threads::{self, STACK};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -26,7 +27,7 @@
 /// # }
 /// ```
 pub fn start(shared: Arc<Shared>) {
-    std::thread::spawn(move || {
+    threads::start("hand-over audits", STACK, move || {
         let mut callers: HashMap<SocketAddr, Caller> = HashMap::new();
         while let Ok(tried) = shared.tried.1.recv() {
             let fleet = shared.fleet.read();
--- a/crates/stream-router/src/run.rs
+++ b/crates/stream-router/src/run.rs
@@ -2,7 +2,7 @@
 use crate::dialect::Dialect;
 use crate::shared::{Setup, Shared};
 use crate::{auditing, chain, feed, sharing};
-use fleet_common::frame;
+use fleet_common::{frame, threads};
 use http_streams::inbound::{Got, Inbound, Limits};
 use http_streams::serve::serve;
 use std::net::TcpListener;
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 /// Workers of the listener for callers, at the most.
-const WORKERS: usize = 1024;
+pub const WORKERS: usize = 1024;
 const READY_WORKERS: usize = 4;
 /// A warned router goes on accepting for so long: callers are sent to it until it is seen not to be ready.
 const STILL_COMING: Duration = Duration::from_millis(3000);
@@ -47,7 +47,8 @@
 
 fn ready(shared: &Shared, mut inbound: Inbound) {
     while let Got::Request(head, _) = inbound.next(&Limits::default()) {
-        let counters = head.target.ends_with("metrics").then(|| shared.counters.words());
+        let gauge = || format!("coursebend_router_threads {}\n", threads::live());
+        let counters = head.target.ends_with("metrics").then(|| shared.counters.words() + &gauge());
         let (status, reason) = if shared.is_ready() { (200, "OK") } else { (503, "Service Unavailable") };
         let body = counters.unwrap_or_default();
         if inbound.whole(status, reason, &[], body.as_bytes(), false).is_err() {
--- a/crates/stream-router/src/sharing.rs
+++ b/crates/stream-router/src/sharing.rs
@@ -3,6 +3,7 @@
 use crate::shared::Shared;
 use deku::{DekuContainerRead, DekuContainerWrite};
 use fleet_common::List;
+use fleet_common::threads::{self, STACK};
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 
@@ -74,8 +75,8 @@
 /// # }
 /// ```
 pub fn start(shared: Arc<Shared>) {
-    let Some(socket) = shared.sharing.socket.as_ref().and_then(|s| s.try_clone().ok()) else { return };
-    std::thread::spawn(move || {
+    threads::start("load gossip", STACK, move || {
+        let Some(socket) = &shared.sharing.socket else { return };
         let mut bytes = [0u8; 512];
         loop {
             let Ok((got, _)) = socket.recv_from(&mut bytes) else {
