Names: ReadOutcome, ResponsePart, WaitOutcome in http-streams

Got, Heard and Came become ReadOutcome, ResponsePart and WaitOutcome; what came of reading and sending stands in outcome.rs. Got stays as another name for ReadOutcome until the operators' calls no longer use it.

--- a/crates/http-streams/src/inbound.rs
+++ b/crates/http-streams/src/inbound.rs
@@ -2,7 +2,8 @@
 use crate::framing::{Framing, of_request, write_chunk};
 use crate::head::{self, RequestHead};
 pub use crate::limits::Limits;
-use crate::wait::{Came, bound, reset_on_close, wait};
+pub use crate::outcome::{Got, ReadOutcome};
+use crate::wait::{WaitOutcome, bound, reset_on_close, wait};
 use std::io::{self, Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
@@ -10,16 +11,6 @@
 const WRITE_WAIT: Duration = Duration::from_secs(5);
 const UNHEARD: Duration = Duration::from_secs(5);
 
-/// What came on a caller's connection.
-#[derive(Debug, PartialEq, Eq)]
-pub enum Got {
-    Request(RequestHead, Vec<u8>),
-    /// Nothing more, or nothing in time: to be closed without an answer.
-    Ended,
-    /// Not to be served: a status and what is wrong.
-    Bad(u16, String),
-}
-
 /// A caller's connection.
 pub struct Inbound {
     stream: TcpStream,
@@ -32,12 +23,12 @@
 impl Inbound {
     /// Takes a connection that was accepted.
     /// ```
-    /// use http_streams::inbound::{Got, Inbound, Limits};
+    /// use http_streams::inbound::{ReadOutcome, Inbound, Limits};
     /// let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     /// let caller = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
     /// let mut inbound = Inbound::new(listener.accept().unwrap().0);
     /// drop(caller);
-    /// assert_eq!(inbound.next(&Limits::default()), Got::Ended);
+    /// assert_eq!(inbound.next(&Limits::default()), ReadOutcome::Ended);
     /// ```
     pub fn new(stream: TcpStream) -> Self {
         bound(&stream, UNHEARD);
@@ -57,7 +48,7 @@
 
     /// Reads what is there, waiting until then at the most: `false` when nothing more comes.
     fn fill(&mut self, until: Instant) -> bool {
-        if wait(&self.stream, None, until) != Came::Readable {
+        if wait(&self.stream, None, until) != WaitOutcome::Readable {
             return false;
         }
         let mut bytes = [0u8; 16 << 10];
@@ -76,29 +67,35 @@
 
     /// The next request, whole.
     /// ```
-    /// use http_streams::inbound::{Got, Inbound, Limits};
+    /// use http_streams::inbound::{ReadOutcome, Inbound, Limits};
     /// use std::io::Write;
     /// let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     /// let mut caller = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
     /// caller.write_all(b"POST /x HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi").unwrap();
     /// let mut inbound = Inbound::new(listener.accept().unwrap().0);
-    /// assert!(matches!(inbound.next(&Limits::default()), Got::Request(_, body) if body == b"hi"));
+    /// assert!(matches!(inbound.next(&Limits::default()), ReadOutcome::Request(_, body) if body == b"hi"));
     /// ```
-    pub fn next(&mut self, limits: &Limits) -> Got {
+    pub fn next(&mut self, limits: &Limits) -> ReadOutcome {
         if self.buffer.is_empty() && !self.fill(Instant::now() + limits.idle) {
-            return Got::Ended;
+            return ReadOutcome::Ended;
         }
         let until = Instant::now() + limits.header;
         let (length, head) = loop {
             match head::request(&self.buffer) {
-                Err(what) => return Got::Bad(400, what),
-                Ok(Some((length, _))) if length > limits.header_bytes => return Got::Bad(431, "head too large".into()),
+                Err(what) => return ReadOutcome::Bad(400, what),
+                Ok(Some((length, _))) if length > limits.header_bytes => {
+                    return ReadOutcome::Bad(431, "head too large".into());
+                }
                 Ok(Some(read)) => break read,
-                Ok(None) if self.buffer.len() > limits.header_bytes => return Got::Bad(431, "head too large".into()),
-                Ok(None) if Instant::now() >= until => return Got::Bad(408, "the head did not come in time".into()),
+                Ok(None) if self.buffer.len() > limits.header_bytes => {
+                    return ReadOutcome::Bad(431, "head too large".into());
+                }
+                Ok(None) if Instant::now() >= until => {
+                    return ReadOutcome::Bad(408, "the head did not come in time".into());
+                }
                 Ok(None) => {
                     if !self.fill(until) && Instant::now() < until {
-                        return Got::Ended;
+                        return ReadOutcome::Ended;
                     }
                 }
             }
@@ -106,9 +103,9 @@
         self.buffer.drain(..length);
         self.headless = head.method == "HEAD";
         match self.body(&head, limits) {
-            Ok(Some(body)) => Got::Request(head, body),
-            Ok(None) => Got::Ended,
-            Err((status, what)) => Got::Bad(status, what),
+            Ok(Some(body)) => ReadOutcome::Request(head, body),
+            Ok(None) => ReadOutcome::Ended,
+            Err((status, what)) => ReadOutcome::Bad(status, what),
         }
     }
 
--- a/crates/http-streams/src/outbound.rs
+++ b/crates/http-streams/src/outbound.rs
@@ -2,8 +2,8 @@
 //! caller is watched.
 use crate::framing::{Framing, of_answer};
 use crate::head::{self, AnswerHead};
-pub use crate::outcome::{Heard, SendError};
-use crate::wait::{Came, bound, cut, quiet, wait};
+pub use crate::outcome::{ResponsePart, SendError};
+use crate::wait::{WaitOutcome, bound, cut, quiet, wait};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
@@ -105,11 +105,11 @@
         Ok(())
     }
 
-    fn fill(&mut self, caller: Option<&TcpStream>, until: Instant) -> Result<bool, Heard> {
+    fn fill(&mut self, caller: Option<&TcpStream>, until: Instant) -> Result<bool, ResponsePart> {
         match wait(&self.stream, caller, until) {
-            Came::Left => return Err(Heard::CallerLeft),
-            Came::TimedOut => return Err(Heard::TimedOut),
-            Came::Readable => {}
+            WaitOutcome::Left => return Err(ResponsePart::CallerLeft),
+            WaitOutcome::TimedOut => return Err(ResponsePart::TimedOut),
+            WaitOutcome::Readable => {}
         }
         let mut bytes = [0u8; 16 << 10];
         loop {
@@ -124,9 +124,9 @@
         }
     }
 
-    fn broken(&mut self, what: impl ToString) -> Heard {
+    fn broken(&mut self, what: impl ToString) -> ResponsePart {
         self.good = false;
-        Heard::Broken(what.to_string())
+        ResponsePart::Broken(what.to_string())
     }
 
     /// Waits for the head of the next answer. Interim answers are passed over.
@@ -135,7 +135,7 @@
     /// let _head = outbound.head(None, std::time::Instant::now());
     /// # }
     /// ```
-    pub fn head(&mut self, caller: Option<&TcpStream>, until: Instant) -> Heard {
+    pub fn head(&mut self, caller: Option<&TcpStream>, until: Instant) -> ResponsePart {
         let mut interim = 0;
         loop {
             match head::answer(&self.buffer) {
@@ -155,7 +155,7 @@
                         Err(what) => return self.broken(what),
                     };
                     self.note(&head);
-                    return Heard::Head(head);
+                    return ResponsePart::Head(head);
                 }
                 Ok(None) if self.buffer.len() > HEAD_MOST => return self.broken("a head without an end"),
                 Ok(None) => match self.fill(caller, until) {
@@ -180,7 +180,7 @@
     /// let _body = outbound.body(None, std::time::Instant::now());
     /// # }
     /// ```
-    pub fn body(&mut self, caller: Option<&TcpStream>, until: Instant) -> Heard {
+    pub fn body(&mut self, caller: Option<&TcpStream>, until: Instant) -> ResponsePart {
         let mut out = Vec::new();
         loop {
             let before = self.framing;
@@ -191,12 +191,12 @@
                 self.used = Instant::now();
             }
             if !out.is_empty() {
-                return Heard::Body(out);
+                return ResponsePart::Body(out);
             }
             if self.framing == Framing::Ended {
                 // More than the answer came: it belongs to no request, and what comes next cannot be told.
                 self.good &= self.buffer.is_empty();
-                return Heard::Whole;
+                return ResponsePart::Whole;
             }
             match self.fill(caller, until) {
                 Ok(true) => {}
--- a/crates/http-streams/src/outcome.rs
+++ b/crates/http-streams/src/outcome.rs
@@ -1,5 +1,5 @@
-//! What came of sending a request and of waiting for its answer.
-use crate::head::AnswerHead;
+//! What came of reading a request, of sending one and of waiting for its answer.
+use crate::head::{AnswerHead, RequestHead};
 use std::io;
 
 /// Why a request was not sent whole. Only `Unsent` says that the replica cannot have run it.
@@ -15,7 +15,7 @@
 
 /// What came of waiting for an answer.
 #[derive(Debug, PartialEq, Eq)]
-pub enum Heard {
+pub enum ResponsePart {
     Head(AnswerHead),
     /// Bytes of the body; the framing tells whether more is to come.
     Body(Vec<u8>),
@@ -25,3 +25,16 @@
     TimedOut,
     Broken(String),
 }
+
+/// What came on a caller's connection.
+#[derive(Debug, PartialEq, Eq)]
+pub enum ReadOutcome {
+    Request(RequestHead, Vec<u8>),
+    /// Nothing more, or nothing in time: to be closed without an answer.
+    Ended,
+    /// Not to be served: a status and what is wrong.
+    Bad(u16, String),
+}
+
+/// The former name of `ReadOutcome`, until its last use is gone.
+pub type Got = ReadOutcome;
--- a/crates/http-streams/src/serve.rs
+++ b/crates/http-streams/src/serve.rs
@@ -1,5 +1,5 @@
 //! A pool of workers that accept for themselves: one wakes for a new connection and stays with it.
-use crate::inbound::{Got, Inbound, Limits};
+use crate::inbound::{Inbound, Limits, ReadOutcome};
 use fleet_common::threads::{self, SMALL_STACK};
 use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
@@ -101,7 +101,7 @@
 fn shed(stream: TcpStream) {
     let mut inbound = Inbound::new(stream);
     let limits = Limits { header: SHED_WAIT, body: SHED_WAIT, idle: SHED_WAIT, ..Limits::default() };
-    if let Got::Request(..) = inbound.next(&limits) {
+    if let ReadOutcome::Request(..) = inbound.next(&limits) {
         let rows = [("Retry-After".to_string(), SHED_RETRY_AFTER.to_string())];
         let _ = inbound.whole(503, "Service Unavailable", &rows, b"", true);
     }
--- a/crates/http-streams/src/wait.rs
+++ b/crates/http-streams/src/wait.rs
@@ -5,7 +5,7 @@
 
 /// What came first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Came {
+pub enum WaitOutcome {
     /// Something can be read, an end included.
     Readable,
     /// The other side of the watched connection has gone.
@@ -15,13 +15,13 @@
 
 /// Waits until `from` can be read, `watched` is closed by its other side, or the time is over.
 /// ```
-/// use http_streams::wait::{Came, wait};
+/// use http_streams::wait::{WaitOutcome, wait};
 /// let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
 /// let from = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-/// assert_eq!(wait(&from, None, std::time::Instant::now()), Came::TimedOut);
+/// assert_eq!(wait(&from, None, std::time::Instant::now()), WaitOutcome::TimedOut);
 /// drop(listener);
 /// ```
-pub fn wait(from: &TcpStream, watched: Option<&TcpStream>, until: Instant) -> Came {
+pub fn wait(from: &TcpStream, watched: Option<&TcpStream>, until: Instant) -> WaitOutcome {
     let row = |fd, events| libc::pollfd { fd, events, revents: 0 };
     let mut rows = [row(from.as_raw_fd(), libc::POLLIN), row(-1, 0)];
     if let Some(watched) = watched {
@@ -33,13 +33,13 @@
         let ms = left.as_micros().div_ceil(1000).min(i32::MAX as u128) as i32;
         let count = unsafe { libc::poll(rows.as_mut_ptr(), 2, ms) };
         if rows[0].revents != 0 && count > 0 {
-            return Came::Readable;
+            return WaitOutcome::Readable;
         }
         if rows[1].revents != 0 && count > 0 {
-            return Came::Left;
+            return WaitOutcome::Left;
         }
         if count == 0 || until.saturating_duration_since(Instant::now()).is_zero() {
-            return Came::TimedOut;
+            return WaitOutcome::TimedOut;
         }
     }
 }
--- a/crates/http-streams/tests/framing_model.rs
+++ b/crates/http-streams/tests/framing_model.rs
@@ -1,7 +1,7 @@
 //! Bodies against a plain model: the text they were made from, whatever their chunks and wherever reads end.
 use fleet_common::hash::Dice;
 use http_streams::framing::{ChunkAt, Framing};
-use http_streams::inbound::{Got, Inbound, Limits};
+use http_streams::inbound::{Inbound, Limits, ReadOutcome};
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
@@ -121,10 +121,12 @@
         let minute = Duration::from_secs(60);
         let limits = Limits { header: minute, body: minute, idle: minute, ..Limits::default() };
         for (number, body) in bodies.iter().enumerate() {
-            let Got::Request(head, got) = inbound.next(&limits) else { panic!("seed {seed}: request {number}") };
+            let ReadOutcome::Request(head, got) = inbound.next(&limits) else {
+                panic!("seed {seed}: request {number}")
+            };
             assert_eq!((head.target, &got), (format!("/{number}"), body), "seed {seed}");
         }
         sender.join().unwrap();
-        assert_eq!(inbound.next(&limits), Got::Ended, "seed {seed}");
+        assert_eq!(inbound.next(&limits), ReadOutcome::Ended, "seed {seed}");
     }
 }
--- a/crates/http-streams/tests/framing_properties.rs
+++ b/crates/http-streams/tests/framing_properties.rs
@@ -1,8 +1,8 @@
 //! Properties of the framing on both sides, against a plain model: a list of messages that is written out, in
 //! whatever pieces it comes, one message behind the other. Each test names the change of the code that makes it fail.
 use http_streams::framing::{ChunkAt, Framing};
-use http_streams::inbound::{Got, Inbound, Limits};
-use http_streams::outbound::{Heard, Outbound};
+use http_streams::inbound::{Inbound, Limits, ReadOutcome};
+use http_streams::outbound::{Outbound, ResponsePart};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::io::{Read, Write};
@@ -190,11 +190,11 @@
         let sender = send(caller, pieces(&wire, &cuts));
         let limits = Limits { header: BOUND, body: BOUND, idle: BOUND, ..Limits::default() };
         for message in &messages {
-            let Got::Request(head, body) = inbound.next(&limits) else { panic!("{message:?}") };
+            let ReadOutcome::Request(head, body) = inbound.next(&limits) else { panic!("{message:?}") };
             prop_assert_eq!((head.target, &body), (format!("/{}", message.number), &message.body));
         }
         sender.join().unwrap();
-        prop_assert_eq!(inbound.next(&limits), Got::Ended);
+        prop_assert_eq!(inbound.next(&limits), ReadOutcome::Ended);
     }
 
     /// Mutations that fail it: `Outbound::head` drops what is behind the head; `reusable` does not look at what is
@@ -219,9 +219,9 @@
             let until = Instant::now() + BOUND;
             let broken = lost > 0 && place + 1 == messages.len();
             let head = match up.head(None, until) {
-                Heard::Head(head) => head,
+                ResponsePart::Head(head) => head,
                 other => {
-                    prop_assert!(broken && matches!(other, Heard::Broken(_)));
+                    prop_assert!(broken && matches!(other, ResponsePart::Broken(_)));
                     break;
                 }
             };
@@ -230,16 +230,16 @@
             let mut body = Vec::new();
             let end = loop {
                 match up.body(None, until) {
-                    Heard::Body(bytes) => body.extend(bytes),
+                    ResponsePart::Body(bytes) => body.extend(bytes),
                     end => break end,
                 }
             };
             if broken {
-                prop_assert!(matches!(end, Heard::Broken(_)) && message.body.starts_with(&body));
+                prop_assert!(matches!(end, ResponsePart::Broken(_)) && message.body.starts_with(&body));
                 prop_assert!(!up.reusable());
                 break;
             }
-            prop_assert_eq!((end, &body), (Heard::Whole, &message.body));
+            prop_assert_eq!((end, &body), (ResponsePart::Whole, &message.body));
         }
         sender.join().unwrap();
     }
--- a/crates/http-streams/tests/heads.rs
+++ b/crates/http-streams/tests/heads.rs
@@ -1,7 +1,7 @@
 //! Heads cut at every byte, and shapes that two readers might read differently.
 use http_streams::framing::{ChunkAt, Framing, of_answer, of_request};
 use http_streams::head::{self, Headers};
-use http_streams::inbound::{Got, Inbound, Limits};
+use http_streams::inbound::{Inbound, Limits, ReadOutcome};
 use rstest::rstest;
 use std::io::Write;
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -37,14 +37,14 @@
         let (mut caller, mut inbound) = pair();
         caller.write_all(&REQUEST[..upto]).unwrap();
         caller.shutdown(Shutdown::Write).unwrap();
-        assert_eq!(inbound.next(&Limits::default()), Got::Ended, "{upto}");
+        assert_eq!(inbound.next(&Limits::default()), ReadOutcome::Ended, "{upto}");
         let (mut caller, mut inbound) = pair();
         caller.set_nodelay(true).unwrap();
         caller.write_all(&REQUEST[..upto]).unwrap();
         caller.write_all(&REQUEST[upto..]).unwrap();
         let got = inbound.next(&Limits::default());
         assert!(
-            matches!(&got, Got::Request(head, body) if head.target == "/a/b?c=d" && body == b"body"),
+            matches!(&got, ReadOutcome::Request(head, body) if head.target == "/a/b?c=d" && body == b"body"),
             "{upto}: {got:?}"
         );
     }
@@ -94,7 +94,7 @@
     caller.write_all(format!("POST / HTTP/1.1\r\nHost: h\r\n{rest}").as_bytes()).unwrap();
     caller.shutdown(Shutdown::Write).unwrap();
     let got = inbound.next(&Limits::default());
-    assert!(matches!(got, Got::Bad(400, _)), "{got:?}");
+    assert!(matches!(got, ReadOutcome::Bad(400, _)), "{got:?}");
 }
 
 #[rstest]
--- a/crates/http-streams/tests/limits.rs
+++ b/crates/http-streams/tests/limits.rs
@@ -1,5 +1,5 @@
 //! What a caller may send and how long it may take.
-use http_streams::inbound::{Got, Inbound, Limits};
+use http_streams::inbound::{Inbound, Limits, ReadOutcome};
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 use std::sync::mpsc::channel;
@@ -22,9 +22,9 @@
     let (mut caller, mut inbound) = pair();
     caller.write_all(text.as_bytes()).unwrap();
     match inbound.next(limits) {
-        Got::Request(..) => 200,
-        Got::Bad(status, _) => status,
-        Got::Ended => 0,
+        ReadOutcome::Request(..) => 200,
+        ReadOutcome::Bad(status, _) => status,
+        ReadOutcome::Ended => 0,
     }
 }
 
@@ -72,7 +72,7 @@
     });
     let begun = Instant::now();
     let wide = Limits { header_bytes: 1 << 20, header: Duration::from_millis(200), ..limits() };
-    assert!(matches!(inbound.next(&wide), Got::Bad(408, _)));
+    assert!(matches!(inbound.next(&wide), ReadOutcome::Bad(408, _)));
     assert!(begun.elapsed() >= Duration::from_millis(200));
     over.send(()).unwrap();
     dripping.join().unwrap();
@@ -81,7 +81,7 @@
 #[test]
 fn an_idle_connection_ends_without_an_answer() {
     let (_caller, mut inbound) = pair();
-    assert_eq!(inbound.next(&Limits { idle: SOON, ..limits() }), Got::Ended);
+    assert_eq!(inbound.next(&Limits { idle: SOON, ..limits() }), ReadOutcome::Ended);
 }
 
 #[test]
@@ -97,7 +97,7 @@
         caller.write_all(b"hi").unwrap();
         tell.send((leave, caller)).unwrap();
     });
-    assert!(matches!(inbound.next(&limits()), Got::Request(_, body) if body == b"hi"));
+    assert!(matches!(inbound.next(&limits()), ReadOutcome::Request(_, body) if body == b"hi"));
     let (leave, _caller) = told.recv_timeout(MINUTE).unwrap();
     assert_eq!(&leave, b"HTTP/1.1 100 Continue\r\n\r\n");
 }
--- a/crates/http-streams/tests/pool.rs
+++ b/crates/http-streams/tests/pool.rs
@@ -1,5 +1,5 @@
 //! Kept connections: which are used again.
-use http_streams::outbound::{Heard, Outbound, SendError};
+use http_streams::outbound::{Outbound, ResponsePart, SendError};
 use http_streams::pool::{Need, Pool};
 use rstest::rstest;
 use std::io::{Read, Write};
@@ -16,8 +16,8 @@
     up.send("GET", ask).unwrap();
     replica.read_exact(&mut [0; 18]).unwrap();
     replica.write_all(answer.as_bytes()).unwrap();
-    assert!(matches!(up.head(None, Instant::now() + BOUND), Heard::Head(_)));
-    while let Heard::Body(_) = up.body(None, Instant::now() + BOUND) {}
+    assert!(matches!(up.head(None, Instant::now() + BOUND), ResponsePart::Head(_)));
+    while let ResponsePart::Body(_) = up.body(None, Instant::now() + BOUND) {}
     (up, replica)
 }
 
@@ -125,7 +125,7 @@
     let (mut replica, _) = listener.accept().unwrap();
     up.send("GET", b"GET / HTTP/1.1\r\n\r\n").unwrap();
     replica.write_all((interim + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").as_bytes()).unwrap();
-    assert!(matches!(up.head(None, Instant::now() + BOUND), Heard::Broken(_)));
+    assert!(matches!(up.head(None, Instant::now() + BOUND), ResponsePart::Broken(_)));
     assert!(!up.reusable());
 }
 
--- a/crates/stream-router/src/chain.rs
+++ b/crates/stream-router/src/chain.rs
@@ -4,7 +4,7 @@
 use crate::progress::Progress;
 use crate::shared::{Shared, count};
 use fleet_common::hash;
-use http_streams::inbound::{Got, Inbound};
+use http_streams::inbound::{Inbound, ReadOutcome};
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -42,14 +42,14 @@
     loop {
         let limits = shared.limits();
         match inbound.next(&limits) {
-            Got::Ended => return,
-            Got::Bad(status, what) => {
+            ReadOutcome::Ended => return,
+            ReadOutcome::Bad(status, what) => {
                 let reply = Reply::new(status, what);
                 let (headers, body) = reply.parts();
                 let _ = inbound.whole(status, reply.reason(), &headers, body.as_bytes(), true);
                 return;
             }
-            Got::Request(head, body) => {
+            ReadOutcome::Request(head, body) => {
                 let _running = Running::one(shared);
                 if !request(shared, &mut inbound, Passage::new(head, body)) {
                     return;
--- a/crates/stream-router/src/following.rs
+++ b/crates/stream-router/src/following.rs
@@ -8,7 +8,7 @@
 use crate::shared::count;
 use crate::sharing::{Ended, News};
 use http_streams::head::AnswerHead;
-use http_streams::outbound::{Heard, Outbound};
+use http_streams::outbound::{Outbound, ResponsePart};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 use way_choice::backlog::key;
@@ -29,8 +29,8 @@
         let sent = Instant::now();
         let (head, said) = match self.own_head(place, &mut up) {
             Ok(read) => read,
-            Err(Heard::CallerLeft) => return self.left(up),
-            Err(Heard::TimedOut) => {
+            Err(ResponsePart::CallerLeft) => return self.left(up),
+            Err(ResponsePart::TimedOut) => {
                 up.cut();
                 let over = Instant::now() >= self.passage.until;
                 return if over { self.timed_out() } else { Try::Failed(Failure::Unknown, None) };
@@ -64,7 +64,7 @@
         let caller = Some(self.inbound.socket());
         let body = match rest(&mut up, caller, self.passage.until + LAST_WORD) {
             Ok(body) => body,
-            Err(Heard::CallerLeft) => return self.left(up),
+            Err(ResponsePart::CallerLeft) => return self.left(up),
             Err(_) => return Try::Failed(Failure::Unknown, None),
         };
         self.shared.pool.give(place.at, up);
@@ -79,30 +79,30 @@
 
     /// The head of this request's own answer; late answers to others are passed over. An answer without an id is
     /// this request's only where none but its own can come: as the first one of a new connection.
-    fn own_head(&mut self, place: &Place, up: &mut Outbound) -> Result<(AnswerHead, Said), Heard> {
+    fn own_head(&mut self, place: &Place, up: &mut Outbound) -> Result<(AnswerHead, Said), ResponsePart> {
         let until = self.passage.until + LAST_WORD;
         // On old weights it begins in time or not at all.
         let until = place.begins_by.map_or(until, |by| by.min(until));
         for passed in 0..LATE_MOST {
             let head = match up.head(Some(self.inbound.socket()), until) {
-                Heard::Head(head) => head,
+                ResponsePart::Head(head) => head,
                 other => return Err(other),
             };
             let said = self.shared.dialect.said(&head, &self.passage.asked.model);
             match said.id.as_deref() {
                 Some(id) if id == self.passage.asked.id => return Ok((head, said)),
                 None if up.fresh && passed == 0 => return Ok((head, said)),
-                None => return Err(Heard::Broken("an answer without an id".into())),
+                None => return Err(ResponsePart::Broken("an answer without an id".into())),
                 Some(_) => count(&self.shared.counters.late_answers),
             }
             match rest(up, Some(self.inbound.socket()), until) {
                 Ok(_) => {}
-                Err(Heard::CallerLeft) => return Err(Heard::CallerLeft),
-                Err(_) => return Err(Heard::Broken("a late answer broke off".into())),
+                Err(ResponsePart::CallerLeft) => return Err(ResponsePart::CallerLeft),
+                Err(_) => return Err(ResponsePart::Broken("a late answer broke off".into())),
             }
         }
         up.good = false;
-        Err(Heard::Broken("answers to other requests only".into()))
+        Err(ResponsePart::Broken("answers to other requests only".into()))
     }
 
     /// Passes a stream on, event by event.
@@ -112,10 +112,10 @@
             // On old weights its first event comes in time or not at all.
             let until = place.begins_by.filter(|_| !self.first).map_or(end, |by| by.min(end));
             let bytes = match up.body(Some(self.inbound.socket()), until) {
-                Heard::Body(bytes) => bytes,
-                Heard::Whole => Vec::new(),
-                Heard::CallerLeft => return self.left(up),
-                Heard::TimedOut => {
+                ResponsePart::Body(bytes) => bytes,
+                ResponsePart::Whole => Vec::new(),
+                ResponsePart::CallerLeft => return self.left(up),
+                ResponsePart::TimedOut => {
                     up.cut();
                     let over = Instant::now() >= self.passage.until;
                     return if over { self.timed_out() } else { Try::Failed(Failure::Unknown, None) };
@@ -186,12 +186,12 @@
 }
 
 /// Reads the rest of an answer, watching a caller where there is one to watch.
-fn rest(up: &mut Outbound, caller: Option<&TcpStream>, until: Instant) -> Result<Vec<u8>, Heard> {
+fn rest(up: &mut Outbound, caller: Option<&TcpStream>, until: Instant) -> Result<Vec<u8>, ResponsePart> {
     let mut all = Vec::new();
     loop {
         match up.body(caller, until) {
-            Heard::Body(bytes) => all.extend_from_slice(&bytes),
-            Heard::Whole => return Ok(all),
+            ResponsePart::Body(bytes) => all.extend_from_slice(&bytes),
+            ResponsePart::Whole => return Ok(all),
             other => return Err(other),
         }
     }
--- a/crates/stream-router/src/run.rs
+++ b/crates/stream-router/src/run.rs
@@ -3,7 +3,7 @@
 use crate::shared::{Setup, Shared};
 use crate::{auditing, chain, feed, sharing};
 use fleet_common::{frame, threads};
-use http_streams::inbound::{Got, Inbound, Limits};
+use http_streams::inbound::{Inbound, Limits, ReadOutcome};
 use http_streams::serve::serve;
 use std::net::TcpListener;
 use std::sync::Arc;
@@ -46,7 +46,7 @@
 }
 
 fn ready(shared: &Shared, mut inbound: Inbound) {
-    while let Got::Request(head, _) = inbound.next(&Limits::default()) {
+    while let ReadOutcome::Request(head, _) = inbound.next(&Limits::default()) {
         let gauge = || format!("coursebend_router_threads {}\n", threads::live());
         let counters = head.target.ends_with("metrics").then(|| shared.counters.words() + &gauge());
         let (status, reason) = if shared.is_ready() { (200, "OK") } else { (503, "Service Unavailable") };
