Names: RequestContext, forward and response in stream-router

passage.rs, deliver.rs and following.rs become request_context.rs, forward.rs and response.rs, with their types and functions; docs name the new files.

--- a/crates/stream-router/src/chain.rs
+++ b/crates/stream-router/src/chain.rs
@@ -1,7 +1,7 @@
 //! The way of a request: a chain of filters, each of which may answer.
-use crate::deliver;
-use crate::passage::{Flow, Passage, Reply};
+use crate::forward;
 use crate::progress::Progress;
+use crate::request_context::{Flow, Reply, RequestContext};
 use crate::shared::{Shared, count};
 use fleet_common::hash;
 use http_streams::inbound::{Inbound, ReadOutcome};
@@ -10,9 +10,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-type Filter = fn(&Arc<Shared>, &mut Passage, &mut Inbound) -> Flow;
+type Filter = fn(&Arc<Shared>, &mut RequestContext, &mut Inbound) -> Flow;
 
-const FILTERS: &[Filter] = &[fresh, parse, route, key, aim, deliver::deliver];
+const FILTERS: &[Filter] = &[fresh, parse, route, key, aim, forward::forward];
 const SOON: Duration = Duration::from_millis(50);
 
 /// Counts a request as running for as long as it is held, whatever ends it.
@@ -51,7 +51,7 @@
             }
             ReadOutcome::Request(head, body) => {
                 let _running = Running::one(shared);
-                if !request(shared, &mut inbound, Passage::new(head, body)) {
+                if !request(shared, &mut inbound, RequestContext::new(head, body)) {
                     return;
                 }
             }
@@ -60,25 +60,25 @@
 }
 
 /// Takes a request through the chain; whether the connection may carry another.
-fn request(shared: &Arc<Shared>, inbound: &mut Inbound, mut passage: Passage) -> bool {
+fn request(shared: &Arc<Shared>, inbound: &mut Inbound, mut context: RequestContext) -> bool {
     count(&shared.counters.requests);
-    passage.close |= shared.draining.load(Ordering::Relaxed);
+    context.close |= shared.draining.load(Ordering::Relaxed);
     for filter in FILTERS {
-        match filter(shared, &mut passage, inbound) {
+        match filter(shared, &mut context, inbound) {
             Flow::Next => continue,
-            Flow::Answered => return !passage.close,
+            Flow::Answered => return !context.close,
             Flow::Reply(reply) => {
                 count(&shared.counters.refused);
                 let (headers, body) = reply.parts();
-                let sent = inbound.whole(reply.status, reply.reason(), &headers, body.as_bytes(), passage.close);
-                return sent.is_ok() && !passage.close;
+                let sent = inbound.whole(reply.status, reply.reason(), &headers, body.as_bytes(), context.close);
+                return sent.is_ok() && !context.close;
             }
         }
     }
     false
 }
 
-fn fresh(shared: &Arc<Shared>, _: &mut Passage, _: &mut Inbound) -> Flow {
+fn fresh(shared: &Arc<Shared>, _: &mut RequestContext, _: &mut Inbound) -> Flow {
     if !shared.is_fresh() {
         count(&shared.counters.not_fresh);
         return Flow::Reply(Reply::later("this node holds no lease", SOON));
@@ -89,29 +89,29 @@
     Flow::Next
 }
 
-fn parse(shared: &Arc<Shared>, passage: &mut Passage, _: &mut Inbound) -> Flow {
-    match shared.dialect.read(&passage.head) {
-        Ok(asked) => passage.asked = asked,
+fn parse(shared: &Arc<Shared>, context: &mut RequestContext, _: &mut Inbound) -> Flow {
+    match shared.dialect.read(&context.head) {
+        Ok(asked) => context.asked = asked,
         Err(what) => return Flow::Reply(Reply::new(400, what)),
     }
     Flow::Next
 }
 
-fn route(shared: &Arc<Shared>, passage: &mut Passage, _: &mut Inbound) -> Flow {
+fn route(shared: &Arc<Shared>, context: &mut RequestContext, _: &mut Inbound) -> Flow {
     let fleet = shared.fleet.read();
     let Some(configuration) = &fleet.configuration else { return Flow::Reply(Reply::later("no configuration", SOON)) };
-    let host = passage.head.headers.get("host").unwrap_or_default();
-    let path = passage.head.target.split('?').next().unwrap_or_default();
+    let host = context.head.headers.get("host").unwrap_or_default();
+    let path = context.head.target.split('?').next().unwrap_or_default();
     let Some(route) = configuration.route(host, path) else {
         return Flow::Reply(Reply::new(404, format!("no route for {host}{path}")));
     };
-    passage.route = route.clone();
+    context.route = route.clone();
     // The share that a request falls into is its own, so that a further try goes the same way.
     let sum = route.targets.iter().fold(0u64, |sum, (_, weight)| sum.saturating_add(*weight));
-    let mut at = hash::bytes(5, passage.asked.id.as_bytes()) % sum.max(1);
+    let mut at = hash::bytes(5, context.asked.id.as_bytes()) % sum.max(1);
     for (service, weight) in &route.targets {
         if at < *weight {
-            passage.service = service.clone();
+            context.service = service.clone();
             break;
         }
         at -= weight;
@@ -119,62 +119,62 @@
     Flow::Next
 }
 
-fn key(shared: &Arc<Shared>, passage: &mut Passage, _: &mut Inbound) -> Flow {
+fn key(shared: &Arc<Shared>, context: &mut RequestContext, _: &mut Inbound) -> Flow {
     let fleet = shared.fleet.read();
     let Some(configuration) = &fleet.configuration else { return Flow::Reply(Reply::later("no configuration", SOON)) };
     if !configuration.keyed {
         return Flow::Next;
     }
-    let Some(given) = &passage.asked.key else {
-        return if passage.route.open { Flow::Next } else { Flow::Reply(Reply::new(401, "a key is wanted")) };
+    let Some(given) = &context.asked.key else {
+        return if context.route.open { Flow::Next } else { Flow::Reply(Reply::new(401, "a key is wanted")) };
     };
     let print = hash::key_print(given);
     match fleet.tenant(&print) {
         Ok(tenant) => {
-            passage.tenant = Some(tenant.to_string());
-            passage.print = Some(print);
+            context.tenant = Some(tenant.to_string());
+            context.print = Some(print);
         }
-        Err(_) if passage.route.open => {}
+        Err(_) if context.route.open => {}
         Err(_) => return Flow::Reply(Reply::new(401, "unknown key")),
     }
     Flow::Next
 }
 
 /// What the request may take: time, tries, and how urgent it is.
-fn aim(shared: &Arc<Shared>, passage: &mut Passage, _: &mut Inbound) -> Flow {
+fn aim(shared: &Arc<Shared>, context: &mut RequestContext, _: &mut Inbound) -> Flow {
     let fleet = shared.fleet.read();
     let Some(configuration) = &fleet.configuration else { return Flow::Reply(Reply::later("no configuration", SOON)) };
-    let route = &passage.route;
+    let route = &context.route;
     let held = Duration::from_millis(route.timeout_ms);
-    passage.until = passage.begun + passage.asked.left.map_or(held, |left| left.min(held));
-    let tenant = passage.tenant.as_ref().and_then(|name| configuration.tenants.get(name));
+    context.until = context.begun + context.asked.left.map_or(held, |left| left.min(held));
+    let tenant = context.tenant.as_ref().and_then(|name| configuration.tenants.get(name));
     let apart = tenant.is_some_and(|t| t.row.apart);
-    passage.wall = match &passage.tenant {
+    context.wall = match &context.tenant {
         Some(name) if apart => format!("t:{name}"),
         _ => "all".into(),
     };
     let rank = tenant.and_then(|t| t.row.rank).unwrap_or(route.rank);
-    passage.urgency = Some((rank * 2 + 1).min(9) as u8);
+    context.urgency = Some((rank * 2 + 1).min(9) as u8);
     let repeatable = route.repeatable || (route.stream && route.resume);
-    passage.progress = Progress::new(repeatable, route.stream && route.resume, route.tries);
-    passage.progress.after = passage.asked.after.is_some();
+    context.progress = Progress::new(repeatable, route.stream && route.resume, route.tries);
+    context.progress.after = context.asked.after.is_some();
     shared.budget().earn(shared.now());
     Flow::Next
 }
 
 /// Whether the request may be sent at this moment: under a lease, with a key that still holds.
 /// ```no_run
-/// # fn show(shared: &stream_router::shared::Shared, passage: &stream_router::passage::Passage) {
-/// assert!(stream_router::chain::may_go_on(shared, passage).is_ok());
+/// # fn show(shared: &stream_router::shared::Shared, context: &stream_router::request_context::RequestContext) {
+/// assert!(stream_router::chain::may_go_on(shared, context).is_ok());
 /// # }
 /// ```
-pub fn may_go_on(shared: &Shared, passage: &Passage) -> Result<(), Reply> {
+pub fn may_go_on(shared: &Shared, context: &RequestContext) -> Result<(), Reply> {
     if !shared.is_fresh() {
         return Err(Reply::later("this node holds no lease", SOON));
     }
     let fleet = shared.fleet.read();
-    let tenant = passage.print.as_ref().map(|print| fleet.tenant(print).ok());
-    if tenant.is_some_and(|tenant| tenant != passage.tenant.as_deref()) {
+    let tenant = context.print.as_ref().map(|print| fleet.tenant(print).ok());
+    if tenant.is_some_and(|tenant| tenant != context.tenant.as_deref()) {
         return Err(Reply::new(401, "unknown key"));
     }
     Ok(())
--- a/crates/stream-router/src/deliver.rs
+++ b/crates/stream-router/src/forward.rs
@@ -3,9 +3,9 @@
 use crate::chain::may_go_on;
 use crate::dialect::Told;
 use crate::events::Events;
-use crate::passage::{Flow, Passage, Reply};
 use crate::placing::{self, Place};
 use crate::progress::{Failure, Next};
+use crate::request_context::{Flow, Reply, RequestContext};
 use crate::shared::{Shared, count};
 use crate::sharing::{Ended, Moved, News};
 use fleet_common::hash;
@@ -47,7 +47,7 @@
 
 pub(crate) struct Run<'a> {
     pub shared: &'a Arc<Shared>,
-    pub passage: &'a mut Passage,
+    pub context: &'a mut RequestContext,
     pub inbound: &'a mut Inbound,
     pub events: Events,
     pub last: Option<String>,
@@ -57,25 +57,25 @@
     pub id: u64,
 }
 
-/// Delivers a request.
+/// Forwards a request to replicas until one has answered or none may.
 /// ```no_run
-/// # fn show(shared: &std::sync::Arc<stream_router::shared::Shared>, passage: &mut stream_router::passage::Passage,
+/// # fn show(shared: &std::sync::Arc<stream_router::shared::Shared>, context: &mut stream_router::request_context::RequestContext,
 /// #     inbound: &mut http_streams::inbound::Inbound) {
-/// let _flow = stream_router::deliver::deliver(shared, passage, inbound);
+/// let _flow = stream_router::forward::forward(shared, context, inbound);
 /// # }
 /// ```
-pub fn deliver(shared: &Arc<Shared>, passage: &mut Passage, inbound: &mut Inbound) -> Flow {
-    let last = passage.asked.after.clone();
-    let mut run = Run { shared, passage, inbound, events: Events::default(), last, first: false, id: 0 };
+pub fn forward(shared: &Arc<Shared>, context: &mut RequestContext, inbound: &mut Inbound) -> Flow {
+    let last = context.asked.after.clone();
+    let mut run = Run { shared, context, inbound, events: Events::default(), last, first: false, id: 0 };
     loop {
         let (failure, whole) = match run.once() {
             Try::Flow(flow) => return flow,
             Try::Failed(failure, whole) => (failure, whole),
         };
-        let next = run.passage.progress.after(&failure, || shared.budget().spend());
+        let next = run.context.progress.after(&failure, || shared.budget().spend());
         match next {
             Next::Again => {
-                let resumed = run.passage.progress.answered;
+                let resumed = run.context.progress.answered;
                 count(if resumed { &shared.counters.resumed } else { &shared.counters.retries });
                 run.events.forget();
             }
@@ -85,7 +85,7 @@
             },
             Next::Cut => return run.cut(),
             Next::Tell(status, after) => {
-                let what = format!("{failure:?} after {} tries", run.passage.progress.sent);
+                let what = format!("{failure:?} after {} tries", run.context.progress.sent);
                 return Flow::Reply(Reply { after, ..Reply::new(status, what) });
             }
         }
@@ -95,22 +95,22 @@
 impl Run<'_> {
     pub(crate) fn cut(&mut self) -> Flow {
         count(&self.shared.counters.cut);
-        self.passage.close = true;
+        self.context.close = true;
         Flow::Answered
     }
 
     pub(crate) fn left(&mut self, up: Outbound) -> Try {
         up.cut();
         count(&self.shared.counters.caller_left);
-        self.passage.close = true;
+        self.context.close = true;
         Try::Flow(Flow::Answered)
     }
 
     pub(crate) fn timed_out(&mut self) -> Try {
-        if self.passage.progress.answered {
+        if self.context.progress.answered {
             return Try::Flow(self.cut());
         }
-        let reply = match self.passage.progress.sent > 0 {
+        let reply = match self.context.progress.sent > 0 {
             true => Reply::new(504, "its time is over"),
             false => Reply::later("its time was over before a replica could take it", Duration::from_millis(100)),
         };
@@ -119,19 +119,19 @@
 
     /// One try at one replica.
     fn once(&mut self) -> Try {
-        if Instant::now() >= self.passage.until {
+        if Instant::now() >= self.context.until {
             return self.timed_out();
         }
-        let Some(place) = placing::find(self.shared, self.passage) else {
+        let Some(place) = placing::find(self.shared, self.context) else {
             return Try::Failed(Failure::NoPlace, None);
         };
-        if self.passage.progress.sent == 0
+        if self.context.progress.sent == 0
             && let Some(after) = self.too_late(&place)
         {
             return Try::Flow(Flow::Reply(Reply::later("nobody could answer in time", after)));
         }
-        self.passage.tried.push(place.id.clone());
-        let need = if self.passage.progress.repeatable { Need::Any } else { Need::Sure };
+        self.context.tried.push(place.id.clone());
+        let need = if self.context.progress.repeatable { Need::Any } else { Need::Sure };
         let patience = self.connect_timeout();
         let up = match self.shared.pool.open(place.at, need, patience) {
             Ok(up) => up,
@@ -140,19 +140,19 @@
         if up.fresh {
             count(&self.shared.counters.connections);
         }
-        if let Err(reply) = may_go_on(self.shared, self.passage) {
+        if let Err(reply) = may_go_on(self.shared, self.context) {
             self.shared.pool.give(place.at, up);
-            return Try::Flow(if self.passage.progress.answered { self.cut() } else { Flow::Reply(reply) });
+            return Try::Flow(if self.context.progress.answered { self.cut() } else { Flow::Reply(reply) });
         }
         let up = match self.send(&place, up) {
             Ok(up) => up,
             Err(SendError::Unsent(_)) => return self.unreached(&place),
             Err(SendError::SentInPart(_)) => {
-                self.passage.progress.sent += 1;
+                self.context.progress.sent += 1;
                 return Try::Failed(Failure::Unknown, None);
             }
         };
-        self.passage.progress.sent += 1;
+        self.context.progress.sent += 1;
         let id = hash::unique();
         let last = place.parts.len().saturating_sub(1);
         let parts = place.parts[..last].iter().map(|(part, _)| *part).collect();
@@ -163,7 +163,7 @@
             self.shared.tell(News::Moved(Moved { link: key(link), took_us }));
         }
         (self.first, self.id) = (false, id);
-        let ended = self.heard(&place, up);
+        let ended = self.receive(&place, up);
         if !self.first {
             // It was refused, given up or lost before it was read.
             self.shared.tell(News::Undone(Ended { replica: key(&place.id), id }));
@@ -173,13 +173,13 @@
     }
 
     fn connect_timeout(&self) -> Duration {
-        CONNECT.min(self.passage.until.saturating_duration_since(Instant::now()))
+        CONNECT.min(self.context.until.saturating_duration_since(Instant::now()))
     }
 
     /// Sends the request. A kept connection that nothing could be sent on is replaced by a new one: that says
     /// nothing about the replica.
     fn send(&self, place: &Place, mut up: Outbound) -> Result<Outbound, SendError> {
-        let method = &self.passage.head.method;
+        let method = &self.context.head.method;
         match up.send(method, &self.bytes(place)) {
             Ok(()) => return Ok(up),
             Err(SendError::Unsent(_)) if !up.fresh => {}
@@ -188,7 +188,7 @@
         let mut new = Outbound::connect(place.at, self.connect_timeout()).map_err(SendError::Unsent)?;
         count(&self.shared.counters.connections);
         // Connecting took its time: what allowed the request before may not hold any more.
-        may_go_on(self.shared, self.passage).map_err(|_| SendError::Unsent(io::ErrorKind::TimedOut.into()))?;
+        may_go_on(self.shared, self.context).map_err(|_| SendError::Unsent(io::ErrorKind::TimedOut.into()))?;
         new.send(method, &self.bytes(place))?;
         Ok(new)
     }
@@ -196,7 +196,7 @@
     /// When to come back, where even the best place would bring the first event after its caller has gone: what
     /// is read for nobody makes all others wait.
     fn too_late(&self, place: &Place) -> Option<Duration> {
-        let patience = self.shared.setup.patience.of(&self.passage.route);
+        let patience = self.shared.setup.patience.of(&self.context.route);
         let first = place.waiting + place.work + ANSWERS;
         let full = place.memory > MEMORY_MOST && place.waiting > ANSWERS * 2;
         (full || first > patience.mul_f64(CROWDED))
@@ -210,21 +210,21 @@
     }
 
     fn bytes(&self, place: &Place) -> Vec<u8> {
-        let passage = &self.passage;
-        let model = !passage.asked.model.is_empty();
+        let context = &self.context;
+        let model = !context.asked.model.is_empty();
         let told = Told {
-            left: passage.until.saturating_duration_since(Instant::now()).saturating_sub(WAY_BACK),
+            left: context.until.saturating_duration_since(Instant::now()).saturating_sub(WAY_BACK),
             replica: &place.id,
-            tenant: passage.tenant.as_deref(),
+            tenant: context.tenant.as_deref(),
             salt: model.then_some(place.salt.as_str()),
             source: place.source.as_ref().map(|(_, at)| at.as_str()),
             target: place.target.as_deref(),
-            urgency: passage.urgency,
+            urgency: context.urgency,
             weights: (model && !place.weights.is_empty()).then_some(place.weights.as_str()),
             after: self.last.as_deref(),
         };
-        let mut bytes = self.shared.dialect.ask(&passage.head, passage.body.len(), &told);
-        bytes.extend_from_slice(&passage.body);
+        let mut bytes = self.shared.dialect.ask(&context.head, context.body.len(), &told);
+        bytes.extend_from_slice(&context.body);
         bytes
     }
 
@@ -235,8 +235,8 @@
         }
         count(&self.shared.counters.passed_on);
         let headers: Vec<_> = whole.head.headers.end_to_end().cloned().collect();
-        let (status, close) = (whole.head.status, self.passage.close);
-        self.passage.close |= self.inbound.whole(status, &whole.head.reason, &headers, &whole.body, close).is_err();
+        let (status, close) = (whole.head.status, self.context.close);
+        self.context.close |= self.inbound.whole(status, &whole.head.reason, &headers, &whole.body, close).is_err();
         Flow::Answered
     }
 }
--- a/crates/stream-router/src/placing.rs
+++ b/crates/stream-router/src/placing.rs
@@ -1,5 +1,5 @@
 //! Placing a request among the replicas of a service, with what this router knows.
-use crate::passage::Passage;
+use crate::request_context::RequestContext;
 use crate::shared::{Shared, count};
 use control_chain::fleet::{Fleet, STORE};
 use fleet_common::hash;
@@ -47,28 +47,28 @@
     pub begins_by: Option<Instant>,
 }
 
-fn parts_of(passage: &Passage, salt: &str) -> Parts {
-    let model = &passage.asked.model;
-    passage.asked.parts.iter().map(|(id, tokens)| (blocks::part(salt, model, id), *tokens)).collect()
+fn parts_of(context: &RequestContext, salt: &str) -> Parts {
+    let model = &context.asked.model;
+    context.asked.parts.iter().map(|(id, tokens)| (blocks::part(salt, model, id), *tokens)).collect()
 }
 
 /// What of a service's replicas may take the request: listed, up, not leaving, of weights that may still serve.
-fn fit(shared: &Shared, passage: &Passage, seats: &[Seat]) -> Vec<usize> {
+fn fit(shared: &Shared, context: &RequestContext, seats: &[Seat]) -> Vec<usize> {
     let fleet = shared.fleet.read();
-    let model = &passage.asked.model;
+    let model = &context.asked.model;
     let named = fleet.blueprint.as_ref().and_then(|b| b.models.get(model)).map(|m| m.weights.clone());
     let old_until = fleet.weights_since.get(model).map(|(_, at)| old_until(*at, &fleet, shared.setup.old_weights));
     let ledger = shared.ledger();
     let begins = |seat: &Seat| shared.now() + ledger.waiting(shared.now(), key(&seat.id)).mul_f64(2.0) + BEGINS;
     let old_too = |seat: &Seat| old_until.is_some_and(|until| begins(seat) < until);
-    let service = |at: usize| fleet.replicas.get(at).is_some_and(|r| r.service == passage.service);
+    let service = |at: usize| fleet.replicas.get(at).is_some_and(|r| r.service == context.service);
     let runs = |seat: &Seat| match &named {
         Some(named) => seat.weights.is_empty() || seat.weights == *named || old_too(seat),
         None => true,
     };
     let open = |at: &usize| {
         let seat = &seats[*at];
-        service(*at) && !seat.leaving && !passage.tried.contains(&seat.id) && runs(seat)
+        service(*at) && !seat.leaving && !context.tried.contains(&seat.id) && runs(seat)
     };
     let subsets = shared.subsets.read();
     let all: Vec<usize> = (0..seats.len()).filter(open).collect();
@@ -83,10 +83,10 @@
 }
 
 /// By when a request must begin at a replica that runs other weights than are named.
-fn begins_by(shared: &Shared, passage: &Passage, seat: &Seat, named: Option<&str>) -> Option<Instant> {
+fn begins_by(shared: &Shared, context: &RequestContext, seat: &Seat, named: Option<&str>) -> Option<Instant> {
     let old = named.is_some_and(|named| !seat.weights.is_empty() && seat.weights != named);
     let fleet = shared.fleet.read();
-    let (_, since) = fleet.weights_since.get(&passage.asked.model).filter(|_| old)?;
+    let (_, since) = fleet.weights_since.get(&context.asked.model).filter(|_| old)?;
     let until = old_until(*since, &fleet, shared.setup.old_weights);
     Some(Instant::now() + until.saturating_sub(shared.now()))
 }
@@ -100,22 +100,22 @@
 
 /// Finds a place for the next try.
 /// ```no_run
-/// # fn show(shared: &stream_router::shared::Shared, passage: &stream_router::passage::Passage) {
-/// assert!(stream_router::placing::find(shared, passage).is_none());
+/// # fn show(shared: &stream_router::shared::Shared, context: &stream_router::request_context::RequestContext) {
+/// assert!(stream_router::placing::find(shared, context).is_none());
 /// # }
 /// ```
-pub fn find(shared: &Shared, passage: &Passage) -> Option<Place> {
+pub fn find(shared: &Shared, context: &RequestContext) -> Option<Place> {
     let seats = shared.seats();
-    let fit = fit(shared, passage, &seats);
+    let fit = fit(shared, context, &seats);
     let fleet = shared.fleet.read();
-    let named = fleet.blueprint.as_ref().and_then(|b| b.models.get(&passage.asked.model)).map(|m| m.weights.clone());
+    let named = fleet.blueprint.as_ref().and_then(|b| b.models.get(&context.asked.model)).map(|m| m.weights.clone());
     let weights_of = |seat: &Seat| match seat.weights.is_empty() {
         true => named.clone().unwrap_or_default(),
         false => seat.weights.clone(),
     };
     let salted = |weights: String| {
-        let salt = blocks::salt_text(&passage.wall, &weights);
-        let parts = parts_of(passage, &salt);
+        let salt = blocks::salt_text(&context.wall, &weights);
+        let parts = parts_of(context, &salt);
         (weights, (salt, parts))
     };
     let by_weights: BTreeMap<String, (String, Parts)> = fit
@@ -142,17 +142,17 @@
             let busy = (load + mine.since).max(mine.running) as f64;
             let key = key(&seat.id);
             let (waiting_us, pace) = (ledger.waiting(now, key).as_micros() as f64, ledger.pace(key));
-            let memory = memory(&fleet, passage, ledger.tokens(now, key), parts);
+            let memory = memory(&fleet, context, ledger.tokens(now, key), parts);
             Some(Candidate { seat, parts, busy, waiting_us, pace, memory, near: seat.district == shared.setup.zone })
         })
         .collect();
     drop(ledger);
     let sources: Vec<Source> = seats
         .iter()
-        .filter(|s| !s.down && !s.leaving && (s.model == passage.asked.model || s.model == STORE))
+        .filter(|s| !s.down && !s.leaving && (s.model == context.asked.model || s.model == STORE))
         .map(|seat| Source {
             seat,
-            move_us: link_us(&fleet, passage, seat),
+            move_us: link_us(&fleet, context, seat),
             waiting_us: links.waiting(now, key(&format!("{LINK}{}", seat.id))).as_micros() as f64,
         })
         .collect();
@@ -161,7 +161,7 @@
     let recent = shared.recent().clone();
     let held = Held { mirrors: &mirrors, recent: &recent, now: shared.now() };
     let first = candidates.first().and_then(|c| c.parts.first()).map_or(0, |(hash, _)| *hash);
-    let spread = if passage.tried.is_empty() { first } else { hash::unique() };
+    let spread = if context.tried.is_empty() { first } else { hash::unique() };
     let choice = choose(&candidates, &sources, &held, &prices, spread)?;
     let candidate = &candidates[choice.at];
     let weights = weights_of(candidate.seat);
@@ -200,14 +200,14 @@
         work: Duration::from_micros(choice.work_us as u64),
         waiting: Duration::from_micros(candidate.waiting_us as u64),
         memory: candidate.memory,
-        begins_by: begins_by(shared, passage, candidate.seat, named.as_deref()),
+        begins_by: begins_by(shared, context, candidate.seat, named.as_deref()),
     })
 }
 
 /// The share of a replica's memory that is asked for with this prompt, by what the configuration says it has.
-fn memory(fleet: &Fleet, passage: &Passage, asked: u64, parts: &Parts) -> f64 {
+fn memory(fleet: &Fleet, context: &RequestContext, asked: u64, parts: &Parts) -> f64 {
     let services = fleet.configuration.as_ref().map(|c| &c.services);
-    let engine = services.and_then(|s| s.get(&passage.service)).and_then(|s| s.row.engine.as_ref());
+    let engine = services.and_then(|s| s.get(&context.service)).and_then(|s| s.row.engine.as_ref());
     let own: u64 = parts.iter().map(|(_, tokens)| tokens).sum();
     match engine.map_or(0, |e| e.cache_tokens) {
         0 => 0.0,
@@ -216,9 +216,9 @@
 }
 
 /// What handing one token over takes on a source's link, by what the configuration says of it.
-fn link_us(fleet: &Fleet, passage: &Passage, source: &Seat) -> f64 {
+fn link_us(fleet: &Fleet, context: &RequestContext, source: &Seat) -> f64 {
     let Some(configuration) = &fleet.configuration else { return USUAL_LINK_US };
-    let engine = configuration.services.get(&passage.service).and_then(|s| s.row.engine.as_ref());
+    let engine = configuration.services.get(&context.service).and_then(|s| s.row.engine.as_ref());
     let store = fleet.replicas.iter().find(|r| r.id == source.id && r.model == STORE);
     let store = store.and_then(|r| configuration.services.get(&r.service)).and_then(|s| s.row.store.as_ref());
     let mbps = store.map_or(engine.map_or(0, |e| e.link_mbps), |s| s.link_mbps);
--- a/crates/stream-router/src/passage.rs
+++ b/crates/stream-router/src/request_context.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 /// A request and what has been found out about it.
-pub struct Passage {
+pub struct RequestContext {
     pub head: RequestHead,
     pub body: Vec<u8>,
     pub begun: Instant,
@@ -25,16 +25,16 @@
     pub close: bool,
 }
 
-impl Passage {
+impl RequestContext {
     /// A request as it came.
     /// ```
-    /// let passage = stream_router::passage::Passage::new(Default::default(), Vec::new());
-    /// assert!(passage.tenant.is_none());
+    /// let context = stream_router::request_context::RequestContext::new(Default::default(), Vec::new());
+    /// assert!(context.tenant.is_none());
     /// ```
     pub fn new(head: RequestHead, body: Vec<u8>) -> Self {
         let now = Instant::now();
         let close = head.old || head.headers.lists("connection", "close");
-        Passage {
+        RequestContext {
             head,
             body,
             begun: now,
@@ -64,7 +64,7 @@
 impl Reply {
     /// A plain answer.
     /// ```
-    /// assert_eq!(stream_router::passage::Reply::new(404, "no route").status, 404);
+    /// assert_eq!(stream_router::request_context::Reply::new(404, "no route").status, 404);
     /// ```
     pub fn new(status: u16, what: impl ToString) -> Self {
         Reply { status, what: what.to_string(), after: None }
@@ -73,7 +73,7 @@
     /// It has not run: the caller may come back after a while.
     /// ```
     /// use std::time::Duration;
-    /// assert!(stream_router::passage::Reply::later("busy", Duration::from_millis(100)).after.is_some());
+    /// assert!(stream_router::request_context::Reply::later("busy", Duration::from_millis(100)).after.is_some());
     /// ```
     pub fn later(what: impl ToString, after: Duration) -> Self {
         Reply { after: Some(after), ..Reply::new(503, what) }
@@ -81,7 +81,7 @@
 
     /// Its headers and body.
     /// ```
-    /// let (headers, body) = stream_router::passage::Reply::new(404, "no route").parts();
+    /// let (headers, body) = stream_router::request_context::Reply::new(404, "no route").parts();
     /// assert!(headers.len() == 1 && body.contains("no route"));
     /// ```
     pub fn parts(&self) -> (Vec<(String, String)>, String) {
@@ -94,7 +94,7 @@
 
     /// The words of its status.
     /// ```
-    /// assert_eq!(stream_router::passage::Reply::new(503, "").reason(), "Service Unavailable");
+    /// assert_eq!(stream_router::request_context::Reply::new(503, "").reason(), "Service Unavailable");
     /// ```
     pub fn reason(&self) -> &'static str {
         match self.status {
--- a/crates/stream-router/src/following.rs
+++ b/crates/stream-router/src/response.rs
@@ -1,10 +1,10 @@
 //! Follows a request that was sent: its own answer's head, and its stream, event by event.
 use crate::auditing::Tried;
-use crate::deliver::{Run, Try, Whole};
 use crate::dialect::Said;
-use crate::passage::Flow;
+use crate::forward::{Run, Try, Whole};
 use crate::placing::Place;
 use crate::progress::Failure;
+use crate::request_context::Flow;
 use crate::shared::count;
 use crate::sharing::{Ended, News};
 use http_streams::head::AnswerHead;
@@ -25,14 +25,14 @@
 
 impl Run<'_> {
     /// Follows a request that was sent.
-    pub(crate) fn heard(&mut self, place: &Place, mut up: Outbound) -> Try {
+    pub(crate) fn receive(&mut self, place: &Place, mut up: Outbound) -> Try {
         let sent = Instant::now();
         let (head, said) = match self.own_head(place, &mut up) {
             Ok(read) => read,
             Err(ResponsePart::CallerLeft) => return self.left(up),
             Err(ResponsePart::TimedOut) => {
                 up.cut();
-                let over = Instant::now() >= self.passage.until;
+                let over = Instant::now() >= self.context.until;
                 return if over { self.timed_out() } else { Try::Failed(Failure::Unknown, None) };
             }
             Err(_) => return Try::Failed(Failure::Unknown, None),
@@ -54,15 +54,15 @@
         // Nobody vouches for a success without a seal or an id; and what follows a begun answer can only be its
         // stream going on.
         let vouched = said.sealed && said.id.is_some();
-        if (head.status < 300 && !vouched) || (self.passage.progress.answered && head.status != 200) {
+        if (head.status < 300 && !vouched) || (self.context.progress.answered && head.status != 200) {
             up.cut();
             return Try::Failed(Failure::Unknown, None);
         }
-        if self.passage.route.stream && head.status == 200 {
+        if self.context.route.stream && head.status == 200 {
             return self.stream(place, up, head, sent);
         }
         let caller = Some(self.inbound.socket());
-        let body = match rest(&mut up, caller, self.passage.until + LAST_WORD) {
+        let body = match rest(&mut up, caller, self.context.until + LAST_WORD) {
             Ok(body) => body,
             Err(ResponsePart::CallerLeft) => return self.left(up),
             Err(_) => return Try::Failed(Failure::Unknown, None),
@@ -80,7 +80,7 @@
     /// The head of this request's own answer; late answers to others are passed over. An answer without an id is
     /// this request's only where none but its own can come: as the first one of a new connection.
     fn own_head(&mut self, place: &Place, up: &mut Outbound) -> Result<(AnswerHead, Said), ResponsePart> {
-        let until = self.passage.until + LAST_WORD;
+        let until = self.context.until + LAST_WORD;
         // On old weights it begins in time or not at all.
         let until = place.begins_by.map_or(until, |by| by.min(until));
         for passed in 0..LATE_MOST {
@@ -88,9 +88,9 @@
                 ResponsePart::Head(head) => head,
                 other => return Err(other),
             };
-            let said = self.shared.dialect.said(&head, &self.passage.asked.model);
+            let said = self.shared.dialect.said(&head, &self.context.asked.model);
             match said.id.as_deref() {
-                Some(id) if id == self.passage.asked.id => return Ok((head, said)),
+                Some(id) if id == self.context.asked.id => return Ok((head, said)),
                 None if up.fresh && passed == 0 => return Ok((head, said)),
                 None => return Err(ResponsePart::Broken("an answer without an id".into())),
                 Some(_) => count(&self.shared.counters.late_answers),
@@ -107,7 +107,7 @@
 
     /// Passes a stream on, event by event.
     fn stream(&mut self, place: &Place, mut up: Outbound, head: AnswerHead, sent: Instant) -> Try {
-        let end = self.passage.until + LAST_WORD;
+        let end = self.context.until + LAST_WORD;
         loop {
             // On old weights its first event comes in time or not at all.
             let until = place.begins_by.filter(|_| !self.first).map_or(end, |by| by.min(end));
@@ -117,7 +117,7 @@
                 ResponsePart::CallerLeft => return self.left(up),
                 ResponsePart::TimedOut => {
                     up.cut();
-                    let over = Instant::now() >= self.passage.until;
+                    let over = Instant::now() >= self.context.until;
                     return if over { self.timed_out() } else { Try::Failed(Failure::Unknown, None) };
                 }
                 _ => return Try::Failed(Failure::Unknown, None),
@@ -135,7 +135,7 @@
             }
             if let Some(last) = last {
                 self.last = Some(last);
-                self.passage.progress.after = true;
+                self.context.progress.after = true;
             }
             if over {
                 count(&self.shared.counters.whole);
@@ -147,15 +147,15 @@
 
     /// Writes events to the caller, with the head of the first run before the first of them.
     fn pass(&mut self, head: &AnswerHead, whole: &[u8], over: bool) -> bool {
-        let begun = std::mem::replace(&mut self.passage.progress.answered, true);
+        let begun = std::mem::replace(&mut self.context.progress.answered, true);
         if !begun && (!whole.is_empty() || over) {
             let headers: Vec<_> = head.headers.end_to_end().cloned().collect();
-            let close = self.passage.close;
+            let close = self.context.close;
             let began = self.inbound.begin(head.status, &head.reason, &headers, whole, close);
             return began.is_ok() && (!over || self.inbound.end(b"").is_ok());
         }
         if !begun {
-            self.passage.progress.answered = false;
+            self.context.progress.answered = false;
             return true;
         }
         match over {
@@ -180,7 +180,7 @@
         });
         let Some((block, _)) = handed.last() else { return };
         let tried =
-            Tried { request: self.passage.asked.id.clone(), source: source.clone(), block: *block, first: took };
+            Tried { request: self.context.asked.id.clone(), source: source.clone(), block: *block, first: took };
         self.shared.audit(tried);
     }
 }
