--- a/crates/stream-router/src/chain.rs
+++ b/crates/stream-router/src/chain.rs
@@ -91,7 +91,7 @@
 
 fn parse(shared: &Arc<Shared>, context: &mut RequestContext, _: &mut Inbound) -> Flow {
     match shared.dialect.read(&context.head) {
-        Ok(asked) => context.asked = asked,
+        Ok(info) => context.info = info,
         Err(what) => return Flow::Reply(Reply::new(400, what)),
     }
     Flow::Next
@@ -108,7 +108,7 @@
     context.route = route.clone();
     // The share that a request falls into is its own, so that a further try goes the same way.
     let sum = route.targets.iter().fold(0u64, |sum, (_, weight)| sum.saturating_add(*weight));
-    let mut at = hash::bytes(5, context.asked.id.as_bytes()) % sum.max(1);
+    let mut at = hash::bytes(5, context.info.id.as_bytes()) % sum.max(1);
     for (service, weight) in &route.targets {
         if at < *weight {
             context.service = service.clone();
@@ -125,7 +125,7 @@
     if !configuration.keyed {
         return Flow::Next;
     }
-    let Some(given) = &context.asked.key else {
+    let Some(given) = &context.info.key else {
         return if context.route.open { Flow::Next } else { Flow::Reply(Reply::new(401, "a key is wanted")) };
     };
     let print = hash::key_print(given);
@@ -146,7 +146,7 @@
     let Some(configuration) = &fleet.configuration else { return Flow::Reply(Reply::later("no configuration", SOON)) };
     let route = &context.route;
     let held = Duration::from_millis(route.timeout_ms);
-    context.until = context.begun + context.asked.left.map_or(held, |left| left.min(held));
+    context.until = context.begun + context.info.left.map_or(held, |left| left.min(held));
     let tenant = context.tenant.as_ref().and_then(|name| configuration.tenants.get(name));
     let apart = tenant.is_some_and(|t| t.row.apart);
     context.wall = match &context.tenant {
@@ -157,7 +157,7 @@
     context.urgency = Some((rank * 2 + 1).min(9) as u8);
     let repeatable = route.repeatable || (route.stream && route.resume);
     context.progress = Progress::new(repeatable, route.stream && route.resume, route.tries);
-    context.progress.after = context.asked.after.is_some();
+    context.progress.after = context.info.after.is_some();
     shared.budget().earn(shared.now());
     Flow::Next
 }
--- a/crates/stream-router/src/dialect.rs
+++ b/crates/stream-router/src/dialect.rs
@@ -4,7 +4,7 @@
 
 /// What a caller asked for.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Asked {
+pub struct RequestInfo {
     /// The request's own id: repeated in its answer.
     pub id: String,
     /// For how long the caller will wait.
@@ -21,7 +21,7 @@
 
 /// What a replica is told beside the caller's request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Told<'a> {
+pub struct ForwardInfo<'a> {
     pub left: Duration,
     pub replica: &'a str,
     pub tenant: Option<&'a str>,
@@ -37,7 +37,7 @@
 
 /// What a replica says in the head of its answer.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Said {
+pub struct ResponseInfo {
     pub id: Option<String>,
     /// It says that the request did not run there and never will.
     pub not_run: bool,
@@ -55,13 +55,13 @@
 /// How callers and replicas speak. Translates only.
 pub trait Dialect: Send + Sync {
     /// Reads a request's head; an error is told to the caller as a bad request.
-    fn read(&self, head: &RequestHead) -> Result<Asked, String>;
+    fn read(&self, head: &RequestHead) -> Result<RequestInfo, String>;
 
     /// The head for a replica, with the empty line: the caller's headers, less those that are not its to set.
-    fn ask(&self, head: &RequestHead, body: usize, told: &Told) -> Vec<u8>;
+    fn ask(&self, head: &RequestHead, body: usize, told: &ForwardInfo) -> Vec<u8>;
 
     /// Reads the head of a replica's answer to a request for this model.
-    fn said(&self, head: &AnswerHead, model: &str) -> Said;
+    fn said(&self, head: &AnswerHead, model: &str) -> ResponseInfo;
 
     /// The version that an event begins with, where weights changed within a stream.
     fn weights_in(&self, event: &[u8], model: &str) -> Option<String>;
--- a/crates/stream-router/src/forward.rs
+++ b/crates/stream-router/src/forward.rs
@@ -1,7 +1,7 @@
 //! The last filter: sends a request to a replica and passes its answer on; after a failure it does what the
 //! progress says. Each run of a stream is followed by whole events, and another run goes on after the last.
 use crate::chain::may_go_on;
-use crate::dialect::Told;
+use crate::dialect::ForwardInfo;
 use crate::events::Events;
 use crate::placing::{self, Place};
 use crate::progress::{Failure, Next};
@@ -65,7 +65,7 @@
 /// # }
 /// ```
 pub fn forward(shared: &Arc<Shared>, context: &mut RequestContext, inbound: &mut Inbound) -> Flow {
-    let last = context.asked.after.clone();
+    let last = context.info.after.clone();
     let mut run = Run { shared, context, inbound, events: Events::default(), last, first: false, id: 0 };
     loop {
         let (failure, whole) = match run.once() {
@@ -211,8 +211,8 @@
 
     fn bytes(&self, place: &Place) -> Vec<u8> {
         let context = &self.context;
-        let model = !context.asked.model.is_empty();
-        let told = Told {
+        let model = !context.info.model.is_empty();
+        let told = ForwardInfo {
             left: context.until.saturating_duration_since(Instant::now()).saturating_sub(WAY_BACK),
             replica: &place.id,
             tenant: context.tenant.as_deref(),
--- a/crates/stream-router/src/placing.rs
+++ b/crates/stream-router/src/placing.rs
@@ -48,14 +48,14 @@
 }
 
 fn parts_of(context: &RequestContext, salt: &str) -> Parts {
-    let model = &context.asked.model;
-    context.asked.parts.iter().map(|(id, tokens)| (blocks::part(salt, model, id), *tokens)).collect()
+    let model = &context.info.model;
+    context.info.parts.iter().map(|(id, tokens)| (blocks::part(salt, model, id), *tokens)).collect()
 }
 
 /// What of a service's replicas may take the request: listed, up, not leaving, of weights that may still serve.
 fn fit(shared: &Shared, context: &RequestContext, seats: &[Seat]) -> Vec<usize> {
     let fleet = shared.fleet.read();
-    let model = &context.asked.model;
+    let model = &context.info.model;
     let named = fleet.blueprint.as_ref().and_then(|b| b.models.get(model)).map(|m| m.weights.clone());
     let old_until = fleet.weights_since.get(model).map(|(_, at)| old_until(*at, &fleet, shared.setup.old_weights));
     let ledger = shared.ledger();
@@ -86,7 +86,7 @@
 fn begins_by(shared: &Shared, context: &RequestContext, seat: &Seat, named: Option<&str>) -> Option<Instant> {
     let old = named.is_some_and(|named| !seat.weights.is_empty() && seat.weights != named);
     let fleet = shared.fleet.read();
-    let (_, since) = fleet.weights_since.get(&context.asked.model).filter(|_| old)?;
+    let (_, since) = fleet.weights_since.get(&context.info.model).filter(|_| old)?;
     let until = old_until(*since, &fleet, shared.setup.old_weights);
     Some(Instant::now() + until.saturating_sub(shared.now()))
 }
@@ -108,7 +108,7 @@
     let seats = shared.seats();
     let fit = fit(shared, context, &seats);
     let fleet = shared.fleet.read();
-    let named = fleet.blueprint.as_ref().and_then(|b| b.models.get(&context.asked.model)).map(|m| m.weights.clone());
+    let named = fleet.blueprint.as_ref().and_then(|b| b.models.get(&context.info.model)).map(|m| m.weights.clone());
     let weights_of = |seat: &Seat| match seat.weights.is_empty() {
         true => named.clone().unwrap_or_default(),
         false => seat.weights.clone(),
@@ -149,7 +149,7 @@
     drop(ledger);
     let sources: Vec<Source> = seats
         .iter()
-        .filter(|s| !s.down && !s.leaving && (s.model == context.asked.model || s.model == STORE))
+        .filter(|s| !s.down && !s.leaving && (s.model == context.info.model || s.model == STORE))
         .map(|seat| Source {
             seat,
             move_us: link_us(&fleet, context, seat),
--- a/crates/stream-router/src/request_context.rs
+++ b/crates/stream-router/src/request_context.rs
@@ -1,5 +1,5 @@
 //! A request on its way through the filters.
-use crate::dialect::Asked;
+use crate::dialect::RequestInfo;
 use crate::progress::Progress;
 use control_chain::configuration::Route;
 use http_streams::head::RequestHead;
@@ -11,7 +11,7 @@
     pub body: Vec<u8>,
     pub begun: Instant,
     pub until: Instant,
-    pub asked: Asked,
+    pub info: RequestInfo,
     pub route: Route,
     pub service: String,
     /// The print of its key, and whose it is.
@@ -39,7 +39,7 @@
             body,
             begun: now,
             until: now + Duration::from_secs(30),
-            asked: Asked::default(),
+            info: RequestInfo::default(),
             route: Route::default(),
             service: String::new(),
             print: None,
--- a/crates/stream-router/src/response.rs
+++ b/crates/stream-router/src/response.rs
@@ -1,6 +1,6 @@
 //! Follows a request that was sent: its own answer's head, and its stream, event by event.
 use crate::auditing::Tried;
-use crate::dialect::Said;
+use crate::dialect::ResponseInfo;
 use crate::forward::{Run, Try, Whole};
 use crate::placing::Place;
 use crate::progress::Failure;
@@ -79,7 +79,7 @@
 
     /// The head of this request's own answer; late answers to others are passed over. An answer without an id is
     /// this request's only where none but its own can come: as the first one of a new connection.
-    fn own_head(&mut self, place: &Place, up: &mut Outbound) -> Result<(AnswerHead, Said), ResponsePart> {
+    fn own_head(&mut self, place: &Place, up: &mut Outbound) -> Result<(AnswerHead, ResponseInfo), ResponsePart> {
         let until = self.context.until + LAST_WORD;
         // On old weights it begins in time or not at all.
         let until = place.begins_by.map_or(until, |by| by.min(until));
@@ -88,9 +88,9 @@
                 ResponsePart::Head(head) => head,
                 other => return Err(other),
             };
-            let said = self.shared.dialect.said(&head, &self.context.asked.model);
+            let said = self.shared.dialect.said(&head, &self.context.info.model);
             match said.id.as_deref() {
-                Some(id) if id == self.context.asked.id => return Ok((head, said)),
+                Some(id) if id == self.context.info.id => return Ok((head, said)),
                 None if up.fresh && passed == 0 => return Ok((head, said)),
                 None => return Err(ResponsePart::Broken("an answer without an id".into())),
                 Some(_) => count(&self.shared.counters.late_answers),
@@ -179,8 +179,7 @@
             tokens <= place.own + place.handed
         });
         let Some((block, _)) = handed.last() else { return };
-        let tried =
-            Tried { request: self.context.asked.id.clone(), source: source.clone(), block: *block, first: took };
+        let tried = Tried { request: self.context.info.id.clone(), source: source.clone(), block: *block, first: took };
         self.shared.audit(tried);
     }
 }
