--- a/crates/stream-router/src/following.rs
+++ b/crates/stream-router/src/response.rs
@@ -1,14 +1,14 @@
 //! Follows a request that was sent: its own answer's head, and its stream, event by event.
 use crate::auditing::Tried;
-use crate::deliver::{Run, Try, Whole};
-use crate::dialect::Said;
-use crate::passage::Flow;
+use crate::dialect::ResponseInfo;
+use crate::forward::{Run, Try, Whole};
 use crate::placing::Place;
 use crate::progress::Failure;
+use crate::request_context::Flow;
 use crate::shared::count;
 use crate::sharing::{Ended, News};
 use http_streams::head::AnswerHead;
-use http_streams::outbound::{Heard, Outbound};
+use http_streams::outbound::{Outbound, ResponsePart};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 use way_choice::backlog::key;
@@ -25,14 +25,14 @@
 
 impl Run<'_> {
     /// Follows a request that was sent.
-    pub(crate) fn heard(&mut self, place: &Place, mut up: Outbound) -> Try {
+    pub(crate) fn receive(&mut self, place: &Place, mut up: Outbound) -> Try {
         let sent = Instant::now();
         let (head, said) = match self.own_head(place, &mut up) {
             Ok(read) => read,
-            Err(Heard::CallerLeft) => return self.left(up),
-            Err(Heard::TimedOut) => {
+            Err(ResponsePart::CallerLeft) => return self.left(up),
+            Err(ResponsePart::TimedOut) => {
                 up.cut();
-                let over = Instant::now() >= self.passage.until;
+                let over = Instant::now() >= self.context.until;
                 return if over { self.timed_out() } else { Try::Failed(Failure::Unknown, None) };
             }
             Err(_) => return Try::Failed(Failure::Unknown, None),
@@ -54,17 +54,17 @@
         // Nobody vouches for a success without a seal or an id; and what follows a begun answer can only be its
         // stream going on.
         let vouched = said.sealed && said.id.is_some();
-        if (head.status < 300 && !vouched) || (self.passage.progress.answered && head.status != 200) {
+        if (head.status < 300 && !vouched) || (self.context.progress.answered && head.status != 200) {
             up.cut();
             return Try::Failed(Failure::Unknown, None);
         }
-        if self.passage.route.stream && head.status == 200 {
+        if self.context.route.stream && head.status == 200 {
             return self.stream(place, up, head, sent);
         }
         let caller = Some(self.inbound.socket());
-        let body = match rest(&mut up, caller, self.passage.until + LAST_WORD) {
+        let body = match rest(&mut up, caller, self.context.until + LAST_WORD) {
             Ok(body) => body,
-            Err(Heard::CallerLeft) => return self.left(up),
+            Err(ResponsePart::CallerLeft) => return self.left(up),
             Err(_) => return Try::Failed(Failure::Unknown, None),
         };
         self.shared.pool.give(place.at, up);
@@ -77,42 +77,47 @@
         }
     }
 
-    /// The head of this request's own answer; late answers to others are passed over.
-    fn own_head(&mut self, place: &Place, up: &mut Outbound) -> Result<(AnswerHead, Said), Heard> {
-        let until = self.passage.until + LAST_WORD;
+    /// The head of this request's own answer; late answers to others are passed over. An answer without an id is
+    /// this request's only where none but its own can come: as the first one of a new connection.
+    fn own_head(&mut self, place: &Place, up: &mut Outbound) -> Result<(AnswerHead, ResponseInfo), ResponsePart> {
+        let until = self.context.until + LAST_WORD;
         // On old weights it begins in time or not at all.
         let until = place.begins_by.map_or(until, |by| by.min(until));
-        for _ in 0..LATE_MOST {
+        for passed in 0..LATE_MOST {
             let head = match up.head(Some(self.inbound.socket()), until) {
-                Heard::Head(head) => head,
+                ResponsePart::Head(head) => head,
                 other => return Err(other),
             };
-            let said = self.shared.dialect.said(&head, &self.passage.asked.model);
-            if said.id.as_deref().is_none_or(|id| id == self.passage.asked.id) {
-                return Ok((head, said));
+            let said = self.shared.dialect.said(&head, &self.context.info.model);
+            match said.id.as_deref() {
+                Some(id) if id == self.context.info.id => return Ok((head, said)),
+                None if up.fresh && passed == 0 => return Ok((head, said)),
+                None => return Err(ResponsePart::Broken("an answer without an id".into())),
+                Some(_) => count(&self.shared.counters.late_answers),
             }
-            count(&self.shared.counters.late_answers);
-            if rest(up, None, until).is_err() {
-                return Err(Heard::Broken("a late answer broke off".into()));
+            match rest(up, Some(self.inbound.socket()), until) {
+                Ok(_) => {}
+                Err(ResponsePart::CallerLeft) => return Err(ResponsePart::CallerLeft),
+                Err(_) => return Err(ResponsePart::Broken("a late answer broke off".into())),
             }
         }
         up.good = false;
-        Err(Heard::Broken("answers to other requests only".into()))
+        Err(ResponsePart::Broken("answers to other requests only".into()))
     }
 
     /// Passes a stream on, event by event.
     fn stream(&mut self, place: &Place, mut up: Outbound, head: AnswerHead, sent: Instant) -> Try {
-        let end = self.passage.until + LAST_WORD;
+        let end = self.context.until + LAST_WORD;
         loop {
             // On old weights its first event comes in time or not at all.
             let until = place.begins_by.filter(|_| !self.first).map_or(end, |by| by.min(end));
             let bytes = match up.body(Some(self.inbound.socket()), until) {
-                Heard::Body(bytes) => bytes,
-                Heard::Whole => Vec::new(),
-                Heard::CallerLeft => return self.left(up),
-                Heard::TimedOut => {
+                ResponsePart::Body(bytes) => bytes,
+                ResponsePart::Whole => Vec::new(),
+                ResponsePart::CallerLeft => return self.left(up),
+                ResponsePart::TimedOut => {
                     up.cut();
-                    let over = Instant::now() >= self.passage.until;
+                    let over = Instant::now() >= self.context.until;
                     return if over { self.timed_out() } else { Try::Failed(Failure::Unknown, None) };
                 }
                 _ => return Try::Failed(Failure::Unknown, None),
@@ -130,7 +135,7 @@
             }
             if let Some(last) = last {
                 self.last = Some(last);
-                self.passage.progress.after = true;
+                self.context.progress.after = true;
             }
             if over {
                 count(&self.shared.counters.whole);
@@ -142,15 +147,15 @@
 
     /// Writes events to the caller, with the head of the first run before the first of them.
     fn pass(&mut self, head: &AnswerHead, whole: &[u8], over: bool) -> bool {
-        let begun = std::mem::replace(&mut self.passage.progress.answered, true);
+        let begun = std::mem::replace(&mut self.context.progress.answered, true);
         if !begun && (!whole.is_empty() || over) {
             let headers: Vec<_> = head.headers.end_to_end().cloned().collect();
-            let close = self.passage.close;
+            let close = self.context.close;
             let began = self.inbound.begin(head.status, &head.reason, &headers, whole, close);
             return began.is_ok() && (!over || self.inbound.end(b"").is_ok());
         }
         if !begun {
-            self.passage.progress.answered = false;
+            self.context.progress.answered = false;
             return true;
         }
         match over {
@@ -174,19 +179,18 @@
             tokens <= place.own + place.handed
         });
         let Some((block, _)) = handed.last() else { return };
-        let tried =
-            Tried { request: self.passage.asked.id.clone(), source: source.clone(), block: *block, first: took };
+        let tried = Tried { request: self.context.info.id.clone(), source: source.clone(), block: *block, first: took };
         self.shared.audit(tried);
     }
 }
 
 /// Reads the rest of an answer, watching a caller where there is one to watch.
-fn rest(up: &mut Outbound, caller: Option<&TcpStream>, until: Instant) -> Result<Vec<u8>, Heard> {
+fn rest(up: &mut Outbound, caller: Option<&TcpStream>, until: Instant) -> Result<Vec<u8>, ResponsePart> {
     let mut all = Vec::new();
     loop {
         match up.body(caller, until) {
-            Heard::Body(bytes) => all.extend_from_slice(&bytes),
-            Heard::Whole => return Ok(all),
+            ResponsePart::Body(bytes) => all.extend_from_slice(&bytes),
+            ResponsePart::Whole => return Ok(all),
             other => return Err(other),
         }
     }
