--- a/crates/control-chain/tests/explore.rs
+++ b/crates/control-chain/tests/explore.rs
@@ -124,6 +124,26 @@
     assert!(report.violation.is_none() && report.complete);
 }
 
+/// A head that was cut off comes back with more entries of its own than the others have committed since, and
+/// learns from a snapshot that ends before its log does.
+#[test]
+fn a_head_with_a_longer_log_of_its_own_learns_from_a_snapshot() {
+    let mut world = three_machines();
+    world.make_snapshots_after(1);
+    world.apply(Move::Isolate(1));
+    (0..4).for_each(|_| world.command(1));
+    settle(&mut world, 8);
+    world.command(2);
+    settle(&mut world, 1);
+    world.command(2);
+    settle(&mut world, 1);
+    world.commands_most = 7;
+    world.apply(Move::Rejoin(1));
+    let what = "a head with a longer log of its own is back";
+    let report = explore(what, world, bounds(0, 14));
+    assert!(report.violation.is_none() && report.complete);
+}
+
 /// The invariants have teeth: disks that say synced before they are lose what was acknowledged.
 #[test]
 fn lying_disks_are_found_out() {
--- a/crates/control-chain/tests/explore/ledger.rs
+++ b/crates/control-chain/tests/explore/ledger.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 /// Commands that an explored world may have at the most.
-const COMMANDS: u64 = 3;
+const COMMANDS: u64 = 7;
 /// A token that no command uses.
 const READ: u64 = u64::MAX;
 
--- a/crates/control-chain/tests/explore/world.rs
+++ b/crates/control-chain/tests/explore/world.rs
@@ -14,7 +14,7 @@
 
 /// Incarnations of emptied disks begin here.
 const FIRST_EMPTIED: u64 = 100;
-/// Snapshots are made after so many entries; explored worlds have few.
+/// Snapshots are usually made after so many entries; explored worlds have few.
 const SNAPSHOT_AFTER: usize = 2;
 
 /// An ordered pair of machines: the stream from the first to the second.
@@ -29,6 +29,7 @@
     pub held: BTreeSet<Pair>,
     pub commands_sent: u64,
     pub commands_most: u64,
+    snapshot_after: usize,
     /// How many disks may be lost at once; what is committed is on one disk more.
     pub tolerance: u32,
     pub losses: u32,
@@ -70,6 +71,7 @@
             held: BTreeSet::new(),
             commands_sent: 0,
             commands_most: 2,
+            snapshot_after: SNAPSHOT_AFTER,
             tolerance,
             losses: 0,
             losses_most: 1,
@@ -111,17 +113,26 @@
     }
 
     pub fn start(&mut self, id: u32) {
-        let (now, open) = (self.now, self.open);
+        let (now, open, snapshot_after) = (self.now, self.open, self.snapshot_after);
         let machine = self.machine(id);
         let me = Member { id, incarnation: machine.disk.meta.incarnation };
         let core =
             Core::start(Duration::ZERO, me, seeds(), machine.disk.found()).expect("an explored disk is never damaged");
         let core = if open { core.makes_itself_known(place(id)) } else { core };
         machine.processes += 1;
-        machine.core = Some(core.snapshot_every(SNAPSHOT_AFTER).in_process(machine.processes));
+        machine.core = Some(core.snapshot_every(snapshot_after).in_process(machine.processes));
         (machine.ticked, machine.leaving, machine.booted) = (None, false, now);
     }
 
+    /// From here on snapshots are made after so many entries.
+    pub fn make_snapshots_after(&mut self, entries: usize) {
+        self.snapshot_after = entries;
+        for id in self.machines.keys().copied().collect::<Vec<_>>() {
+            let machine = self.machine(id);
+            machine.core = machine.core.take().map(|core| core.snapshot_every(entries));
+        }
+    }
+
     pub fn lose_power(&mut self, id: u32, kept: usize) {
         let machine = self.machine(id);
         machine.core = None;
