Mutations: the table names quick tests only where they are not the usual ones

Tests listed in KNOWN-RED.txt are left out, as they fail without any breakage: seen with this very one.

--- a/tools/mutations/run.py
+++ b/tools/mutations/run.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Applies the mutations of table.toml one by one to a scratch copy and tells which test catches each.
 
-    tools/mutations/run.py SCRATCH_FOLDER [--list] [--jobs N] [NAME...]
+    tools/mutations/run.py [--list] [--jobs N] SCRATCH_FOLDER [NAME...]
 
 A mutation is tried against the tests in their order, its own quick ones first, until one fails. A text that is
 not found exactly once ends the run: the table is then to be brought up to date. Each result is a row of the
@@ -23,9 +23,10 @@
 TARGETS = [
     ("control-chain", target)
     for target in ["lib", "restarts", "guards", "accepted_changes", "large_entries", "claims_model",
-                   "configuration_model", "listing_sim", "cut_off", "explore", "chain_sim", "second_loss", "freshness_sim", "members_sim",
-                   "doc"]
+                   "configuration_model", "listing_sim", "cut_off", "explore", "chain_sim", "second_loss",
+                   "freshness_sim", "members_sim", "doc"]
 ] + [("control-core", target) for target in ["lib", "disk", "power_loss", "driver", "silent_majority"]]
+USUAL_QUICK = ["guards", "restarts"]
 TEST_SECONDS_MAX = 400
 
 
@@ -65,7 +66,15 @@
 def command(crate, target, only, jobs):
     words = ["cargo", "test", "--quiet", "--locked", f"-j{jobs}", "-p", crate]
     words += [f"--{target}"] if target in ("lib", "doc") else ["--test", target]
-    return words + ["--", f"--test-threads={jobs}"] + ([only] if only else [])
+    skipped = [word for test in known_red() for word in ("--skip", test)]
+    return words + ["--", f"--test-threads={jobs}"] + skipped + ([only] if only else [])
+
+
+def known_red():
+    """Tests that fail without any mutation, and so tell nothing."""
+    listed = ROOT / "KNOWN-RED.txt"
+    lines = listed.read_text().splitlines() if listed.exists() else []
+    return [line.split("|")[0].strip() for line in lines if line.strip()]
 
 
 
@@ -87,10 +96,11 @@
 
 def order(mutation):
     """The quick tests of a mutation, then all."""
-    for name in mutation["quick"]:
+    quick = mutation.get("quick", USUAL_QUICK)
+    for name in quick:
         target, _, only = name.partition(":")
         yield "control-chain", target, only
-    whole = [name for name in mutation["quick"] if ":" not in name]
+    whole = [name for name in quick if ":" not in name]
     yield from ((crate, target, "") for crate, target in TARGETS if crate != "control-chain" or target not in whole)
 
 
