--- a/crates/control-chain/src/catch_up.rs
+++ b/crates/control-chain/src/catch_up.rs
@@ -163,6 +163,8 @@
         self.committed = self.committed.max(snapshot.at.seq);
         let at = snapshot.at.clone();
         self.log = ReplicationLog::after(snapshot.clone());
+        // Nothing of the new log is on the disk yet, and positions of the old one mean nothing in it.
+        self.synced = Position::START;
         let records = vec![Record::Snapshot(snapshot), Record::Truncate(at.seq)];
         self.keep(records, After::Entries(at));
     }
--- a/crates/prefix-table/src/rolling.rs
+++ b/crates/prefix-table/src/rolling.rs
@@ -40,6 +40,12 @@
     (up * (100 - keep_percent.min(100)) as usize / 100).max(1)
 }
 
+/// The number of weights that are told apart by numbers: the oldest may serve for the shortest time, and are
+/// replaced first. Others are all alike.
+fn version(weights: &str) -> u64 {
+    weights.parse().unwrap_or(u64::MAX)
+}
+
 /// Whether it is a replica's turn to load the wanted weights.
 /// ```
 /// use prefix_table::rolling::{Row, Turn, turn};
@@ -66,7 +72,8 @@
     let mut waiting: Vec<&Row> =
         up.iter().filter(|row| row.weights != wanted && row.stage != stage::FAILED && !row.silent).copied().collect();
     // Those that load hold their places; all nodes fill what is left in the same order.
-    waiting.sort_by_key(|row| (row.stage != stage::LOADING, weight(wanted, &row.id), row.id.as_str()));
+    let order = |row: &&Row| (row.stage != stage::LOADING, version(&row.weights), weight(wanted, &row.id));
+    waiting.sort_by(|one, other| order(one).cmp(&order(other)).then_with(|| one.id.cmp(&other.id)));
     let first = waiting.iter().take(at_once(up.len(), keep_percent));
     if first.into_iter().any(|row| row.id == id) { Turn::Now } else { Turn::Wait }
 }
--- a/crates/prefix-table/tests/rolling.rs
+++ b/crates/prefix-table/tests/rolling.rs
@@ -151,3 +151,22 @@
     let next = go(&silent);
     assert!(next.len() == 3 && next.iter().all(|id| !line.contains(id)), "{line:?} are silent, {next:?} go");
 }
+
+/// A second naming comes while the first is still being rolled out: the oldest weights go first, as they may not
+/// serve for as long as the others.
+#[test]
+fn the_oldest_weights_are_replaced_first() {
+    let row = |at: usize| Row {
+        id: format!("r{at}"),
+        weights: if at % 3 == 0 { "9" } else { "10" }.into(),
+        stage: stage::NONE,
+        down: false,
+        leaving: false,
+        silent: false,
+    };
+    let rows: Vec<Row> = (0..18).map(row).collect();
+    let now = |row: &&Row| turn(&rows, &row.id, "11", 80) == Turn::Now;
+    let chosen: Vec<&Row> = rows.iter().filter(now).collect();
+    assert_eq!(chosen.len(), at_once(18, 80));
+    assert!(chosen.iter().all(|row| row.weights == "9"), "{chosen:?}");
+}
