--- a/crates/prefix-table/tests/rolling.rs
+++ b/crates/prefix-table/tests/rolling.rs
@@ -158,7 +158,7 @@
 fn the_oldest_weights_are_replaced_first() {
     let row = |at: usize| Row {
         id: format!("r{at}"),
-        weights: if at % 3 == 0 { "9" } else { "10" }.into(),
+        weights: if at.is_multiple_of(3) { "9" } else { "10" }.into(),
         stage: stage::NONE,
         down: false,
         leaving: false,
