--- a/crates/http-streams/src/pool.rs
+++ b/crates/http-streams/src/pool.rs
@@ -11,6 +11,8 @@
 const MARGIN: Duration = Duration::from_millis(1200);
 /// How long one may be idle where the replica states nothing.
 const IDLE: Duration = Duration::from_secs(3);
+/// How long a connection may be idle and still carry what may not run twice, where nothing else is asked for.
+pub const SURE_IDLE: Duration = Duration::from_millis(500);
 
 /// How sure one must be that a kept connection still stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/stream-router/src/shared.rs
+++ b/crates/stream-router/src/shared.rs
@@ -11,7 +11,7 @@
 use crossbeam::channel::{Receiver, Sender, bounded};
 use fleet_common::{Rcu, hash};
 use http_streams::inbound::Limits;
-use http_streams::pool::Pool;
+use http_streams::pool::{Pool, SURE_IDLE};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard};
@@ -87,7 +87,7 @@
             down: Rcu::new(Down::new()),
             heard: Rcu::default(),
             fresh: Fresh::default(),
-            pool: Pool::new(Duration::from_millis(500)),
+            pool: Pool::new(SURE_IDLE),
             counters: Counters::default(),
             draining: false.into(),
             running: 0.into(),
