--- a/crates/scale-fleet/src/roles.rs
+++ b/crates/scale-fleet/src/roles.rs
@@ -17,7 +17,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use stream_router::dialect::{Asked, Dialect, Said, Told};
+use stream_router::dialect::{Dialect, ForwardInfo, RequestInfo, ResponseInfo};
 use stream_router::run::Listeners;
 use stream_router::shared::Setup;
 
@@ -43,14 +43,14 @@
 struct Mute;
 
 impl Dialect for Mute {
-    fn read(&self, _: &RequestHead) -> Result<Asked, String> {
+    fn read(&self, _: &RequestHead) -> Result<RequestInfo, String> {
         Err("nobody calls here".into())
     }
-    fn ask(&self, _: &RequestHead, _: usize, _: &Told) -> Vec<u8> {
+    fn ask(&self, _: &RequestHead, _: usize, _: &ForwardInfo) -> Vec<u8> {
         Vec::new()
     }
-    fn said(&self, _: &AnswerHead, _: &str) -> Said {
-        Said::default()
+    fn said(&self, _: &AnswerHead, _: &str) -> ResponseInfo {
+        ResponseInfo::default()
     }
     fn weights_in(&self, _: &[u8], _: &str) -> Option<String> {
         None
