--- a/crates/control-chain/src/core.rs
+++ b/crates/control-chain/src/core.rs
@@ -262,6 +262,16 @@
         (&self.state, self.committed)
     }
 
+    /// Who this replica is in views.
+    /// ```
+    /// # use control_chain::{core::{Core, Found}, view::Member};
+    /// # let core = Core::start(Default::default(), Member { id: 1, incarnation: 9 }, vec![], Found::default()).unwrap();
+    /// assert_eq!(core.member().incarnation, 9);
+    /// ```
+    pub fn member(&self) -> Member {
+        self.me.clone()
+    }
+
     /// The replication log as this replica has it.
     /// ```
     /// # use control_chain::{core::{Core, Found}, view::Member};
--- a/crates/control-chain/tests/sim/machines.rs
+++ b/crates/control-chain/tests/sim/machines.rs
@@ -70,7 +70,7 @@
         if self.open {
             core = core.makes_itself_known(place(id));
         }
-        node.core = Some(core.snapshot_every(20).in_process(node.boot));
+        node.core = Some(core.snapshot_every(self.snapshot_every).in_process(node.boot));
         let boot = node.boot;
         self.at(now, Event::Tick(id, boot));
     }
--- a/crates/control-chain/tests/sim/mod.rs
+++ b/crates/control-chain/tests/sim/mod.rs
@@ -80,6 +80,8 @@
     /// What cores are told of each other beforehand, and whether they make themselves known.
     pub seeds: Vec<CoreAt>,
     pub tolerance: u32,
+    /// Entries between snapshots.
+    pub snapshot_every: usize,
     pub open: bool,
     /// Every view that any core took on, by its number, and what was wrong with one.
     views: BTreeMap<u64, View>,
@@ -124,6 +126,7 @@
             bare_listing: false,
             seeds: places(),
             tolerance: 1,
+            snapshot_every: 20,
             open: false,
             views: BTreeMap::new(),
             torn: Vec::new(),
