control-chain: state grouped by job, status by serde, the count of full copies is shown

A replica's own status is a typed struct written by serde instead of format!, with the number of members that hold all (fullCopies; metric coursebend_core_full_copies).

--- a/crates/control-chain/src/catch_up.rs
+++ b/crates/control-chain/src/catch_up.rs
@@ -1,9 +1,9 @@
 //! Bringing followers up to date: entries, or a snapshot where those are gone, from a member that holds all to
 //! the next in the chain, and from the tail to the spares, which learn before they are let into the chain.
-use crate::core::{Core, Record};
+use crate::core::{Core, Record, SNAPSHOT_EVERY};
 use crate::log::{Entry, Position, ReplicationLog, Snapshot};
 use crate::message::{Ack, Append, Beat, Chain};
-use crate::snapshots::SnapshotPart;
+use crate::snapshots::{SnapshotPart, SnapshotReceiver, SnapshotSender};
 use crate::state::State;
 use crate::steps::After;
 
@@ -19,6 +19,25 @@
 /// The head takes no more commands while so many bytes of them are not acknowledged.
 const OPEN_BYTES: usize = 8 << 20;
 
+/// A replica's own snapshots, and those on their way to and from others.
+#[derive(Clone)]
+pub(crate) struct SnapshotState {
+    pub sender: SnapshotSender,
+    pub receiver: SnapshotReceiver,
+    /// A snapshot that waits until all that it holds is committed.
+    pub prepared: Option<Snapshot>,
+    pub writing: bool,
+    /// So many entries after one snapshot the next is due.
+    pub every: usize,
+}
+
+impl Default for SnapshotState {
+    fn default() -> Self {
+        let (sender, receiver) = (SnapshotSender::default(), SnapshotReceiver::default());
+        SnapshotState { sender, receiver, prepared: None, writing: false, every: SNAPSHOT_EVERY }
+    }
+}
+
 /// What is known of one that gets this replica's entries.
 #[derive(Clone, Debug, Default, Hash)]
 pub(crate) struct FollowerProgress {
@@ -97,7 +116,7 @@
             return self.send_entries(to, beat.snapshot_at.clone(), usize::MAX);
         }
         let (now, view) = (self.now, self.meta.view.n);
-        for part in self.snapshot_sender.parts(now, view, self.log.snapshot(), &beat.receiving) {
+        for part in self.snapshots.sender.parts(now, view, self.log.snapshot(), &beat.receiving) {
             self.send(to, Chain::SnapshotPart(part));
         }
     }
@@ -146,7 +165,7 @@
         if !in_place || self.log.has(&part.at) || part.at.seq <= self.committed {
             return;
         }
-        match self.snapshot_receiver.take(part) {
+        match self.snapshots.receiver.take(part) {
             Ok(Some(snapshot)) => self.replace_by_snapshot(snapshot),
             Ok(None) => {}
             Err(error) => self.note(error.to_string()),
@@ -158,8 +177,8 @@
             return self.note(format!("the snapshot at {} cannot be read", snapshot.at.seq));
         };
         self.state = state;
-        self.lapses_known = self.now;
-        self.prepared_snapshot = None;
+        self.nodes.lapses_known = self.now;
+        self.snapshots.prepared = None;
         self.committed = self.committed.max(snapshot.at.seq);
         let at = snapshot.at.clone();
         self.log = ReplicationLog::after(snapshot.clone());
@@ -172,33 +191,33 @@
     /// Prepares a snapshot of the state when enough entries came since the last one. It goes to the disk once
     /// all that it holds is committed: a snapshot never holds what may have to be dropped.
     pub(crate) fn take_snapshot_when_due(&mut self) {
-        let many = self.log.entries_since_snapshot() >= self.snapshot_every as u64;
+        let many = self.log.entries_since_snapshot() >= self.snapshots.every as u64;
         let since = self.log.snapshot().at.seq;
         let due = many || self.log.bytes_after(since) >= SNAPSHOT_AFTER_BYTES;
-        if !due || self.writing_snapshot || self.prepared_snapshot.is_some() || self.state.seq <= since {
+        if !due || self.snapshots.writing || self.snapshots.prepared.is_some() || self.state.seq <= since {
             return;
         }
         let Some(at) = self.log.position(self.state.seq) else { return };
         match self.state.pack() {
-            Ok(state) => self.prepared_snapshot = Some(Snapshot { at, state: state.into() }),
+            Ok(state) => self.snapshots.prepared = Some(Snapshot { at, state: state.into() }),
             Err(error) => self.note(format!("the state cannot be written as a snapshot: {error}")),
         }
     }
 
     pub(crate) fn write_committed_snapshot(&mut self) {
         let committed = |snapshot: &mut Snapshot| snapshot.at.seq <= self.committed;
-        if let Some(snapshot) = self.prepared_snapshot.take_if(committed) {
-            self.writing_snapshot = true;
+        if let Some(snapshot) = self.snapshots.prepared.take_if(committed) {
+            self.snapshots.writing = true;
             self.keep(vec![Record::Snapshot(snapshot.clone())], After::Snapshot(snapshot));
         }
     }
 
     pub(crate) fn on_snapshot_written(&mut self, snapshot: Snapshot) {
-        self.writing_snapshot = false;
+        self.snapshots.writing = false;
         if self.log.bytes_after(self.log.base().seq) > LOG_BYTES_MAX {
-            self.snapshot_sender.stop();
+            self.snapshots.sender.stop();
         }
-        let wanted_after = self.snapshot_sender.position_in_use(self.now).map_or(u64::MAX, |at| at.seq);
+        let wanted_after = self.snapshots.sender.position_in_use(self.now).map_or(u64::MAX, |at| at.seq);
         self.log.compact(snapshot, wanted_after);
     }
 
--- a/crates/control-chain/src/core.rs
+++ b/crates/control-chain/src/core.rs
@@ -1,16 +1,20 @@
-//! A core machine as a state machine: (now, input) gives outputs. Threads or a simulator drive it.
+//! A control replica as a state machine without I/O: a time and an input give outputs. Threads or a simulator
+//! drive it.
 use crate::background::BackgroundWork;
-use crate::catch_up::FollowerProgress;
-use crate::command::{Envelope, Outcome};
-use crate::log::{Entry, Position, ReplicationLog, Snapshot};
+use crate::catch_up::{FollowerProgress, SnapshotState};
+use crate::command::Outcome;
+use crate::discovery::Discovery;
+use crate::lease::LeaseState;
+use crate::log::{Position, ReplicationLog};
 use crate::message::{Chain, Sent};
-use crate::requests::{Parked, Seen};
-use crate::snapshots::{SnapshotReceiver, SnapshotSender};
+use crate::node_status::NodeStatuses;
+use crate::recovery;
+pub use crate::recovery::StartError;
 use crate::state::State;
-use crate::steps::{After, Heard};
+use crate::steps::After;
 pub use crate::steps::{Found, Input, Output, Record};
 use crate::view::{CoreAt, Member, Meta, View};
-use crate::view_change::Proposal;
+use crate::view_change::Agreement;
 use fleet_common::ask::Vector;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -28,51 +32,7 @@
 /// Entries after a snapshot before another is made.
 pub const SNAPSHOT_EVERY: usize = 2048;
 
-/// What was forgotten at a restart counts for this much longer than a lease lasts.
-const RESTART_MARGIN: Duration = Duration::from_millis(100);
-
-/// Why a replica cannot start from what its disk held.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum StartError {
-    #[error("the snapshot at {0} cannot be read")]
-    Snapshot(u64),
-    #[error("entry {0} is missing")]
-    Missing(u64),
-    #[error("entry {0} cannot be read")]
-    Entry(u64),
-    #[error("the empty state cannot be written: {0}")]
-    Empty(String),
-}
-
-/// The log and the state that a snapshot and the entries after it stand for.
-fn restore(snapshot: Option<Snapshot>, entries: Vec<Entry>) -> Result<(ReplicationLog, State), StartError> {
-    let (snapshot, mut state) = match snapshot {
-        Some(snapshot) => match State::unpack(snapshot.state.as_slice()) {
-            Some(state) if state.seq == snapshot.at.seq => (snapshot, state),
-            _ => return Err(StartError::Snapshot(snapshot.at.seq)),
-        },
-        None => {
-            let empty = State::default().pack().map_err(|error| StartError::Empty(error.to_string()))?;
-            (Snapshot { at: Position::START, state: empty.into() }, State::default())
-        }
-    };
-    let mut log = ReplicationLog::after(snapshot);
-    for entry in entries {
-        let next = log.last().seq + 1;
-        if entry.at.seq < next {
-            continue;
-        }
-        if entry.at.seq > next {
-            return Err(StartError::Missing(next));
-        }
-        let envelope = Envelope::unpack(entry.command.as_slice()).ok_or(StartError::Entry(next))?;
-        state.apply(&envelope);
-        log.append(entry);
-    }
-    Ok((log, state))
-}
-
-/// One core machine.
+/// One control replica.
 #[derive(Clone)]
 pub struct Core {
     pub(crate) me: Member,
@@ -88,50 +48,23 @@
     /// Whether the disk tells what `meta.full` does.
     pub(crate) full_is_synced: bool,
     pub(crate) progress: BTreeMap<u32, FollowerProgress>,
-    pub(crate) snapshot_sender: SnapshotSender,
-    pub(crate) snapshot_receiver: SnapshotReceiver,
-    /// A snapshot that waits until all that it holds is committed.
-    pub(crate) prepared_snapshot: Option<Snapshot>,
-    pub(crate) writing_snapshot: bool,
+    pub(crate) snapshots: SnapshotState,
     pub(crate) sick: bool,
     pub(crate) leaving: bool,
     pub(crate) stall_told: bool,
-    pub(crate) heard: BTreeMap<u32, Heard>,
     pub(crate) tickets: VecDeque<(u64, Duration, After)>,
     pub(crate) next_ticket: u64,
     pub(crate) waiting: BTreeMap<u64, Vec<(u64, Outcome)>>,
-    pub(crate) grants: BTreeMap<u32, Duration>,
-    pub(crate) granted_until: Duration,
-    /// The process of the tail that was granted the lease last.
-    pub(crate) granted_to: Option<u64>,
-    /// Until then a grant that an earlier process gave and forgot may hold.
-    pub(crate) forgotten_grants_until: Duration,
-    /// Tells this process from earlier ones of the same replica.
-    pub(crate) process: u64,
-    pub(crate) held_prepare: Option<(u32, crate::message::Prepare)>,
-    pub(crate) proposal: Option<Proposal>,
-    pub(crate) ballot_round: u64,
-    pub(crate) trouble_since: Option<Duration>,
-    pub(crate) prepare_heard: Option<Duration>,
+    pub(crate) lease: LeaseState,
+    pub(crate) agreement: Agreement,
     pub(crate) wanted_cores: Option<(u64, Vec<CoreAt>)>,
-    pub(crate) parked: Vec<Parked>,
-    pub(crate) seen: BTreeMap<String, Seen>,
-    pub(crate) since: BTreeMap<usize, (u64, Duration)>,
+    pub(crate) nodes: NodeStatuses,
     /// Since when the present view holds here.
     pub(crate) view_since: Duration,
-    /// Lapses applied here, and since when all of them are known.
-    pub(crate) lapses: BTreeMap<String, Duration>,
-    pub(crate) lapses_known: Duration,
-    pub(crate) lapse_asked: Duration,
     pub(crate) last_beat: Option<Duration>,
     pub(crate) begun: Duration,
-    pub(crate) seeds: Vec<CoreAt>,
-    /// Where this core is, if cores make themselves known, and who else did so lately.
-    pub(crate) own: Option<CoreAt>,
-    pub(crate) unlisted: BTreeMap<u32, (Duration, CoreAt)>,
-    pub(crate) beats: u64,
+    pub(crate) discovery: Discovery,
     pub(crate) background: BackgroundWork,
-    pub(crate) snapshot_every: usize,
     pub(crate) out: Vec<Output>,
 }
 
@@ -144,7 +77,7 @@
     /// assert!(core.view().n == 0);
     /// ```
     pub fn start(now: Duration, me: Member, cores: Vec<CoreAt>, found: Found) -> Result<Self, StartError> {
-        let (log, state) = restore(found.snapshot, found.entries)?;
+        let (log, state) = recovery::restore(found.snapshot, found.entries)?;
         let outside = Meta {
             incarnation: me.incarnation,
             view: View::outside(cores.clone()),
@@ -154,8 +87,6 @@
             proposed: 0,
         };
         let meta = found.meta.unwrap_or(outside);
-        // Whatever lease this replica granted before it stopped must have run out first.
-        let forgotten_grants_until = now + TAIL_LEASE + RESTART_MARGIN;
         Ok(Core {
             me,
             now,
@@ -166,43 +97,22 @@
             committed: log.snapshot().at.seq,
             log,
             progress: BTreeMap::new(),
-            snapshot_sender: SnapshotSender::default(),
-            snapshot_receiver: SnapshotReceiver::default(),
-            prepared_snapshot: None,
-            writing_snapshot: false,
+            snapshots: SnapshotState::default(),
             sick: false,
             leaving: false,
             stall_told: false,
-            heard: BTreeMap::new(),
             tickets: VecDeque::new(),
             next_ticket: 1,
             waiting: BTreeMap::new(),
-            grants: BTreeMap::new(),
-            granted_until: forgotten_grants_until,
-            granted_to: None,
-            forgotten_grants_until,
-            process: 0,
-            held_prepare: None,
-            proposal: None,
-            ballot_round: 0,
-            trouble_since: None,
-            prepare_heard: None,
+            lease: LeaseState::starting(now),
+            agreement: Agreement::default(),
             wanted_cores: None,
-            parked: Vec::new(),
-            seen: BTreeMap::new(),
-            since: BTreeMap::new(),
+            nodes: NodeStatuses::starting(now),
             view_since: now,
-            lapses: BTreeMap::new(),
-            lapses_known: now,
-            lapse_asked: now,
             last_beat: None,
             begun: now,
-            seeds: cores,
-            own: None,
-            unlisted: BTreeMap::new(),
-            beats: 0,
+            discovery: Discovery::knowing(cores),
             background: BackgroundWork::default(),
-            snapshot_every: SNAPSHOT_EVERY,
             out: Vec::new(),
         })
     }
@@ -214,7 +124,7 @@
     /// let _core = core.in_process(77);
     /// ```
     pub fn in_process(mut self, process: u64) -> Self {
-        self.process = process;
+        self.lease.process = process;
         self
     }
 
@@ -225,7 +135,7 @@
     /// let _core = core.snapshot_every(100);
     /// ```
     pub fn snapshot_every(mut self, entries: usize) -> Self {
-        self.snapshot_every = entries;
+        self.snapshots.every = entries;
         self
     }
 
--- a/crates/control-chain/src/discovery.rs
+++ b/crates/control-chain/src/discovery.rs
@@ -2,14 +2,36 @@
 //! hears no majority of the voters, tells everyone it knows of where it is.
 use crate::core::Core;
 use crate::message::Chain;
+use crate::steps::Heard;
 use crate::view::CoreAt;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 /// So many unlisted replicas are remembered at the most.
 const UNLISTED_MAX: usize = 64;
 /// Every so many beats a listed core that is not heard is told the view: it may know nobody.
 pub(crate) const TELL_EVERY: u64 = 8;
 
+/// What a replica knows of others besides the view.
+#[derive(Clone)]
+pub(crate) struct Discovery {
+    /// The replicas known beforehand.
+    pub seeds: Vec<CoreAt>,
+    /// Where this replica is, if replicas make themselves known.
+    pub own: Option<CoreAt>,
+    /// Others that made themselves known lately and are in no list.
+    pub unlisted: BTreeMap<u32, (Duration, CoreAt)>,
+    pub beats: u64,
+    /// The last heartbeat of each.
+    pub heard: BTreeMap<u32, Heard>,
+}
+
+impl Discovery {
+    pub fn knowing(seeds: Vec<CoreAt>) -> Self {
+        Discovery { seeds, own: None, unlisted: BTreeMap::new(), beats: 0, heard: BTreeMap::new() }
+    }
+}
+
 impl Core {
     /// Has this core make itself known at this address, and let in others that do so.
     /// ```
@@ -20,7 +42,7 @@
     /// assert_eq!(core.address(1), Some(&at));
     /// ```
     pub fn makes_itself_known(mut self, at: CoreAt) -> Self {
-        self.own = Some(at);
+        self.discovery.own = Some(at);
         self
     }
 
@@ -31,32 +53,32 @@
     /// assert_eq!(core.address(2), None);
     /// ```
     pub fn address(&self, id: u32) -> Option<&CoreAt> {
-        let own = self.own.as_ref().filter(|own| own.id == id);
-        let said = || self.unlisted.get(&id).map(|(_, at)| at);
-        let seeded = || self.seeds.iter().find(|seed| seed.id == id);
+        let own = self.discovery.own.as_ref().filter(|own| own.id == id);
+        let said = || self.discovery.unlisted.get(&id).map(|(_, at)| at);
+        let seeded = || self.discovery.seeds.iter().find(|seed| seed.id == id);
         own.or_else(said).or_else(|| self.meta.view.at(id)).or_else(seeded)
     }
 
     pub(crate) fn on_announce(&mut self, from: u32, at: CoreAt) {
-        if self.own.is_none() || at.id != from {
+        if self.discovery.own.is_none() || at.id != from {
             return;
         }
         if self.meta.view.at(from) == Some(&at) {
-            self.unlisted.remove(&from);
+            self.discovery.unlisted.remove(&from);
             return;
         }
-        if self.unlisted.len() >= UNLISTED_MAX && !self.unlisted.contains_key(&from) {
-            let oldest = self.unlisted.iter().min_by_key(|(_, (at, _))| *at).map(|(id, _)| *id);
-            oldest.map(|id| self.unlisted.remove(&id));
+        if self.discovery.unlisted.len() >= UNLISTED_MAX && !self.discovery.unlisted.contains_key(&from) {
+            let oldest = self.discovery.unlisted.iter().min_by_key(|(_, (at, _))| *at).map(|(id, _)| *id);
+            oldest.map(|id| self.discovery.unlisted.remove(&id));
         }
-        self.unlisted.insert(from, (self.now, at));
+        self.discovery.unlisted.insert(from, (self.now, at));
     }
 
     /// Who is to get this core's signs of life.
     pub(crate) fn known(&self) -> BTreeSet<u32> {
         let mut known: BTreeSet<u32> = self.meta.view.cores.items().iter().map(|c| c.id).collect();
         if self.announces_itself() {
-            known.extend(self.seeds.iter().map(|seed| seed.id));
+            known.extend(self.discovery.seeds.iter().map(|seed| seed.id));
         }
         known.remove(&self.me.id);
         known
@@ -64,20 +86,21 @@
 
     fn announces_itself(&self) -> bool {
         let view = &self.meta.view;
-        self.own.as_ref().is_some_and(|own| view.at(self.me.id) != Some(own) || !self.hears_majority())
+        self.discovery.own.as_ref().is_some_and(|own| view.at(self.me.id) != Some(own) || !self.hears_majority())
     }
 
     /// Goes out ahead of the signs of life.
     pub(crate) fn greet(&mut self, known: &BTreeSet<u32>) {
-        let Some(own) = self.own.clone() else { return };
-        self.beats += 1;
+        let Some(own) = self.discovery.own.clone() else { return };
+        self.discovery.beats += 1;
         if self.announces_itself() {
             known.iter().for_each(|to| self.send(*to, Chain::Announce(own.clone())));
         }
-        if self.beats.is_multiple_of(TELL_EVERY) && self.meta.view.n > 0 {
+        if self.discovery.beats.is_multiple_of(TELL_EVERY) && self.meta.view.n > 0 {
             let view = self.meta.view.clone();
-            let heard =
-                |id: &u32| self.heard.get(id).is_some_and(|h| self.now.saturating_sub(h.at) < crate::core::SUSPECT);
+            let heard = |id: &u32| {
+                self.discovery.heard.get(id).is_some_and(|h| self.now.saturating_sub(h.at) < crate::core::SUSPECT)
+            };
             let silent: Vec<u32> = known.iter().filter(|id| !heard(id)).copied().collect();
             silent.into_iter().for_each(|to| self.send(to, Chain::ViewIs(view.clone())));
         }
--- a/crates/control-chain/src/fingerprint.rs
+++ b/crates/control-chain/src/fingerprint.rs
@@ -35,9 +35,9 @@
 
     fn hash_storage(&self, now: Duration, hasher: &mut impl Hasher) {
         (&self.me, &self.meta, &self.log, &self.synced, self.committed, self.full_is_synced).hash(hasher);
-        (&self.progress, &self.snapshot_receiver, &self.prepared_snapshot).hash(hasher);
-        self.snapshot_sender.fingerprint(now, hasher);
-        (self.writing_snapshot, self.snapshot_every, self.process, self.granted_to).hash(hasher);
+        (&self.progress, &self.snapshots.receiver, &self.snapshots.prepared).hash(hasher);
+        self.snapshots.sender.fingerprint(now, hasher);
+        (self.snapshots.writing, self.snapshots.every, self.lease.process, self.lease.granted_to).hash(hasher);
         self.state.pack().unwrap_or_default().hash(hasher);
     }
 
@@ -51,29 +51,29 @@
     }
 
     fn hash_peers(&self, now: Duration, hasher: &mut impl Hasher) {
-        let silence_that_counts = if self.own.is_some() { UNLIST } else { SUSPECT };
-        for (id, heard) in &self.heard {
+        let silence_that_counts = if self.discovery.own.is_some() { UNLIST } else { SUSPECT };
+        for (id, heard) in &self.discovery.heard {
             (id, age(now, heard.at, silence_that_counts), heard.incarnation, &heard.beat).hash(hasher);
         }
-        for (id, (at, place)) in &self.unlisted {
+        for (id, (at, place)) in &self.discovery.unlisted {
             (id, age(now, *at, SUSPECT), place).hash(hasher);
         }
-        (&self.own, &self.seeds, &self.wanted_cores).hash(hasher);
-        if self.own.is_some() {
-            (self.beats % crate::discovery::TELL_EVERY, age(now, self.view_since, UNLIST)).hash(hasher);
+        (&self.discovery.own, &self.discovery.seeds, &self.wanted_cores).hash(hasher);
+        if self.discovery.own.is_some() {
+            (self.discovery.beats % crate::discovery::TELL_EVERY, age(now, self.view_since, UNLIST)).hash(hasher);
         }
     }
 
     fn hash_agreement(&self, now: Duration, hasher: &mut impl Hasher) {
-        for (id, sent) in &self.grants {
+        for (id, sent) in &self.lease.grants {
             (id, age(now, *sent, TAIL_LEASE)).hash(hasher);
         }
-        self.granted_until.saturating_sub(now).hash(hasher);
-        self.forgotten_grants_until.saturating_sub(now).hash(hasher);
-        (&self.held_prepare, self.ballot_round).hash(hasher);
-        self.trouble_since.map(|at| age(now, at, AGREEMENT_DELAY)).hash(hasher);
-        self.prepare_heard.map(|at| age(now, at, AGREEMENT_DELAY)).hash(hasher);
-        if let Some(proposal) = &self.proposal {
+        self.lease.granted_until.saturating_sub(now).hash(hasher);
+        self.lease.forgotten_grants_until.saturating_sub(now).hash(hasher);
+        (&self.agreement.held_prepare, self.agreement.ballot_round).hash(hasher);
+        self.agreement.trouble_since.map(|at| age(now, at, AGREEMENT_DELAY)).hash(hasher);
+        self.agreement.prepare_heard.map(|at| age(now, at, AGREEMENT_DELAY)).hash(hasher);
+        if let Some(proposal) = &self.agreement.proposal {
             hash_proposal(proposal, now, hasher);
         }
     }
--- a/crates/control-chain/src/heartbeat.rs
+++ b/crates/control-chain/src/heartbeat.rs
@@ -48,7 +48,7 @@
             full: self.is_full().into(),
             condition: self.condition(),
             snapshot_at: self.log.snapshot().at.clone(),
-            receiving: self.snapshot_receiver.progress(),
+            receiving: self.snapshots.receiver.progress(),
         }
     }
 
@@ -62,12 +62,12 @@
     }
 
     pub(crate) fn on_beat(&mut self, from: u32, incarnation: u64, beat: Beat) {
-        self.heard.insert(from, Heard { at: self.now, incarnation, beat: beat.clone() });
+        self.discovery.heard.insert(from, Heard { at: self.now, incarnation, beat: beat.clone() });
         let view = self.meta.view.n;
         if beat.view < view {
             return self.send(from, Chain::ViewIs(self.meta.view.clone()));
         }
-        if beat.view > view && self.own.is_some() && self.meta.view.at(from).is_none() {
+        if beat.view > view && self.discovery.own.is_some() && self.meta.view.at(from).is_none() {
             // An unlisted replica knows a newer view: this heartbeat has it tell.
             let own = self.own_beat();
             return self.send(from, Chain::Beat(own));
--- a/crates/control-chain/src/lister.rs
+++ b/crates/control-chain/src/lister.rs
@@ -134,11 +134,20 @@
 
     /// What an operator should know of the listing.
     /// ```
-    /// assert_eq!(control_chain::lister::Lister::default().words(), "{\"heldBack\":0,\"fault\":\"\"}");
+    /// assert_eq!(control_chain::lister::Lister::default().status().held_back, 0);
     /// ```
-    pub fn words(&self) -> String {
+    pub fn status(&self) -> ListingStatus {
         let held_back = self.fewer.as_ref().map_or(0, |(gone, _)| gone.len());
-        let fault = fleet_common::json::quote(self.fault.as_deref().unwrap_or_default());
-        format!("{{\"heldBack\":{held_back},\"fault\":{fault}}}")
+        ListingStatus { held_back, fault: self.fault.clone().unwrap_or_default() }
     }
 }
+
+/// How the platform's listing fares.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize)]
+#[serde(rename_all = "camelCase")]
+pub struct ListingStatus {
+    /// How many replicas are missing from it and still counted on.
+    pub held_back: usize,
+    /// Why the last answer was not used; empty if it was.
+    pub fault: String,
+}
--- a/crates/control-chain/src/membership.rs
+++ b/crates/control-chain/src/membership.rs
@@ -52,7 +52,7 @@
         if *member == self.me {
             return Some(self.condition());
         }
-        let heard = self.heard.get(&member.id).filter(|_| self.hears(member))?;
+        let heard = self.discovery.heard.get(&member.id).filter(|_| self.hears(member))?;
         Some(heard.beat.condition.clone())
     }
 
@@ -69,7 +69,7 @@
     fn hears(&self, member: &Member) -> bool {
         let fresh =
             |heard: &Heard| heard.incarnation == member.incarnation && self.now.saturating_sub(heard.at) < SUSPECT;
-        self.heard.get(&member.id).is_some_and(fresh)
+        self.discovery.heard.get(&member.id).is_some_and(fresh)
     }
 
     /// Whether a majority of this view's voters was heard lately. A replica that hears none may have been
@@ -85,12 +85,16 @@
         if *member == self.me {
             return self.is_full();
         }
-        self.heard.get(&member.id).is_some_and(|heard| heard.beat.view == self.meta.view.n && heard.beat.full == 1)
+        self.discovery
+            .heard
+            .get(&member.id)
+            .is_some_and(|heard| heard.beat.view == self.meta.view.n && heard.beat.full == 1)
     }
 
     fn caught_up(&self, spare: &Member) -> bool {
         let lacks = |heard: &Heard| self.synced.seq.saturating_sub(heard.beat.synced.seq);
-        let close = *spare == self.me || self.heard.get(&spare.id).is_some_and(|h| lacks(h) <= CAUGHT_UP_ENTRIES);
+        let close =
+            *spare == self.me || self.discovery.heard.get(&spare.id).is_some_and(|h| lacks(h) <= CAUGHT_UP_ENTRIES);
         close && self.holds_all(spare)
     }
 
@@ -102,10 +106,10 @@
             return wanted.clone();
         }
         let mut cores = view.cores.items().to_vec();
-        if self.own.is_none() {
+        if self.discovery.own.is_none() {
             return cores;
         }
-        let fresh = self.unlisted.values().filter(|(at, _)| self.now.saturating_sub(*at) < SUSPECT);
+        let fresh = self.discovery.unlisted.values().filter(|(at, _)| self.now.saturating_sub(*at) < SUSPECT);
         for (_, place) in fresh {
             match cores.iter_mut().find(|core| core.id == place.id) {
                 Some(held) => *held = place.clone(),
@@ -114,7 +118,8 @@
         }
         cores.retain(|core| {
             let of_use = [&view.chain, &view.voters].iter().any(|list| list.items().iter().any(|m| m.id == core.id));
-            let since = self.heard.get(&core.id).map_or(self.view_since, |heard| heard.at.max(self.view_since));
+            let since =
+                self.discovery.heard.get(&core.id).map_or(self.view_since, |heard| heard.at.max(self.view_since));
             of_use || core.id == self.me.id || self.now.saturating_sub(since) < UNLIST
         });
         cores
@@ -124,7 +129,7 @@
     fn alive_of(&self, cores: &[CoreAt]) -> Vec<Member> {
         let member = |core: &CoreAt| {
             let own = core.id == self.me.id;
-            let incarnation = if own { self.me.incarnation } else { self.heard.get(&core.id)?.incarnation };
+            let incarnation = if own { self.me.incarnation } else { self.discovery.heard.get(&core.id)?.incarnation };
             Some(Member { id: core.id, incarnation })
         };
         cores.iter().filter_map(member).filter(|member| self.alive(member)).collect()
--- a/crates/control-chain/src/queries.rs
+++ b/crates/control-chain/src/queries.rs
@@ -1,36 +1,73 @@
 //! Queries: what holds now, as JSON.
 use crate::core::Core;
+use crate::lister::ListingStatus;
 use crate::outcome::Verdict;
 use crate::state::claim_name;
 use fleet_common::ask::SOURCES;
 use fleet_common::json::quote;
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// What a replica tells of itself.
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct ReplicaStatus {
+    id: u32,
+    incarnation: String,
+    view: String,
+    place: String,
+    full: bool,
+    full_copies: usize,
+    sick: bool,
+    seq: u64,
+    synced: u64,
+    committed: u64,
+    snapshot: u64,
+    term: bool,
+    listing: ListingStatus,
+    versions: BTreeMap<&'static str, u64>,
+}
 
 impl Core {
-    /// What this core itself believes; any core answers this, tail or not.
-    pub(crate) fn own_words(&self) -> String {
-        let versions: Vec<String> =
-            SOURCES.iter().zip(self.vector()).map(|(name, version)| format!("{}:{version}", quote(name))).collect();
-        format!(
-            "{{\"id\":{},\"incarnation\":{},\"view\":{},\"place\":{},\"full\":{},\"sick\":{},\"seq\":{},\"synced\":{},\"committed\":{},\"term\":{},\"listing\":{},\"versions\":{{{}}}}}",
-            self.me.id,
-            quote(&self.me.incarnation.to_string()),
-            quote(&self.meta.view.words()),
-            quote(&match self.place() {
-                Some(0) => "head".to_string(),
-                Some(_) if self.is_tail() => "tail".into(),
-                Some(p) => format!("chain {p}"),
-                None if self.meta.view.holds(&self.me) => "spare".into(),
-                None => "outside".into(),
-            }),
-            self.is_full(),
-            self.sick,
-            self.log.last().seq,
-            self.synced.seq,
-            self.committed,
-            self.holds_lease(),
-            self.background.lister.words(),
-            versions.join(","),
-        )
+    /// What this replica itself believes; any replica answers this, tail or not.
+    pub(crate) fn status_json(&self) -> String {
+        let versions = SOURCES.iter().copied().zip(self.vector()).collect();
+        let status = ReplicaStatus {
+            id: self.me.id,
+            incarnation: self.me.incarnation.to_string(),
+            view: self.meta.view.words(),
+            place: self.place_name(),
+            full: self.is_full(),
+            full_copies: self.full_copies(),
+            sick: self.sick,
+            seq: self.log.last().seq,
+            synced: self.synced.seq,
+            committed: self.committed,
+            snapshot: self.log.snapshot().at.seq,
+            term: self.holds_lease(),
+            listing: self.background.lister.status(),
+            versions,
+        };
+        match sonic_rs::to_string(&status) {
+            Ok(text) => text,
+            Err(error) => format!("{{\"error\":{}}}", quote(&error.to_string())),
+        }
+    }
+
+    fn place_name(&self) -> String {
+        match self.place() {
+            Some(0) => "head".into(),
+            Some(_) if self.is_tail() => "tail".into(),
+            Some(place) => format!("chain {place}"),
+            None if self.meta.view.holds(&self.me) => "spare".into(),
+            None => "outside".into(),
+        }
+    }
+
+    /// How many members of the chain hold all that is committed, as far as they are heard: a loss is borne while
+    /// there are two.
+    fn full_copies(&self) -> usize {
+        self.meta.view.chain.items().iter().filter(|member| self.alive(member) && self.holds_all(member)).count()
     }
 
     pub(crate) fn query(&self, text: &str) -> String {
@@ -98,7 +135,7 @@
             .members
             .iter()
             .map(|(name, member)| {
-                let confirmed = self.seen.get(name).map(|s| s.confirmed.to_vec()).unwrap_or_default();
+                let confirmed = self.nodes.seen.get(name).map(|s| s.confirmed.to_vec()).unwrap_or_default();
                 format!(
                     "{}:{{\"kind\":{},\"at\":{},\"district\":{},\"silentMs\":{},\"confirmed\":{confirmed:?}}}",
                     quote(name),
--- a/crates/control-chain/src/replication.rs
+++ b/crates/control-chain/src/replication.rs
@@ -53,7 +53,7 @@
     /// node may have been given another lease meanwhile.
     fn apply(&mut self, envelope: &Envelope) -> Outcome {
         if let Command::Lapse { node, .. } = &envelope.command {
-            self.lapses.insert(node.clone(), self.now);
+            self.nodes.lapses.insert(node.clone(), self.now);
         }
         self.state.apply(envelope)
     }
@@ -124,8 +124,8 @@
         if self.synced.seq > seq {
             self.synced = self.log.last();
         }
-        if self.prepared_snapshot.as_ref().is_some_and(|prepared| prepared.at.seq > seq) {
-            self.prepared_snapshot = None;
+        if self.snapshots.prepared.as_ref().is_some_and(|prepared| prepared.at.seq > seq) {
+            self.snapshots.prepared = None;
         }
         if self.state.seq > seq {
             self.rebuild_state();
--- a/crates/control-chain/src/requests.rs
+++ b/crates/control-chain/src/requests.rs
@@ -1,11 +1,12 @@
-//! What nodes and operators ask of a core: pulls, commands, queries. Only a tail under its term
+//! What nodes and operators ask of a core: pulls, commands, queries. Only a tail under its lease
 //! answers what holds; only the head takes commands; others say where to go.
 use crate::command::{Command, Envelope, Node, Outcome};
 use crate::core::{Core, Output};
 use crate::message::Chain;
+use crate::node_status::{Parked, Seen};
 use crate::view::CoreAt;
 use fleet_common::Bytes;
-use fleet_common::ask::{Answer, Ask, CORES, CoresWish, Pull, Pulled, SOURCES, TERM, Vector, Versioned};
+use fleet_common::ask::{Answer, Ask, CORES, CoresWish, Pull, Pulled, SOURCES, TERM, Versioned};
 use fleet_common::node::vector;
 use std::time::Duration;
 
@@ -13,25 +14,6 @@
 pub const LAPSE_MARGIN: Duration = Duration::from_millis(400);
 const PARK_MAX: Duration = Duration::from_millis(1000);
 
-/// A pull that waits for news.
-#[derive(Clone)]
-pub(crate) struct Parked {
-    token: u64,
-    pull: Pull,
-    until: Duration,
-}
-
-/// What the tail knows of a node from its pulls.
-#[derive(Clone)]
-pub(crate) struct Seen {
-    pub at: Duration,
-    pub incarnation: u64,
-    pub confirmed: Vector,
-    pub holding: bool,
-    pub granted: Option<Duration>,
-    pub join_asked: Option<Duration>,
-}
-
 impl Core {
     pub(crate) fn answer(&mut self, token: u64, answer: Answer) {
         self.out.push(Output::Answer(token, answer));
@@ -61,7 +43,7 @@
         let (head, tail) = (chain.first().map(|m| m.id), chain.last().map(|m| m.id));
         match ask {
             Ask::Query(text) if text.as_str() == "self" => {
-                let text = self.own_words();
+                let text = self.status_json();
                 self.answer_json(token, text);
             }
             Ask::Pull(pull) if self.holds_lease() => self.on_pull(token, pull),
@@ -120,7 +102,7 @@
 
     pub(crate) fn send_parked_elsewhere(&mut self) {
         let tail = self.meta.view.chain.items().last().map(|m| m.id);
-        for parked in std::mem::take(&mut self.parked) {
+        for parked in std::mem::take(&mut self.nodes.parked) {
             self.elsewhere(parked.token, tail);
         }
     }
@@ -133,7 +115,7 @@
             at: pull.at.to_string(),
             district: pull.district.to_string(),
         };
-        let before = self.seen.remove(&name);
+        let before = self.nodes.seen.remove(&name);
         let mut seen = Seen {
             at: self.now,
             incarnation: pull.incarnation,
@@ -148,13 +130,13 @@
                 seen.join_asked = Some(self.now);
                 self.tell_head(Command::Join { node: name.clone(), member });
             }
-            self.seen.insert(name, seen);
+            self.nodes.seen.insert(name, seen);
             return self.answer(token, Answer::Pulled(Pulled { member: 0, age_ms: 0, changed: vec![].into() }));
         }
         seen.join_asked = None;
-        self.seen.insert(name, seen);
+        self.nodes.seen.insert(name, seen);
         let until = self.now + Duration::from_millis(pull.wait_ms.into()).min(PARK_MAX);
-        self.parked.push(Parked { token, pull, until });
+        self.nodes.parked.push(Parked { token, pull, until });
         self.wake_parked();
     }
 
@@ -169,7 +151,7 @@
 
     /// Answers the parked pulls that lack something, or have waited long enough.
     pub(crate) fn wake_parked(&mut self) {
-        if self.parked.is_empty() || self.state.seq > self.synced.seq {
+        if self.nodes.parked.is_empty() || self.state.seq > self.synced.seq {
             return;
         }
         if !self.holds_lease() {
@@ -179,12 +161,12 @@
         let lacks = |pull: &Pull| (0..SOURCES.len()).any(|at| vector(pull.have.items())[at] < holds[at]);
         let now = self.now;
         let (due, parked): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.parked).into_iter().partition(|p| p.until <= now || lacks(&p.pull));
-        self.parked = parked;
+            std::mem::take(&mut self.nodes.parked).into_iter().partition(|p| p.until <= now || lacks(&p.pull));
+        self.nodes.parked = parked;
         let mut values: [Option<Bytes>; SOURCES.len()] = Default::default();
         for parked in due {
             // From here on the node may hold a term, whatever it said when it asked.
-            if let Some(seen) = self.seen.get_mut(parked.pull.node.as_str()) {
+            if let Some(seen) = self.nodes.seen.get_mut(parked.pull.node.as_str()) {
                 seen.holding = true;
                 seen.granted = Some(now);
             }
@@ -213,14 +195,14 @@
         }
         for at in 0..SOURCES.len() {
             let version = self.vector()[at];
-            if self.since.get(&at).is_none_or(|(held, _)| *held != version) {
-                self.since.insert(at, (version, self.now));
+            if self.nodes.since.get(&at).is_none_or(|(held, _)| *held != version) {
+                self.nodes.since.insert(at, (version, self.now));
             }
         }
-        if self.now.saturating_sub(self.lapse_asked) < Duration::from_millis(250) {
+        if self.now.saturating_sub(self.nodes.lapse_asked) < Duration::from_millis(250) {
             return;
         }
-        self.lapse_asked = self.now;
+        self.nodes.lapse_asked = self.now;
         let lapsed: Vec<Command> = self
             .state
             .members
--- a/crates/control-chain/src/view_change.rs
+++ b/crates/control-chain/src/view_change.rs
@@ -27,10 +27,23 @@
     pub(crate) begun: Duration,
 }
 
+/// A replica's part in the agreement on the next view, besides what is on its disk.
+#[derive(Clone, Default)]
+pub(crate) struct Agreement {
+    /// A prepare that waits for the end of the tail's lease.
+    pub held_prepare: Option<(u32, Prepare)>,
+    pub proposal: Option<Proposal>,
+    /// The highest round of a ballot that was heard of.
+    pub ballot_round: u64,
+    /// Since when another view is wanted.
+    pub trouble_since: Option<Duration>,
+    pub prepare_heard: Option<Duration>,
+}
+
 impl Core {
     pub(crate) fn agree_tick(&mut self) {
-        if self.now >= self.granted_until
-            && let Some((from, prepare)) = self.held_prepare.take()
+        if self.now >= self.lease.granted_until
+            && let Some((from, prepare)) = self.agreement.held_prepare.take()
         {
             self.promise(from, prepare);
         }
@@ -43,20 +56,20 @@
             wish = Some(View { n: self.meta.view.n + 1, ..self.meta.view.clone() });
         }
         let Some(wish) = wish else {
-            self.trouble_since = None;
-            self.proposal = None;
+            self.agreement.trouble_since = None;
+            self.agreement.proposal = None;
             return;
         };
-        let since = *self.trouble_since.get_or_insert(self.now);
+        let since = *self.agreement.trouble_since.get_or_insert(self.now);
         let ahead =
             self.meta.view.voters.items().iter().take_while(|m| **m != self.me).filter(|m| self.alive(m)).count();
         let turn = TURN * ahead as u32;
         let own = self.meta.view.voters.items().iter().position(|m| *m == self.me).unwrap_or(0);
         let again = AGAIN + TURN * (own as u32 + 1);
-        let due = match &self.proposal {
+        let due = match &self.agreement.proposal {
             Some(proposal) => self.now.saturating_sub(proposal.begun) > again,
             None => {
-                let other = self.prepare_heard.is_some_and(|at| self.now.saturating_sub(at) < AGAIN);
+                let other = self.agreement.prepare_heard.is_some_and(|at| self.now.saturating_sub(at) < AGAIN);
                 // One just started lets the others be heard first: all may have stopped at once.
                 let settled = self.now.saturating_sub(self.begun) >= SETTLE;
                 settled && !other && self.now.saturating_sub(since) >= turn + GRACE
@@ -69,10 +82,10 @@
 
     fn propose(&mut self, wish: View) {
         let used = self.meta.promised.max(self.meta.proposed) >> BALLOT_ROUND_SHIFT;
-        self.ballot_round = self.ballot_round.max(used) + 1;
-        let (n, ballot) = (wish.n, self.ballot_round << BALLOT_ROUND_SHIFT | u64::from(self.me.id));
+        self.agreement.ballot_round = self.agreement.ballot_round.max(used) + 1;
+        let (n, ballot) = (wish.n, self.agreement.ballot_round << BALLOT_ROUND_SHIFT | u64::from(self.me.id));
         self.note(format!("proposes {} under ballot {ballot}", wish.words()));
-        self.proposal = Some(Proposal {
+        self.agreement.proposal = Some(Proposal {
             n,
             ballot,
             wish,
@@ -88,7 +101,7 @@
     }
 
     pub(crate) fn send_prepare(&mut self, n: u64, ballot: u64) {
-        if self.proposal.as_ref().is_some_and(|proposal| (proposal.n, proposal.ballot) == (n, ballot)) {
+        if self.agreement.proposal.as_ref().is_some_and(|proposal| (proposal.n, proposal.ballot) == (n, ballot)) {
             self.tell_voters(Chain::Prepare(Prepare { n, ballot }));
         }
     }
@@ -108,17 +121,17 @@
     }
 
     pub(crate) fn on_prepare(&mut self, from: u32, incarnation: u64, prepare: Prepare) {
-        self.ballot_round = self.ballot_round.max(prepare.ballot >> BALLOT_ROUND_SHIFT);
+        self.agreement.ballot_round = self.agreement.ballot_round.max(prepare.ballot >> BALLOT_ROUND_SHIFT);
         if !self.next_decree(from, prepare.n) || !self.votes(&Member { id: from, incarnation }) {
             return;
         }
         if prepare.ballot <= self.meta.promised {
             return;
         }
-        self.prepare_heard = Some(self.now);
-        if self.now < self.granted_until {
-            if self.held_prepare.as_ref().is_none_or(|(_, held)| held.ballot < prepare.ballot) {
-                self.held_prepare = Some((from, prepare));
+        self.agreement.prepare_heard = Some(self.now);
+        if self.now < self.lease.granted_until {
+            if self.agreement.held_prepare.as_ref().is_none_or(|(_, held)| held.ballot < prepare.ballot) {
+                self.agreement.held_prepare = Some((from, prepare));
             }
             return;
         }
@@ -139,7 +152,7 @@
     pub(crate) fn on_promise(&mut self, from: u32, incarnation: u64, promise: Promise) {
         let voter = self.votes(&Member { id: from, incarnation });
         let majority = self.meta.view.majority();
-        let Some(proposal) = self.proposal.as_mut() else {
+        let Some(proposal) = self.agreement.proposal.as_mut() else {
             return;
         };
         if !voter || proposal.n != promise.n || proposal.ballot != promise.ballot || proposal.asked.is_some() {
@@ -157,7 +170,7 @@
     }
 
     pub(crate) fn on_accept(&mut self, from: u32, accept: Accept) {
-        self.ballot_round = self.ballot_round.max(accept.ballot >> BALLOT_ROUND_SHIFT);
+        self.agreement.ballot_round = self.agreement.ballot_round.max(accept.ballot >> BALLOT_ROUND_SHIFT);
         if !self.next_decree(from, accept.n) || accept.ballot < self.meta.promised {
             return;
         }
@@ -172,7 +185,7 @@
     pub(crate) fn on_vote(&mut self, from: u32, incarnation: u64, vote: Vote) {
         let voter = self.votes(&Member { id: from, incarnation });
         let majority = self.meta.view.majority();
-        let Some(proposal) = self.proposal.as_mut() else {
+        let Some(proposal) = self.agreement.proposal.as_mut() else {
             return;
         };
         if !voter || proposal.n != vote.n || proposal.ballot != vote.ballot {
--- a/crates/control-chain/src/view_install.rs
+++ b/crates/control-chain/src/view_install.rs
@@ -19,7 +19,7 @@
         self.meta.accepted = vec![].into();
         // That there is a newer view means that no tail of an older one holds a lease. Only a grant that was
         // given and forgotten by an earlier process may be of this view.
-        (self.granted_until, self.granted_to) = (self.forgotten_grants_until, None);
+        (self.lease.granted_until, self.lease.granted_to) = (self.lease.forgotten_grants_until, None);
         self.note(format!("installs {}", self.meta.view.words()));
         self.keep(vec![Record::Meta(self.meta.clone())], After::Nothing);
         self.settle_in();
@@ -36,12 +36,12 @@
 
     fn settle_in(&mut self) {
         self.drop_background_work();
-        self.unlisted.retain(|id, (_, at)| self.meta.view.at(*id) != Some(at));
-        self.proposal = None;
-        self.held_prepare = None;
-        self.trouble_since = None;
-        self.prepare_heard = None;
-        self.grants.clear();
+        self.discovery.unlisted.retain(|id, (_, at)| self.meta.view.at(*id) != Some(at));
+        self.agreement.proposal = None;
+        self.agreement.held_prepare = None;
+        self.agreement.trouble_since = None;
+        self.agreement.prepare_heard = None;
+        self.lease.grants.clear();
         self.view_since = self.now;
         self.progress.clear();
         if let Some((token, wanted)) = self.wanted_cores.take() {
--- a/crates/control-core/src/operators.rs
+++ b/crates/control-core/src/operators.rs
@@ -121,6 +121,14 @@
         use sonic_rs::JsonValueTrait;
         sonic_rs::get(&text, [name]).ok().and_then(|v| v.as_u64()).unwrap_or(0)
     };
-    let body = ["seq", "synced", "committed"].map(|n| format!("coursebend_core_{n} {}\n", number(n))).concat();
+    let figures = [
+        ("seq", "seq"),
+        ("synced", "synced"),
+        ("committed", "committed"),
+        ("snapshot", "snapshot"),
+        ("full_copies", "fullCopies"),
+    ];
+    let line = |(metric, field): (&str, &str)| format!("coursebend_core_{metric} {}\n", number(field));
+    let body = figures.map(line).concat();
     incoming.whole(200, "text/plain; version=0.0.4", body.as_bytes(), vec![]);
 }
--- a/crates/http-streams/src/inbound.rs
+++ b/crates/http-streams/src/inbound.rs
@@ -2,7 +2,7 @@
 use crate::framing::{Framing, of_request, write_chunk};
 use crate::head::{self, RequestHead};
 pub use crate::limits::Limits;
-pub use crate::outcome::{Got, ReadOutcome};
+pub use crate::outcome::ReadOutcome;
 use crate::wait::{WaitOutcome, bound, reset_on_close, wait};
 use std::io::{self, Read, Write};
 use std::net::TcpStream;
--- a/crates/http-streams/src/outcome.rs
+++ b/crates/http-streams/src/outcome.rs
@@ -35,6 +35,3 @@
     /// Not to be served: a status and what is wrong.
     Bad(u16, String),
 }
-
-/// The former name of `ReadOutcome`, until its last use is gone.
-pub type Got = ReadOutcome;
