control-core: the handle of a running replica and the store are modules of their own; a restarted voter's wait

Moves only, but for one test: a voter that was restarted promises nothing until whatever it may have granted is over.

--- a/crates/control-chain/tests/restarts.rs
+++ b/crates/control-chain/tests/restarts.rs
@@ -1,6 +1,6 @@
 //! What a replica said before it was restarted counts for its next process only as far as that may rely on it:
 //! clocks begin anew with each process, and what was not synced is forgotten.
-use control_chain::core::{BEAT, Core, Found, Input, Output, Record, SETTLE};
+use control_chain::core::{BEAT, Core, Found, Input, Output, Record, SETTLE, TAIL_LEASE};
 use control_chain::log::Position;
 use control_chain::message::{Beat, Chain, Condition, Lease, Prepare, Sent};
 use control_chain::snapshots::SnapshotProgress;
@@ -86,6 +86,17 @@
     assert!(promises(&mut voter, now), "the lease was given back");
 }
 
+/// What a voter granted before it was restarted it has forgotten: it promises nothing until any grant is over.
+#[test]
+fn a_restarted_voter_waits_out_what_it_may_have_granted() {
+    let mut voter = start(1, 1, founded());
+    let kept = |outputs: Vec<Output>| outputs.iter().any(|output| matches!(output, Output::Keep(..)));
+    let prepare = Prepare { n: 2, ballot: (9 << 32) | 2 };
+    assert!(!kept(voter.step(Duration::from_millis(10), said(2, Chain::Prepare(prepare)))), "it promised at once");
+    assert!(!kept(voter.step(TAIL_LEASE, Input::Tick)), "it promised within a lease");
+    assert!(kept(voter.step(TAIL_LEASE * 2, Input::Tick)), "it promises once a lease is over");
+}
+
 /// Runs a voter that misses the tail until it asks for votes or the time is over. Gives the ballots that it
 /// used, and what was synced by then, if syncs are let happen.
 fn ballots(mut meta: Meta, syncs: bool) -> (Vec<u64>, Meta) {
--- a/crates/control-chain/tests/sim/machines.rs
+++ b/crates/control-chain/tests/sim/machines.rs
@@ -1,8 +1,28 @@
 //! Machines in the simulated world: they start, lose power, are emptied, come and go.
 use super::disk::Disk;
-use super::{Disks, Event, Node, World, ms, place};
+use super::{Disks, Event, World, ms, place};
 use control_chain::core::Core;
 use control_chain::view::{Member, Meta, View};
+use std::time::Duration;
+
+pub struct Node {
+    pub core: Option<Core>,
+    pub disk: Disk,
+    pub boot: u64,
+    pub frozen_until: Duration,
+    pub(super) held: Vec<(u64, Event)>,
+    pub(super) skew: Duration,
+    pub(super) booted: Duration,
+    pub(super) last_view: u64,
+}
+
+impl Node {
+    /// The clock of the process: it begins anew with each process, and runs up to a hundredth faster.
+    pub(super) fn clock(&self, now: Duration) -> Duration {
+        let running = now - self.booted;
+        running + running * (self.skew.as_millis() % 10) as u32 / 1000
+    }
+}
 
 impl World {
     /// A world whose cores make themselves known; nobody is up yet.
--- a/crates/control-chain/tests/sim/mod.rs
+++ b/crates/control-chain/tests/sim/mod.rs
@@ -6,13 +6,13 @@
 pub mod edges;
 pub mod history;
 pub mod machines;
+pub use machines::Node;
 pub mod platform;
 
 use control_chain::command::Replica;
-use control_chain::core::{Core, Input, Output};
+use control_chain::core::{Input, Output};
 use control_chain::message::{Chain, Sent};
 use control_chain::view::{CoreAt, View};
-use disk::Disk;
 use fleet_common::ask::{Answer, Ask};
 use fleet_common::hash::Dice;
 use std::collections::{BTreeMap, BTreeSet};
@@ -33,25 +33,6 @@
     Asked(u32, u64, u64, Ask),
 }
 
-pub struct Node {
-    pub core: Option<Core>,
-    pub disk: Disk,
-    pub boot: u64,
-    pub frozen_until: Duration,
-    pub(super) held: Vec<(u64, Event)>,
-    skew: Duration,
-    booted: Duration,
-    last_view: u64,
-}
-
-impl Node {
-    /// The clock of the process: it begins anew with each process, and runs up to a hundredth faster.
-    fn clock(&self, now: Duration) -> Duration {
-        let running = now - self.booted;
-        running + running * (self.skew.as_millis() % 10) as u32 / 1000
-    }
-}
-
 /// How the disks behave: honest ones say synced when they are.
 #[derive(Clone, Copy, PartialEq)]
 pub enum Disks {
--- a/crates/control-core/src/disk.rs
+++ b/crates/control-core/src/disk.rs
@@ -4,6 +4,7 @@
 use crate::files::{Files, Folder};
 use crate::mark::{MARK, SLOTS, read_slot, slot};
 use crate::records::{Held, frame, is_of_former_release, replay};
+pub use crate::store::{Fault, Store};
 use control_chain::core::{Found, Record};
 use control_chain::view::CoreAt;
 use std::io;
@@ -16,30 +17,6 @@
 const PROBE: &str = "probe";
 const PROBE_PART: usize = 1 << 20;
 const PROBE_PARTS: u64 = 6;
-/// Why a disk cannot be used.
-#[derive(Debug, thiserror::Error)]
-pub enum Fault {
-    #[error("the state on disk is damaged: {0}")]
-    Damaged(String),
-    #[error("this disk has held a core before: a fleet is founded on empty ones only")]
-    Used,
-    #[error(
-        "the log was written by a former release, whose format is not read: replace this machine's disk by an empty one"
-    )]
-    FormerRelease,
-    /// It may work again.
-    #[error("disk: {0}")]
-    Trouble(#[from] io::Error),
-}
-
-/// Where records go. The driver knows nothing else of disks.
-pub trait Store: Send {
-    fn keep(&mut self, records: &[Record]) -> io::Result<()>;
-    fn sync(&mut self) -> io::Result<()>;
-    /// Whether a disk that failed takes as much again as comes before the next snapshot.
-    fn probe(&mut self) -> io::Result<()>;
-}
-
 /// The log in a folder.
 pub struct LogStore {
     files: Box<dyn Files>,
--- a/crates/control-core/src/drive.rs
+++ b/crates/control-core/src/drive.rs
@@ -1,147 +1,17 @@
 //! Threads around the core's state machine: an inbox, a disk thread, and answers to whoever
 //! asked. A disk that failed is opened again as soon as it can be, and the core starts over from it.
+pub use crate::handle::Driver;
+use crate::handle::Inbox;
 use crate::keeping::{Disk, Job};
 use crate::links::Links;
 use control_chain::core::{Core, Found, Input, Output, StartError};
-use control_chain::lister::Listed;
-use control_chain::message::Sent;
-use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded, unbounded};
-use fleet_common::ask::{Answer, Ask};
-use fleet_common::frame::Caller;
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
+use fleet_common::ask::Answer;
 use fleet_common::{Mishap, Step, ring};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 const TICK: Duration = Duration::from_millis(20);
-const ANSWER_WAIT: Duration = Duration::from_secs(4);
-/// A replica that may answer is looked for no longer than this.
-const SEARCH_WAIT: Duration = Duration::from_millis(400);
-/// The pause between two looks for one.
-const SEARCH_PAUSE: Duration = Duration::from_millis(60);
-
-pub(crate) enum Inbox {
-    Heard(Sent),
-    /// The disk was opened for the so manieth time: a core starts from what it held.
-    Opened(u64, Found),
-    /// Of that opening, the tickets up to this one are synced, or not.
-    Synced(u64, u64, bool),
-    Asked(Ask, Sender<Answer>),
-    Listed(u64, Listed),
-    Leave,
-}
-
-/// The way in to a running core.
-#[derive(Clone)]
-pub struct Driver {
-    inbox: Sender<Inbox>,
-}
-
-impl Driver {
-    /// What another core said.
-    /// ```no_run
-    /// # fn example(driver: &control_core::drive::Driver) {
-    /// use control_chain::{message::{Chain, Sent}, view::View};
-    /// driver.heard(Sent { from: 2, incarnation: 1, message: Chain::ViewIs(View::outside(vec![])) });
-    /// # }
-    /// ```
-    pub fn heard(&self, sent: Sent) {
-        let _ = self.inbox.send(Inbox::Heard(sent));
-    }
-
-    /// What the platform listed when it was asked under this number.
-    /// ```no_run
-    /// # fn example(driver: &control_core::drive::Driver) {
-    /// driver.listed(1, Err("the platform is down".into()));
-    /// # }
-    /// ```
-    pub fn listed(&self, number: u64, listed: Listed) {
-        let _ = self.inbox.send(Inbox::Listed(number, listed));
-    }
-
-    /// Has this core leave the chain.
-    /// ```no_run
-    /// # fn example(driver: &control_core::drive::Driver) {
-    /// driver.leave();
-    /// # }
-    /// ```
-    pub fn leave(&self) {
-        let _ = self.inbox.send(Inbox::Leave);
-    }
-
-    /// This core's place in the view it knows: head, chain N, tail, spare or outside.
-    /// ```no_run
-    /// # fn example(driver: &control_core::drive::Driver) {
-    /// assert_eq!(driver.place().as_deref(), Some("spare"));
-    /// # }
-    /// ```
-    pub fn place(&self) -> Option<String> {
-        use sonic_rs::JsonValueTrait;
-        match self.ask(Ask::Query("self".into())) {
-            Answer::Json(text) => Some(sonic_rs::get(text.as_slice(), ["place"]).ok()?.as_str()?.to_string()),
-            _ => None,
-        }
-    }
-
-    /// Whether this core is in the chain of the view it knows.
-    /// ```no_run
-    /// # fn example(driver: &control_core::drive::Driver) {
-    /// assert!(driver.in_chain());
-    /// # }
-    /// ```
-    pub fn in_chain(&self) -> bool {
-        self.place().is_some_and(|place| place != "spare" && place != "outside")
-    }
-
-    /// Asks this core. `Elsewhere` names the core that would answer, if it is known.
-    /// ```no_run
-    /// # fn example(driver: &control_core::drive::Driver) {
-    /// use fleet_common::ask::Ask;
-    /// println!("{:?}", driver.ask(Ask::Query("self".into())));
-    /// # }
-    /// ```
-    pub fn ask(&self, ask: Ask) -> Answer {
-        self.ask_within(ask, ANSWER_WAIT)
-    }
-
-    fn ask_within(&self, ask: Ask, wait: Duration) -> Answer {
-        let (sender, receiver) = bounded(1);
-        let _ = self.inbox.send(Inbox::Asked(ask, sender));
-        receiver.recv_timeout(wait).unwrap_or_else(|_| Answer::Refused("unknown".into()))
-    }
-
-    /// Asks here or, when sent elsewhere, there. Where no replica is found that may answer, this is said
-    /// after at most 400 ms; one that was found is waited for until `wait` is over.
-    /// ```no_run
-    /// # fn example(driver: &control_core::drive::Driver) {
-    /// use fleet_common::ask::Ask;
-    /// println!("{:?}", driver.ask_fleet(Ask::Query("holds".into()), std::time::Duration::from_secs(5)));
-    /// # }
-    /// ```
-    pub fn ask_fleet(&self, ask: Ask, wait: Duration) -> Result<Answer, Mishap> {
-        let begun = Instant::now();
-        let left = || wait.saturating_sub(begun.elapsed());
-        let mut answer = self.ask_within(ask.clone(), wait);
-        loop {
-            let next = match &answer {
-                Answer::Elsewhere(at) => at.as_str().parse().ok(),
-                Answer::Unavailable(_) => None,
-                _ => return Ok(answer),
-            };
-            if left().is_zero() || (next.is_none() && begun.elapsed() >= SEARCH_WAIT) {
-                return Err(Mishap::at(Step::Query, "cores", "no core holds the term to answer"));
-            }
-            answer = match next.map(|to| Caller::new(to, left().min(ANSWER_WAIT)).ask(&ask)) {
-                Some(Ok(answer)) => answer,
-                Some(Err(mishap)) if mishap.step != Step::Connect => return Err(mishap),
-                Some(Err(_)) | None => {
-                    std::thread::sleep(SEARCH_PAUSE.min(left()));
-                    self.ask_within(ask.clone(), left())
-                }
-            };
-        }
-    }
-}
-
 /// Makes a core of what its disk held.
 pub type Make = Box<dyn FnMut(Duration, Found) -> Result<Core, StartError> + Send>;
 
--- a/crates/control-core/src/keeping.rs
+++ b/crates/control-core/src/keeping.rs
@@ -1,6 +1,6 @@
 //! The disk's thread: syncs many tickets at once, and opens the disk again after it failed.
 use crate::disk::{Fault, Store};
-use crate::drive::Inbox;
+use crate::handle::Inbox;
 use control_chain::core::{Found, Record};
 use crossbeam::channel::{Receiver, Sender};
 use fleet_common::threads::{self, STACK};
--- a/crates/control-core/src/lib.rs
+++ b/crates/control-core/src/lib.rs
@@ -5,12 +5,14 @@
 pub mod drive;
 mod explain;
 pub mod files;
+mod handle;
 pub mod keeping;
 mod links;
 pub mod listing;
 mod mark;
 pub mod operators;
 pub mod records;
+mod store;
 
 use control_chain::core::{Core, Found, StartError};
 use control_chain::message::Sent;
--- /dev/null
+++ b/crates/control-core/src/store.rs
@@ -0,0 +1,27 @@
+//! Where records go, and why they cannot.
+use control_chain::core::Record;
+use std::io;
+
+/// Why a disk cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    #[error("the state on disk is damaged: {0}")]
+    Damaged(String),
+    #[error("this disk has held a core before: a fleet is founded on empty ones only")]
+    Used,
+    #[error(
+        "the log was written by a former release, whose format is not read: replace this machine's disk by an empty one"
+    )]
+    FormerRelease,
+    /// It may work again.
+    #[error("disk: {0}")]
+    Trouble(#[from] io::Error),
+}
+
+/// Where records go. The driver knows nothing else of disks.
+pub trait Store: Send {
+    fn keep(&mut self, records: &[Record]) -> io::Result<()>;
+    fn sync(&mut self) -> io::Result<()>;
+    /// Whether a disk that failed takes as much again as comes before the next snapshot.
+    fn probe(&mut self) -> io::Result<()>;
+}
