--- a/crates/control-chain/src/command.rs
+++ b/crates/control-chain/src/command.rs
@@ -5,7 +5,7 @@
 use fleet_common::ask::Ask;
 use fleet_common::hash::key_print;
 use fleet_common::json::{self, Fault, Place};
-use fleet_common::{Mishap, Step};
+use fleet_common::{PeerError, Step};
 use serde::{Deserialize, Serialize};
 
 /// A replica as the platform lists it.
@@ -143,8 +143,8 @@
     /// use control_chain::command::{Command, Envelope};
     /// assert!(Envelope::bare(Command::Minute).ask().is_ok());
     /// ```
-    pub fn ask(&self) -> Result<Ask, Mishap> {
-        let bytes = self.pack().map_err(|error| Mishap::at(Step::Command, "own command", error))?;
+    pub fn ask(&self) -> Result<Ask, PeerError> {
+        let bytes = self.pack().map_err(|error| PeerError::at(Step::Command, "own command", error))?;
         Ok(Ask::Command(bytes.into()))
     }
 
--- a/crates/control-chain/src/relay.rs
+++ b/crates/control-chain/src/relay.rs
@@ -1,6 +1,6 @@
 //! What an agent holds for its router: whole versions, and when the last confirmed pull was sent. The
 //! router's term is the agent's to pass on, never to lengthen.
-use fleet_common::ask::{CORES, Pulled, SOURCES, TERM, Vector, Versioned};
+use fleet_common::ask::{CORES, LEASE, Pulled, SOURCES, Vector, Versioned};
 use std::time::Duration;
 
 /// Beyond a term, until a silent router certainly holds none.
@@ -72,7 +72,7 @@
     /// assert!(!control_chain::relay::Relay::default().router_may_hold(std::time::Duration::ZERO));
     /// ```
     pub fn router_may_hold(&self, now: Duration) -> bool {
-        self.router_fed.is_some_and(|at| now.saturating_sub(at) < TERM + MARGIN)
+        self.router_fed.is_some_and(|at| now.saturating_sub(at) < LEASE + MARGIN)
     }
 
     /// Plans the next pull. One that says the router holds no term takes back what could be passed on:
--- a/crates/control-chain/src/requests.rs
+++ b/crates/control-chain/src/requests.rs
@@ -6,7 +6,7 @@
 use crate::node_status::{Parked, Seen};
 use crate::view::CoreAt;
 use fleet_common::Bytes;
-use fleet_common::ask::{Answer, Ask, CORES, CoresWish, Pull, Pulled, SOURCES, TERM, Versioned};
+use fleet_common::ask::{Answer, Ask, CORES, CoresWish, LEASE, Pull, Pulled, SOURCES, Versioned};
 use fleet_common::node::vector;
 use std::time::Duration;
 
@@ -207,7 +207,7 @@
             .state
             .members
             .iter()
-            .filter(|(name, member)| self.silent_for(name, member.incarnation) > TERM + LAPSE_MARGIN * 2)
+            .filter(|(name, member)| self.silent_for(name, member.incarnation) > LEASE + LAPSE_MARGIN * 2)
             .map(|(name, member)| Command::Lapse { node: name.clone(), incarnation: member.incarnation })
             .collect();
         for command in lapsed {
--- a/crates/control-chain/tests/chain_sim.rs
+++ b/crates/control-chain/tests/chain_sim.rs
@@ -25,17 +25,17 @@
 
 fn bring_about(fault: Fault, world: &mut World) {
     let ids = world.ids();
-    let at = world.dice.next(ids.len() as u64) as usize;
-    let (id, other) = (ids[at], ids[world.dice.next(ids.len() as u64) as usize]);
+    let at = world.rng.next(ids.len() as u64) as usize;
+    let (id, other) = (ids[at], ids[world.rng.next(ids.len() as u64) as usize]);
     match fault {
         Fault::Crash => {
             world.power_loss(id);
-            if world.dice.next(2) == 0 {
+            if world.rng.next(2) == 0 {
                 world.start(id);
             }
         }
         Fault::Freeze => {
-            let length = ms(200 + world.dice.next(4000));
+            let length = ms(200 + world.rng.next(4000));
             world.nodes.get_mut(&id).unwrap().frozen_until = world.now + length;
         }
         Fault::CutOff => ids.into_iter().filter(|o| *o != id).for_each(|o| {
@@ -55,15 +55,15 @@
         }
         Fault::DiskFails => world.nodes.get_mut(&id).unwrap().disk.failed = true,
         Fault::DiskRefuses => {
-            let until = world.now + ms(200 + world.dice.next(4000));
+            let until = world.now + ms(200 + world.rng.next(4000));
             let disk = &mut world.nodes.get_mut(&id).unwrap().disk;
             (disk.failed, disk.fails_until) = (true, Some(until));
         }
         Fault::DiskStalls => {
-            let until = world.now + ms(500 + world.dice.next(4000));
+            let until = world.now + ms(500 + world.rng.next(4000));
             world.nodes.get_mut(&id).unwrap().disk.stalled_until = until;
         }
-        Fault::Drops => world.drop_percent = 5 + world.dice.next(25),
+        Fault::Drops => world.drop_percent = 5 + world.rng.next(25),
         Fault::AllPower => {
             ids.iter().for_each(|id| world.power_loss(*id));
             ids.iter().for_each(|id| world.start(*id));
@@ -82,7 +82,7 @@
                 Fault::Drops,
                 Fault::AllPower,
             ];
-            let fault = all[world.dice.next(all.len() as u64) as usize];
+            let fault = all[world.rng.next(all.len() as u64) as usize];
             bring_about(fault, world);
         }
     }
@@ -104,7 +104,7 @@
             if step % 3 == 0 {
                 history.repeat(&mut world);
             }
-            let pause = ms(5 + world.dice.next(80));
+            let pause = ms(5 + world.rng.next(80));
             world.run(pause);
             history.listen(&world);
         }
--- a/crates/control-chain/tests/claims_model.rs
+++ b/crates/control-chain/tests/claims_model.rs
@@ -2,7 +2,7 @@
 //! whatever order claims and settlements come in.
 use control_chain::command::{Command, Envelope, Node, Ran};
 use control_chain::state::{CLAIM_MINUTES, CLAIMS_MOST, State};
-use fleet_common::hash::Dice;
+use fleet_common::hash::SeededRng;
 
 fn put(state: &mut State, command: Command) -> u16 {
     state.apply(&Envelope::bare(command)).code
@@ -26,7 +26,7 @@
 #[test]
 fn nobody_runs_twice_and_no_claim_stands_with_nobody_to_settle_it() {
     for seed in 0..400 {
-        let mut dice = Dice::new(seed);
+        let mut rng = SeededRng::new(seed);
         let mut state = State::default();
         join(&mut state, "e");
         // Each request: its claim, then a settlement; on the wire in any order, some of them twice.
@@ -37,12 +37,12 @@
             wire.push((request, Some(Ran::NotRun)));
         }
         for _ in 0..4 {
-            let twice = wire[dice.next(wire.len() as u64) as usize].clone();
+            let twice = wire[rng.next(wire.len() as u64) as usize].clone();
             wire.push(twice);
         }
         let mut running: Option<String> = None;
         while !wire.is_empty() {
-            let (request, ran) = wire.remove(dice.next(wire.len() as u64) as usize);
+            let (request, ran) = wire.remove(rng.next(wire.len() as u64) as usize);
             match ran {
                 None if claim(&mut state, "k", &request) == 202 => {
                     assert!(running.as_ref().is_none_or(|r| *r == request), "seed {seed}: two may run at once");
--- a/crates/control-chain/tests/configuration_model.rs
+++ b/crates/control-chain/tests/configuration_model.rs
@@ -2,7 +2,7 @@
 use control_chain::command::{Command, Envelope};
 use control_chain::configuration::{Change, Configuration, Item, Items, Named, Route, Service, Tenant};
 use control_chain::state::State;
-use fleet_common::hash::Dice;
+use fleet_common::hash::SeededRng;
 
 /// Names with meanings and texts, in order.
 type Rows<T> = Vec<(String, T, String)>;
@@ -107,43 +107,43 @@
     }
 }
 
-fn rows<T: Clone>(dice: &mut Dice, most: u64, letter: char, mut make: impl FnMut(&mut Dice) -> T) -> Rows<T> {
+fn rows<T: Clone>(rng: &mut SeededRng, most: u64, letter: char, mut make: impl FnMut(&mut SeededRng) -> T) -> Rows<T> {
     let mut all: Rows<T> = Vec::new();
-    for _ in 0..dice.next(most + 1) {
-        let name = format!("{letter}{}", dice.next(4));
+    for _ in 0..rng.next(most + 1) {
+        let name = format!("{letter}{}", rng.next(4));
         if all.iter().all(|(n, ..)| *n != name) {
-            let row = make(dice);
-            all.push((name, row, format!("text {}", dice.next(1000))));
+            let row = make(rng);
+            all.push((name, row, format!("text {}", rng.next(1000))));
         }
     }
     all
 }
 
-fn plain(dice: &mut Dice, revision: u64, most: u64) -> Plain {
-    let route = |dice: &mut Dice| Route {
-        host: format!("h{}", dice.next(3)),
-        prefix: format!("/p{}/", dice.next(4)),
-        targets: (0..1 + dice.next(2)).map(|_| (format!("s{}", dice.next(4)), dice.next(8))).collect(),
-        timeout_ms: dice.next(12) * 10,
+fn plain(rng: &mut SeededRng, revision: u64, most: u64) -> Plain {
+    let route = |rng: &mut SeededRng| Route {
+        host: format!("h{}", rng.next(3)),
+        prefix: format!("/p{}/", rng.next(4)),
+        targets: (0..1 + rng.next(2)).map(|_| (format!("s{}", rng.next(4)), rng.next(8))).collect(),
+        timeout_ms: rng.next(12) * 10,
         ..Route::default()
     };
     Plain {
         revision,
-        routes: rows(dice, most, 'r', route),
-        services: rows(dice, most + 3, 's', |dice| Service { connections: dice.next(9), ..Service::default() }),
-        tenants: rows(dice, most, 't', |dice| Tenant { keys: vec![format!("k{}", dice.next(9))], ..Tenant::default() }),
+        routes: rows(rng, most, 'r', route),
+        services: rows(rng, most + 3, 's', |rng| Service { connections: rng.next(9), ..Service::default() }),
+        tenants: rows(rng, most, 't', |rng| Tenant { keys: vec![format!("k{}", rng.next(9))], ..Tenant::default() }),
     }
 }
 
-fn wish(dice: &mut Dice, held: u64) -> (u64, Wanted) {
-    let revision = if dice.next(8) == 0 { held } else { held + 1 + dice.next(3) };
-    let over = if dice.next(8) == 0 { held.saturating_sub(1) } else { held };
-    if dice.next(4) == 0 {
-        return (over, Wanted::Whole(plain(dice, revision, 3)));
+fn wish(rng: &mut SeededRng, held: u64) -> (u64, Wanted) {
+    let revision = if rng.next(8) == 0 { held } else { held + 1 + rng.next(3) };
+    let over = if rng.next(8) == 0 { held.saturating_sub(1) } else { held };
+    if rng.next(4) == 0 {
+        return (over, Wanted::Whole(plain(rng, revision, 3)));
     }
-    let names = |dice: &mut Dice, letter| (0..dice.next(2)).map(|_| format!("{letter}{}", dice.next(4))).collect();
-    let drop = [names(dice, 'r'), names(dice, 's'), names(dice, 't')];
-    (over, Wanted::Named { set: plain(dice, revision, 1), drop })
+    let names = |rng: &mut SeededRng, letter| (0..rng.next(2)).map(|_| format!("{letter}{}", rng.next(4))).collect();
+    let drop = [names(rng, 'r'), names(rng, 's'), names(rng, 't')];
+    (over, Wanted::Named { set: plain(rng, revision, 1), drop })
 }
 
 fn held(state: &State) -> Plain {
@@ -167,13 +167,13 @@
 fn what_operators_send_in_any_order_is_as_in_the_model() {
     let mut codes = std::collections::BTreeMap::<u16, u64>::new();
     for seed in 0..300 {
-        let (mut dice, mut state, mut model) = (Dice::new(seed), State::default(), Model::default());
+        let (mut rng, mut state, mut model) = (SeededRng::new(seed), State::default(), Model::default());
         let mut sent: Vec<(u64, Wanted)> = Vec::new();
         for step in 0..60 {
-            let again = !sent.is_empty() && dice.next(4) == 0;
+            let again = !sent.is_empty() && rng.next(4) == 0;
             let (over, wanted) = match again {
-                true => sent[dice.next(sent.len() as u64) as usize].clone(),
-                false => wish(&mut dice, model.held.revision),
+                true => sent[rng.next(sent.len() as u64) as usize].clone(),
+                false => wish(&mut rng, model.held.revision),
             };
             let before = held(&state);
             let code = put(&mut state, over, &wanted);
@@ -182,7 +182,7 @@
             assert!(code == 202 || held(&state) == before, "seed {seed} step {step}: what is refused changes nothing");
             *codes.entry(code).or_default() += 1;
             sent.push((over, wanted));
-            if dice.next(10) == 0 {
+            if rng.next(10) == 0 {
                 state = State::unpack(&state.pack().unwrap()).expect("a state is read as it was written");
             }
         }
@@ -194,15 +194,15 @@
 #[test]
 fn of_two_on_one_version_one_wins() {
     for seed in 0..200 {
-        let (mut dice, mut state) = (Dice::new(seed), State::default());
+        let (mut rng, mut state) = (SeededRng::new(seed), State::default());
         let mut base = 0;
         for round in 0..10 {
-            let ours = |dice: &mut Dice, mine: u64| Plain { revision: base + 1 + dice.next(3), ..one(mine) };
-            let (one, two) = (Wanted::Whole(ours(&mut dice, 1)), Wanted::Whole(ours(&mut dice, 2)));
+            let ours = |rng: &mut SeededRng, mine: u64| Plain { revision: base + 1 + rng.next(3), ..one(mine) };
+            let (one, two) = (Wanted::Whole(ours(&mut rng, 1)), Wanted::Whole(ours(&mut rng, 2)));
             let first = put(&mut state, base, &one);
             assert_eq!((first, put(&mut state, base, &two)), (202, 412), "seed {seed} round {round}");
             for _ in 0..4 {
-                let (wanted, code) = if dice.next(2) == 0 { (&one, 202) } else { (&two, 412) };
+                let (wanted, code) = if rng.next(2) == 0 { (&one, 202) } else { (&two, 412) };
                 assert_eq!(put(&mut state, base, wanted), code, "seed {seed} round {round}");
             }
             let Wanted::Whole(won) = one else { panic!() };
--- a/crates/control-chain/tests/cut_off.rs
+++ b/crates/control-chain/tests/cut_off.rs
@@ -125,7 +125,7 @@
             run.faults.push(format!("an order sent {elapsed:?} into the cut took {took:?}"));
         }
         run.history.read(&mut run.world);
-        let pause = ms(100 + run.world.dice.next(300));
+        let pause = ms(100 + run.world.rng.next(300));
         run.world.run(pause);
         run.history.listen(&run.world);
     }
--- a/crates/control-chain/tests/freshness_sim.rs
+++ b/crates/control-chain/tests/freshness_sim.rs
@@ -67,20 +67,20 @@
 }
 
 fn upset(world: &mut World, edges: &mut [Edge]) {
-    let at = world.dice.next(edges.len() as u64) as usize;
-    let length = ms(300 + world.dice.next(6000));
+    let at = world.rng.next(edges.len() as u64) as usize;
+    let length = ms(300 + world.rng.next(6000));
     let until = world.now + length;
-    match world.dice.next(7) {
+    match world.rng.next(7) {
         0 => edges[at].agent_frozen = until,
         1 => edges[at].router_frozen = until,
         2 => edges[at].cut_until = until,
         3 => edges[at].restart_agent(world.now),
         4 => {
-            let id = 1 + world.dice.next(4) as u32;
+            let id = 1 + world.rng.next(4) as u32;
             world.nodes.get_mut(&id).unwrap().frozen_until = until;
         }
         5 => {
-            let id = 1 + world.dice.next(4) as u32;
+            let id = 1 + world.rng.next(4) as u32;
             world.power_loss(id);
             world.start(id);
         }
@@ -112,7 +112,7 @@
             faults.push(format!("{name} was never served"));
         }
         upset(&mut world, &mut edges);
-        let some = ms(world.dice.next(2500));
+        let some = ms(world.rng.next(2500));
         pass(&mut world, &mut edges, &mut keys, &mut faults, some);
         upset(&mut world, &mut edges);
         let withdraw = Command::KeyWithdraw { key: key_print(&name) };
--- a/crates/control-chain/tests/linearizability/faults.rs
+++ b/crates/control-chain/tests/linearizability/faults.rs
@@ -77,10 +77,10 @@
         if self != Fault::Mixed {
             return self;
         }
-        if world.dice.next(2) == 0 {
+        if world.rng.next(2) == 0 {
             world.heal();
         }
-        Fault::MIXTURE[world.dice.next(Fault::MIXTURE.len() as u64) as usize]
+        Fault::MIXTURE[world.rng.next(Fault::MIXTURE.len() as u64) as usize]
     }
 
     /// Whether a machine's disk is lost. It counts as lost for a while, as does one that was cut off or frozen.
@@ -91,12 +91,12 @@
     /// Brings it about on a machine that chance picks.
     pub fn strike(self, world: &mut World) {
         let ids = world.ids();
-        let id = ids[world.dice.next(ids.len() as u64) as usize];
+        let id = ids[world.rng.next(ids.len() as u64) as usize];
         match self {
             Fault::None | Fault::Mixed => {}
             Fault::Crash => {
                 world.power_loss(id);
-                if world.dice.next(2) == 0 {
+                if world.rng.next(2) == 0 {
                     world.start(id);
                 }
             }
@@ -105,7 +105,7 @@
                 ids.iter().for_each(|id| world.start(*id));
             }
             Fault::Freeze => {
-                let length = ms(200 + world.dice.next(4000));
+                let length = ms(200 + world.rng.next(4000));
                 world.nodes.get_mut(&id).unwrap().frozen_until = world.now + length;
             }
             Fault::FreezeThenCut => freeze_then_cut(world, id),
@@ -115,10 +115,10 @@
             Fault::Replaced if world.open && whole(world) => replace(world, id),
             Fault::EmptiedDisk | Fault::Replaced => {}
             Fault::SlowDisk => {
-                let until = world.now + ms(500 + world.dice.next(4000));
+                let until = world.now + ms(500 + world.rng.next(4000));
                 world.nodes.get_mut(&id).unwrap().disk.stalled_until = until;
             }
-            Fault::LostMessages => world.drop_percent = 5 + world.dice.next(25),
+            Fault::LostMessages => world.drop_percent = 5 + world.rng.next(25),
         }
     }
 }
@@ -144,10 +144,10 @@
 fn freeze_then_cut(world: &mut World, id: u32) {
     world.cut.clear();
     let tail = world.top().chain.items().last().map(|member| member.id);
-    let id = tail.filter(|tail| world.nodes.contains_key(tail) && world.dice.next(4) > 0).unwrap_or(id);
-    let length = ms(1200 + world.dice.next(2000));
+    let id = tail.filter(|tail| world.nodes.contains_key(tail) && world.rng.next(4) > 0).unwrap_or(id);
+    let length = ms(1200 + world.rng.next(2000));
     world.nodes.get_mut(&id).unwrap().frozen_until = world.now + length;
-    let until_cut = ms(world.dice.next(60));
+    let until_cut = ms(world.rng.next(60));
     world.run(until_cut);
     cut_off(world, id);
 }
@@ -155,8 +155,8 @@
 /// Nothing that the machine sends, or nothing that is sent to it, arrives at one other or at all others.
 fn cut_one_way(world: &mut World, id: u32, ids: &[u32]) {
     let others: Vec<u32> = ids.iter().copied().filter(|other| *other != id).collect();
-    let one = others[world.dice.next(others.len() as u64) as usize];
-    let (all, outward) = (world.dice.next(2) == 0, world.dice.next(2) == 0);
+    let one = others[world.rng.next(others.len() as u64) as usize];
+    let (all, outward) = (world.rng.next(2) == 0, world.rng.next(2) == 0);
     for other in others.into_iter().filter(|other| all || *other == one) {
         world.cut.insert(if outward { (id, other) } else { (other, id) });
     }
--- a/crates/control-chain/tests/linearizability/main.rs
+++ b/crates/control-chain/tests/linearizability/main.rs
@@ -107,7 +107,7 @@
     operators.accepting = false;
     for _ in 0..FINAL_REPEATS {
         let sent = operators.recorder.history.orders.len() as u64;
-        let order = world.dice.next(sent) as usize;
+        let order = world.rng.next(sent) as usize;
         operators.repeat(world, order);
         operators.work(world, ms(100));
     }
--- a/crates/control-chain/tests/linearizability/operators.rs
+++ b/crates/control-chain/tests/linearizability/operators.rs
@@ -49,7 +49,7 @@
     pub fn work(&mut self, world: &mut World, length: Duration) {
         let end = world.now + length;
         while world.now < end {
-            let pause = ms(5 + world.dice.next(25));
+            let pause = ms(5 + world.rng.next(25));
             world.run(pause);
             self.recorder.listen(world);
             self.read_everywhere(world);
@@ -73,7 +73,7 @@
     }
 
     fn read_everywhere(&mut self, world: &mut World) {
-        if world.dice.next(3) > 0 {
+        if world.rng.next(3) > 0 {
             return;
         }
         for machine in world.ids() {
@@ -116,19 +116,19 @@
     /// A new order, or now and then one that was sent before.
     fn choose(&mut self, world: &mut World) -> OrderId {
         let sent = self.recorder.history.orders.len() as u64;
-        if sent > 0 && world.dice.next(4) == 0 {
+        if sent > 0 && world.rng.next(4) == 0 {
             // Mostly a recent one.
-            let back = world.dice.next(sent).min(world.dice.next(sent)).min(world.dice.next(sent));
+            let back = world.rng.next(sent).min(world.rng.next(sent)).min(world.rng.next(sent));
             return (sent - 1 - back) as OrderId;
         }
-        let base = match world.dice.next(16) {
+        let base = match world.rng.next(16) {
             0 | 1 => self.known[1],
             2 => self.known[0] + 1,
             _ => self.known[0],
         };
-        let revision = if world.dice.next(20) == 0 { base } else { base + 1 + world.dice.next(3) };
-        let whole = world.dice.next(2) == 0;
-        let valid = world.dice.next(12) > 0;
+        let revision = if world.rng.next(20) == 0 { base } else { base + 1 + world.rng.next(3) };
+        let whole = world.rng.next(2) == 0;
+        let valid = world.rng.next(12) > 0;
         self.recorder.order(base, revision, whole, valid)
     }
 
@@ -138,8 +138,8 @@
 
     fn send_after(&mut self, world: &mut World, attempt: Attempt, to: Option<u32>, redirects: u32) -> Doing {
         let ids = world.ids();
-        let any = ids[world.dice.next(ids.len() as u64) as usize];
-        let lost = world.dice.next(8) == 0;
+        let any = ids[world.rng.next(ids.len() as u64) as usize];
+        let lost = world.rng.next(8) == 0;
         let machine = to.filter(|id| ids.contains(id)).unwrap_or(any);
         match self.recorder.write(world, machine, attempt.order, lost) {
             Some(call) => Doing::Waiting { attempt, call, since: world.now, redirects },
@@ -173,7 +173,7 @@
 }
 
 fn rest(world: &mut World) -> Doing {
-    let until = world.now + ms(world.dice.next(REST_MS));
+    let until = world.now + ms(world.rng.next(REST_MS));
     Doing::Resting { until }
 }
 
--- a/crates/control-chain/tests/listing_sim.rs
+++ b/crates/control-chain/tests/listing_sim.rs
@@ -48,12 +48,12 @@
     world.run(ms(1500));
     let (mut faults, mut worst, mut highest) = (Vec::new(), Duration::ZERO, 0);
     for number in 1..=30u64 {
-        let slowest = if world.dice.next(3) == 0 { 4000 } else { 60 };
+        let slowest = if world.rng.next(3) == 0 { 4000 } else { 60 };
         world.platform = Some((rows(number, (number % 5) as usize), slowest));
-        let id = 1 + world.dice.next(4) as u32;
-        match world.dice.next(5) {
+        let id = 1 + world.rng.next(4) as u32;
+        match world.rng.next(5) {
             0 => {
-                let until = world.now + ms(300 + world.dice.next(3000));
+                let until = world.now + ms(300 + world.rng.next(3000));
                 world.nodes.get_mut(&id).unwrap().frozen_until = until;
             }
             1 => {
@@ -62,7 +62,7 @@
             }
             _ => {}
         }
-        for _ in 0..(20 + world.dice.next(100)) {
+        for _ in 0..(20 + world.rng.next(100)) {
             world.run(ms(20));
             if let Some(held) = held_by_tail(&world) {
                 if held < highest {
--- a/crates/control-chain/tests/losses/mod.rs
+++ b/crates/control-chain/tests/losses/mod.rs
@@ -72,7 +72,7 @@
         let end = self.world.now + length;
         while self.world.now < end {
             self.history.command(&mut self.world);
-            let pause = ms(5 + self.world.dice.next(60));
+            let pause = ms(5 + self.world.rng.next(60));
             let until = self.world.now + pause;
             while self.world.now < until {
                 self.world.run(LOOK);
--- a/crates/control-chain/tests/members_sim.rs
+++ b/crates/control-chain/tests/members_sim.rs
@@ -18,7 +18,7 @@
     fn founded(seed: u64, tolerance: u32, machines: u32, apart: u64) -> Run {
         let mut run = Run { world: World::open(seed, tolerance), history: History::default() };
         let mut starts: Vec<(Duration, u32)> =
-            (1..=machines).map(|id| (ms(run.world.dice.next(apart + 1)), id)).collect();
+            (1..=machines).map(|id| (ms(run.world.rng.next(apart + 1)), id)).collect();
         starts.sort();
         let begun = run.world.now;
         for (after, id) in starts {
@@ -35,7 +35,7 @@
         while self.world.now < end {
             self.history.command(&mut self.world);
             self.history.read(&mut self.world);
-            let pause = ms(5 + self.world.dice.next(80));
+            let pause = ms(5 + self.world.rng.next(80));
             self.world.run(pause);
             self.history.listen(&self.world);
         }
@@ -61,7 +61,7 @@
     fn close(mut self, what: &str) {
         let bears = (self.world.top().width - 1) / 2;
         let mut ids = self.world.ids();
-        let first = self.world.dice.next(ids.len() as u64) as usize;
+        let first = self.world.rng.next(ids.len() as u64) as usize;
         ids.rotate_left(first);
         ids.iter().for_each(|id| self.world.power_loss(*id));
         ids.iter().take(bears as usize).for_each(|id| self.world.empty(*id));
@@ -114,7 +114,7 @@
         run.work(ms(1000));
         run.world.ids().into_iter().for_each(|id| run.world.power_loss(id));
         for id in run.world.ids() {
-            let wait = ms(run.world.dice.next(900 / machines as u64));
+            let wait = ms(run.world.rng.next(900 / machines as u64));
             run.world.run(wait);
             run.world.start(id);
         }
@@ -131,7 +131,7 @@
         let mut run = Run::founded(seed, 1, 3, 0);
         run.work(ms(1500));
         run.world.retire(lost);
-        let pause = ms(run.world.dice.next(3000));
+        let pause = ms(run.world.rng.next(3000));
         run.work(pause);
         run.world.add(4, false);
         run.whole(SOON, &what);
@@ -156,7 +156,7 @@
             run.world.retire(goes);
             let stays = place(run.world.ids()[0]);
             run.world.seeds = vec![place(goes), place(99), stays];
-            let pause = ms(run.world.dice.next(1500));
+            let pause = ms(run.world.rng.next(1500));
             run.work(pause);
             run.world.add(newcomer, false);
             worst = worst.max(run.whole(SOON, &what));
--- a/crates/control-chain/tests/second_loss.rs
+++ b/crates/control-chain/tests/second_loss.rs
@@ -39,7 +39,7 @@
 
 fn pick(world: &mut World) -> u32 {
     let ids = world.ids();
-    ids[world.dice.next(ids.len() as u64) as usize]
+    ids[world.rng.next(ids.len() as u64) as usize]
 }
 
 #[rstest]
--- a/crates/control-chain/tests/sim/calls.rs
+++ b/crates/control-chain/tests/sim/calls.rs
@@ -14,7 +14,7 @@
         let boot = node.boot;
         self.next_token += 1;
         let token = self.next_token;
-        let when = self.now + ms(1 + self.dice.next(CALL_LATENCY_MS));
+        let when = self.now + ms(1 + self.rng.next(CALL_LATENCY_MS));
         self.at(when, Event::Asked(id, boot, token, ask));
         Some(token)
     }
--- a/crates/control-chain/tests/sim/edges.rs
+++ b/crates/control-chain/tests/sim/edges.rs
@@ -146,7 +146,7 @@
             && (self.relay.lacks(have) || now - asked >= ms(300))
         {
             let pulled = self.relay.answer(now, have);
-            self.coming = Some((now + ms(1 + world.dice.next(4)), asked, pulled));
+            self.coming = Some((now + ms(1 + world.rng.next(4)), asked, pulled));
         }
     }
 
--- a/crates/control-chain/tests/sim/history.rs
+++ b/crates/control-chain/tests/sim/history.rs
@@ -46,7 +46,7 @@
     pub fn command(&mut self, world: &mut World) {
         self.number += 1;
         let id = format!("c{}", self.number);
-        let expect = if world.dice.next(4) == 0 { self.newest.saturating_sub(1) } else { self.newest };
+        let expect = if world.rng.next(4) == 0 { self.newest.saturating_sub(1) } else { self.newest };
         let command = Command::Blueprint { blueprint: blueprint(self.number) };
         let envelope = Envelope { id: id.clone(), expect: Some(expect), command };
         let mut told = Told { envelope, token: None, outcome: None };
@@ -57,7 +57,7 @@
     fn send(&mut self, world: &mut World, told: &mut Told) {
         let ask = told.envelope.ask().unwrap();
         let mut ids = world.ids();
-        let first = world.dice.next(ids.len() as u64) as usize;
+        let first = world.rng.next(ids.len() as u64) as usize;
         ids.rotate_left(first);
         for id in ids {
             if let Some(token) = world.ask(id, ask.clone()) {
@@ -79,7 +79,7 @@
         if open.is_empty() {
             return;
         }
-        let id = &open[world.dice.next(open.len() as u64) as usize];
+        let id = &open[world.rng.next(open.len() as u64) as usize];
         if let Some(mut told) = self.told.remove(id) {
             self.send(world, &mut told);
             self.told.insert(id.clone(), told);
--- a/crates/control-chain/tests/sim/machines.rs
+++ b/crates/control-chain/tests/sim/machines.rs
@@ -48,7 +48,7 @@
         } else {
             self.blank()
         };
-        let skew = ms(self.dice.next(100_000));
+        let skew = ms(self.rng.next(100_000));
         let node =
             Node { core: None, disk, boot: 0, frozen_until: ms(0), booted: ms(0), held: vec![], skew, last_view: 0 };
         self.nodes.insert(id, node);
@@ -97,7 +97,7 @@
 
     /// The power goes: the process ends and of what was not synced only some first part is there.
     pub fn power_loss(&mut self, id: u32) {
-        let keep = self.dice.next(4);
+        let keep = self.rng.next(4);
         let node = self.nodes.get_mut(&id).unwrap();
         node.core = None;
         node.held.clear();
@@ -114,7 +114,7 @@
 
     /// A disk that works again: in the same process the core starts over from what is on it.
     pub(super) fn reopen(&mut self, id: u32, boot: u64) {
-        let keep = self.dice.next(4);
+        let keep = self.rng.next(4);
         let node = self.nodes.get_mut(&id).unwrap();
         if node.disk.fails_until.is_some_and(|until| self.now >= until) {
             (node.disk.failed, node.disk.fails_until) = (false, None);
--- a/crates/control-chain/tests/sim/mod.rs
+++ b/crates/control-chain/tests/sim/mod.rs
@@ -14,7 +14,7 @@
 use control_chain::message::{Chain, Sent};
 use control_chain::view::{CoreAt, View};
 use fleet_common::ask::{Answer, Ask};
-use fleet_common::hash::Dice;
+use fleet_common::hash::SeededRng;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -41,7 +41,7 @@
 }
 
 pub struct World {
-    pub dice: Dice,
+    pub rng: SeededRng,
     pub now: Duration,
     pub nodes: BTreeMap<u32, Node>,
     pub cut: BTreeSet<(u32, u32)>,
@@ -91,7 +91,7 @@
     /// A world without machines.
     fn bare(seed: u64, disks: Disks) -> Self {
         World {
-            dice: Dice::new(seed),
+            rng: SeededRng::new(seed),
             now: ms(1000),
             nodes: BTreeMap::new(),
             cut: BTreeSet::new(),
@@ -155,7 +155,7 @@
             match output {
                 Output::Send(to, message) => self.send(id, to, message),
                 Output::Keep(ticket, records) => {
-                    let took = ms(1 + self.dice.next(8));
+                    let took = ms(1 + self.rng.next(8));
                     let node = self.nodes.get_mut(&id).unwrap();
                     let slow = node.disk.stalled_until.saturating_sub(now);
                     node.disk.keep(ticket, records);
@@ -171,7 +171,7 @@
     }
 
     fn send(&mut self, from: u32, to: u32, message: Chain) {
-        if self.cut.contains(&(from, to)) || self.dice.next(100) < self.drop_percent {
+        if self.cut.contains(&(from, to)) || self.rng.next(100) < self.drop_percent {
             return;
         }
         if self.open && self.nodes[&from].core.as_ref().is_none_or(|core| core.address(to).is_none()) {
@@ -180,7 +180,7 @@
         let incarnation = self.nodes[&from].disk.incarnation();
         // Streams keep their order.
         let soonest = self.last_on_wire.get(&(from, to)).copied().unwrap_or_default();
-        let when = (self.now + ms(1 + self.dice.next(12))).max(soonest);
+        let when = (self.now + ms(1 + self.rng.next(12))).max(soonest);
         self.last_on_wire.insert((from, to), when);
         self.at(when, Event::Deliver(to, Sent { from, incarnation, message }));
     }
--- a/crates/control-chain/tests/sim/platform.rs
+++ b/crates/control-chain/tests/sim/platform.rs
@@ -7,7 +7,7 @@
     /// The platform is asked: it says what holds now, and the answer may be long on its way.
     pub(super) fn poll(&mut self, id: u32, boot: u64, number: u64) {
         let Some((rows, slowest)) = self.platform.clone() else { return };
-        let took = ms(1 + self.dice.next(slowest.max(1)));
+        let took = ms(1 + self.rng.next(slowest.max(1)));
         let when = self.now + took;
         self.at(when, Event::Listed(id, boot, number, rows));
     }
--- a/crates/control-core/src/drive.rs
+++ b/crates/control-core/src/drive.rs
@@ -7,7 +7,7 @@
 use control_chain::core::{Core, Found, Input, Output, StartError};
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded};
 use fleet_common::ask::Answer;
-use fleet_common::{Mishap, Step, ring};
+use fleet_common::{PeerError, Step, ring};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
@@ -37,7 +37,7 @@
                 self.asking.clear();
                 match (self.make)(self.begun.elapsed(), found) {
                     Ok(core) => self.core = Some(core),
-                    Err(e) => ring::mishap(&Mishap::at(Step::Disk, "own disk", e)),
+                    Err(e) => ring::error(&PeerError::at(Step::Disk, "own disk", e)),
                 }
                 Input::Tick
             }
--- a/crates/control-core/src/explain.rs
+++ b/crates/control-core/src/explain.rs
@@ -1,7 +1,7 @@
 //! A request's story, gathered from whoever knows a part of it: its router, the index nodes, the claims.
 use crate::drive::Driver;
 use control_chain::command::Node;
-use fleet_common::Mishap;
+use fleet_common::PeerError;
 use fleet_common::ask::{Answer, Ask};
 use fleet_common::frame::Caller;
 use fleet_common::json::quote;
@@ -20,7 +20,7 @@
 }
 
 /// Asks all members at once; who does not answer in time knows nothing.
-pub(crate) fn story(driver: &Driver, request: &str, wait: Duration) -> Result<String, Mishap> {
+pub(crate) fn story(driver: &Driver, request: &str, wait: Duration) -> Result<String, PeerError> {
     let query = |text: &str| Ok(json(driver.ask_fleet(Ask::Query(text.into()), wait)?).unwrap_or_default());
     let control = query(&format!("explain/{request}"))?;
     let members = query("source/members")?;
--- a/crates/control-core/src/handle.rs
+++ b/crates/control-core/src/handle.rs
@@ -5,7 +5,7 @@
 use crossbeam::channel::{Sender, bounded};
 use fleet_common::ask::{Answer, Ask};
 use fleet_common::frame::Caller;
-use fleet_common::{Mishap, Step};
+use fleet_common::{PeerError, Step};
 use std::time::{Duration, Instant};
 
 const ANSWER_WAIT: Duration = Duration::from_secs(4);
@@ -112,7 +112,7 @@
     /// println!("{:?}", driver.ask_fleet(Ask::Query("holds".into()), std::time::Duration::from_secs(5)));
     /// # }
     /// ```
-    pub fn ask_fleet(&self, ask: Ask, wait: Duration) -> Result<Answer, Mishap> {
+    pub fn ask_fleet(&self, ask: Ask, wait: Duration) -> Result<Answer, PeerError> {
         let begun = Instant::now();
         let left = || wait.saturating_sub(begun.elapsed());
         let mut answer = self.ask_within(ask.clone(), wait);
@@ -123,11 +123,11 @@
                 _ => return Ok(answer),
             };
             if left().is_zero() || (next.is_none() && begun.elapsed() >= SEARCH_WAIT) {
-                return Err(Mishap::at(Step::Query, "cores", "no core holds the term to answer"));
+                return Err(PeerError::at(Step::Query, "cores", "no core holds the term to answer"));
             }
             answer = match next.map(|to| Caller::new(to, left().min(ANSWER_WAIT)).ask(&ask)) {
                 Some(Ok(answer)) => answer,
-                Some(Err(mishap)) if mishap.step != Step::Connect => return Err(mishap),
+                Some(Err(error)) if error.step != Step::Connect => return Err(error),
                 Some(Err(_)) | None => {
                     std::thread::sleep(SEARCH_PAUSE.min(left()));
                     self.ask_within(ask.clone(), left())
--- a/crates/control-core/src/keeping.rs
+++ b/crates/control-core/src/keeping.rs
@@ -4,7 +4,7 @@
 use control_chain::core::{Found, Record};
 use crossbeam::channel::{Receiver, Sender};
 use fleet_common::threads::{self, STACK};
-use fleet_common::{Mishap, Step, ring};
+use fleet_common::{PeerError, Step, ring};
 use std::time::{Duration, Instant};
 
 const AGAIN: Duration = Duration::from_millis(300);
@@ -38,7 +38,7 @@
         let first = match open() {
             Ok(first) => Some(first),
             Err(Fault::Trouble(e)) => {
-                ring::mishap(&Mishap::at(Step::Disk, "own disk", e));
+                ring::error(&PeerError::at(Step::Disk, "own disk", e));
                 None
             }
             Err(fault) => return Err(fault),
@@ -79,7 +79,7 @@
                         Ok(opened) => break opened,
                         Err(fault) if fault.to_string() != told => {
                             told = fault.to_string();
-                            ring::mishap(&Mishap::at(Step::Disk, "own disk", fault));
+                            ring::error(&PeerError::at(Step::Disk, "own disk", fault));
                         }
                         Err(_) => {}
                     }
@@ -111,7 +111,7 @@
         let Some(ticket) = last else { continue };
         let synced = kept.and_then(|_| store.sync());
         if let Err(e) = &synced {
-            ring::mishap(&Mishap::at(Step::Disk, "own disk", e));
+            ring::error(&PeerError::at(Step::Disk, "own disk", e));
         }
         if inbox.send(Inbox::Synced(opening, ticket, synced.is_ok())).is_err() {
             return false;
--- a/crates/control-core/src/links.rs
+++ b/crates/control-core/src/links.rs
@@ -1,4 +1,4 @@
-//! Streams to the other cores: one sender thread each, which drops what a dead colleague never read.
+//! Streams to the other cores: one sender thread each, which drops what a dead peer never read.
 use control_chain::message::Sent;
 use crossbeam::channel::{Sender, bounded};
 use fleet_common::threads::{self, STACK, ThreadError};
@@ -10,7 +10,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-/// So much may wait for a colleague that does not read; what comes beyond is dropped, and sent again.
+/// So much may wait for a peer that does not read; what comes beyond is dropped, and sent again.
 const WAITING_MOST: usize = 8 << 20;
 
 #[derive(Default)]
@@ -38,7 +38,7 @@
     }
 }
 
-/// The thread that writes to one colleague, and how many bytes wait for it.
+/// The thread that writes to one peer, and how many bytes wait for it.
 fn start(to: SocketAddr) -> Result<(Sender<Sent>, Arc<AtomicUsize>), ThreadError> {
     let waiting = Arc::new(AtomicUsize::new(0));
     let taken = waiting.clone();
--- a/crates/control-core/src/listing.rs
+++ b/crates/control-core/src/listing.rs
@@ -43,7 +43,7 @@
     fn list(&self) -> Result<Vec<Replica>, String> {
         let Some(platform) = self.0.read().as_ref().clone() else { return Err("no platform is named".into()) };
         http_out::json("GET", &format!("http://{platform}/replicas"), "", WAIT)
-            .map_err(|mishap| mishap.to_string())
+            .map_err(|error| error.to_string())
             .and_then(|text| read(text.as_bytes()).map_err(|fault| format!("{platform}: {fault}")))
     }
 }
--- a/crates/control-core/src/main.rs
+++ b/crates/control-core/src/main.rs
@@ -1,4 +1,4 @@
-//! A core machine: keeps the control state in a chain with its colleagues.
+//! A core machine: keeps the control state in a chain with its peers.
 mod settings;
 
 use control_core::drive::Driver;
--- a/crates/control-core/src/operators.rs
+++ b/crates/control-core/src/operators.rs
@@ -65,7 +65,7 @@
             }
         }
         Ok(other) => unknown(incoming, &format!("{other:?}")),
-        Err(mishap) => unknown(incoming, &mishap.to_string()),
+        Err(error) => unknown(incoming, &error.to_string()),
     }
 }
 
@@ -94,7 +94,7 @@
 fn explain(driver: &Driver, incoming: Incoming, request: &str) {
     match story(driver, request, WAIT) {
         Ok(words) => incoming.json(200, &words, vec![]),
-        Err(mishap) => refuse(incoming, 503, &Fault { pointer: String::new(), what: mishap.to_string() }),
+        Err(error) => refuse(incoming, 503, &Fault { pointer: String::new(), what: error.to_string() }),
     }
 }
 
@@ -106,7 +106,7 @@
             incoming.json(status, &text, vec![]);
         }
         Ok(other) => refuse(incoming, 503, &Fault { pointer: String::new(), what: format!("{other:?}") }),
-        Err(mishap) => refuse(incoming, 503, &Fault { pointer: String::new(), what: mishap.to_string() }),
+        Err(error) => refuse(incoming, 503, &Fault { pointer: String::new(), what: error.to_string() }),
     }
 }
 
--- a/crates/control-core/tests/power_loss.rs
+++ b/crates/control-core/tests/power_loss.rs
@@ -6,7 +6,7 @@
 use control_chain::log::{Entry, Position, Snapshot};
 use control_chain::view::{CoreAt, Meta, View};
 use control_core::disk::{Fault, LogStore, Store};
-use fleet_common::hash::Dice;
+use fleet_common::hash::SeededRng;
 use recorded::{Honesty, Recorded};
 use std::collections::BTreeMap;
 
@@ -52,39 +52,39 @@
     (1..=3).map(|id| CoreAt { id, chain: "".into(), node: "".into(), http: "".into() }).collect()
 }
 
-fn ticket(dice: &mut Dice, books: &mut Books) -> Vec<Record> {
-    let mut entry = |dice: &mut Dice| {
+fn ticket(rng: &mut SeededRng, books: &mut Books) -> Vec<Record> {
+    let mut entry = |rng: &mut SeededRng| {
         books.next += 1;
-        let size = if dice.next(4) == 0 { 6000 } else { 40 };
-        let command = vec![books.next as u8; 1 + dice.next(size) as usize];
+        let size = if rng.next(4) == 0 { 6000 } else { 40 };
+        let command = vec![books.next as u8; 1 + rng.next(size) as usize];
         Record::Entry(Entry { at: Position { view: 1, seq: books.next }, command: command.into() })
     };
-    let snapshot = |dice: &mut Dice, seq| {
-        let state = vec![9; 1 + dice.next(3000) as usize];
+    let snapshot = |rng: &mut SeededRng, seq| {
+        let state = vec![9; 1 + rng.next(3000) as usize];
         Record::Snapshot(Snapshot { at: Position { view: 1, seq }, state: state.into() })
     };
     let model = books.models.last().unwrap();
-    match dice.next(8) {
+    match rng.next(8) {
         0 => {
             let meta = model.meta.clone().unwrap();
             vec![Record::Meta(Meta { promised: meta.promised + 1, ..meta })]
         }
-        1 => vec![snapshot(dice, books.next)],
+        1 => vec![snapshot(rng, books.next)],
         // Entries that were never committed are dropped, as another view begins.
-        2 if dice.next(3) == 0 => {
+        2 if rng.next(3) == 0 => {
             let kept = model.snapshot.as_ref().map_or(0, |snapshot| snapshot.at.seq);
-            books.next = books.next.saturating_sub(dice.next(4)).max(kept);
+            books.next = books.next.saturating_sub(rng.next(4)).max(kept);
             let meta = model.meta.clone().unwrap();
             let view = View { n: meta.view.n + 1, ..meta.view };
             vec![Record::Truncate(books.next), Record::Meta(Meta { full: 0, view, ..meta })]
         }
         // A snapshot comes from another replica in place of all.
-        2 if dice.next(3) == 0 => {
-            books.next += 1 + dice.next(20);
-            vec![snapshot(dice, books.next), Record::Truncate(books.next)]
+        2 if rng.next(3) == 0 => {
+            books.next += 1 + rng.next(20);
+            vec![snapshot(rng, books.next), Record::Truncate(books.next)]
         }
-        3 => (0..3).map(|_| entry(dice)).collect(),
-        _ => vec![entry(dice)],
+        3 => (0..3).map(|_| entry(rng)).collect(),
+        _ => vec![entry(rng)],
     }
 }
 
@@ -110,15 +110,15 @@
     }
 }
 
-fn work(store: &mut LogStore, dice: &mut Dice, books: &mut Books, tickets: u64) {
+fn work(store: &mut LogStore, rng: &mut SeededRng, books: &mut Books, tickets: u64) {
     for _ in 0..tickets {
-        let records = ticket(dice, books);
+        let records = ticket(rng, books);
         let model = books.models.last().unwrap().after(&records);
         books.models.push(model);
         if store.keep(&records).is_err() {
             return;
         }
-        if dice.next(3) > 0 {
+        if rng.next(3) > 0 {
             match store.sync() {
                 Ok(()) => books.synced = books.models.len() - 1,
                 Err(_) => return,
@@ -130,15 +130,15 @@
 /// One run: formatted, worked on, the power lost at the so manieth step, and again soon after; then all
 /// is worked on once more. Gives how many steps there were.
 fn run(seed: u64, cut: usize, again: usize, loss: u64, honesty: Honesty) -> usize {
-    let mut dice = Dice::new(seed);
+    let mut rng = SeededRng::new(seed);
     let mut books = Books { models: vec![], synced: 0, next: 0 };
     let disk = Recorded::new(honesty);
-    let mut losses = Dice::new(loss);
+    let mut losses = SeededRng::new(loss);
     for (round, steps) in [cut, again, usize::MAX].into_iter().enumerate() {
         disk.power_until(steps);
         let what = format!("seed {seed}, cut {cut}, then {again}, loss {loss}, round {round}");
         if let Some(mut store) = reopen(&disk, &mut books, &what) {
-            work(&mut store, &mut dice, &mut books, 30);
+            work(&mut store, &mut rng, &mut books, 30);
         }
         if round < 2 {
             disk.lose_power(&mut losses);
--- a/crates/control-core/tests/recorded/mod.rs
+++ b/crates/control-core/tests/recorded/mod.rs
@@ -1,6 +1,6 @@
 //! A folder in memory that records what was not synced, and on a loss of power leaves some of it.
 use control_core::files::Files;
-use fleet_common::hash::Dice;
+use fleet_common::hash::SeededRng;
 use std::collections::BTreeMap;
 use std::io;
 use std::sync::{Arc, Mutex};
@@ -68,20 +68,20 @@
     }
 
     /// Of what was not synced each step is there, missing or torn; sometimes all of it is missing.
-    pub fn lose_power(&self, dice: &mut Dice) {
+    pub fn lose_power(&self, rng: &mut SeededRng) {
         let mut disk = self.disk();
-        let none = dice.next(5) == 0;
+        let none = rng.next(5) == 0;
         for step in std::mem::take(&mut disk.unsynced) {
-            match (step, if none { 0 } else { dice.next(4) }) {
+            match (step, if none { 0 } else { rng.next(4) }) {
                 (_, 0) => {}
                 (Step::Remove(name), 1 | 2) => _ = disk.safe.remove(&name),
                 (Step::Remove(_), _) => {}
                 (Step::Write(name, at, bytes), 1) => {
-                    let whole = dice.next(bytes.len() as u64 + 1) as usize;
+                    let whole = rng.next(bytes.len() as u64 + 1) as usize;
                     write(&mut disk.safe, &name, at, &bytes[..whole]);
                 }
                 (Step::Write(name, at, bytes), 2) => {
-                    let from = dice.next(bytes.len() as u64 + 1) as usize;
+                    let from = rng.next(bytes.len() as u64 + 1) as usize;
                     write(&mut disk.safe, &name, at + from, &bytes[from..]);
                 }
                 (Step::Write(name, at, bytes), _) => write(&mut disk.safe, &name, at, &bytes),
--- a/crates/fleet-common/src/ask.rs
+++ b/crates/fleet-common/src/ask.rs
@@ -14,7 +14,7 @@
 pub const WEIGHTS: usize = 7;
 
 /// How long a node's term lasts, counted from when its pull was sent.
-pub const TERM: std::time::Duration = std::time::Duration::from_secs(3);
+pub const LEASE: std::time::Duration = std::time::Duration::from_secs(3);
 
 /// Whole versions, one for each source.
 pub type Vector = [u64; SOURCES.len()];
--- a/crates/fleet-common/src/frame.rs
+++ b/crates/fleet-common/src/frame.rs
@@ -1,6 +1,6 @@
 //! Frames between our own processes: length, checksum, then a message packed by `deku`.
 use crate::threads::{self, STACK};
-use crate::{Mishap, Step, hash, ring};
+use crate::{PeerError, Step, hash, ring};
 use deku::{DekuContainerRead, DekuContainerWrite};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -21,8 +21,8 @@
 /// let frame = fleet_common::frame::pack(&fleet_common::Text::from("hi")).unwrap();
 /// assert_eq!(frame.len(), 8 + 4 + 2);
 /// ```
-pub fn pack<M: DekuContainerWrite>(message: &M) -> Result<Vec<u8>, Mishap> {
-    let body = message.to_bytes().map_err(|e| Mishap::at(Step::Decode, "self", e))?;
+pub fn pack<M: DekuContainerWrite>(message: &M) -> Result<Vec<u8>, PeerError> {
+    let body = message.to_bytes().map_err(|e| PeerError::at(Step::Decode, "self", e))?;
     let mut frame = Vec::with_capacity(body.len() + 8);
     frame.extend_from_slice(&(body.len() as u32).to_le_bytes());
     frame.extend_from_slice(&(hash::bytes(3, &body) as u32).to_le_bytes());
@@ -30,18 +30,18 @@
     Ok(frame)
 }
 
-/// Reads the message of a frame's body; bytes left over are a mishap.
+/// Reads the message of a frame's body; bytes left over are an error.
 /// ```
 /// use fleet_common::{Text, frame};
 /// let packed = frame::pack(&Text::from("hi")).unwrap();
 /// assert_eq!(frame::unpack::<Text>(&packed[8..], "x").unwrap().as_str(), "hi");
 /// assert!(frame::unpack::<Text>(&[9, 0, 0, 0, 1], "x").is_err());
 /// ```
-pub fn unpack<M: for<'a> DekuContainerRead<'a>>(body: &[u8], colleague: &str) -> Result<M, Mishap> {
+pub fn unpack<M: for<'a> DekuContainerRead<'a>>(body: &[u8], peer: &str) -> Result<M, PeerError> {
     match M::from_bytes((body, 0)) {
         Ok((([], _), message)) => Ok(message),
-        Ok(_) => Err(Mishap::at(Step::Decode, colleague, "bytes left over in a frame")),
-        Err(e) => Err(Mishap::at(Step::Decode, colleague, e)),
+        Ok(_) => Err(PeerError::at(Step::Decode, peer, "bytes left over in a frame")),
+        Err(e) => Err(PeerError::at(Step::Decode, peer, e)),
     }
 }
 
@@ -51,9 +51,9 @@
 /// fleet_common::frame::write(&mut out, &fleet_common::Text::from("a"), "core-1").unwrap();
 /// assert_eq!(out.len(), 13);
 /// ```
-pub fn write<M: DekuContainerWrite>(out: &mut impl Write, message: &M, colleague: &str) -> Result<(), Mishap> {
+pub fn write<M: DekuContainerWrite>(out: &mut impl Write, message: &M, peer: &str) -> Result<(), PeerError> {
     let frame = pack(message)?;
-    out.write_all(&frame).and_then(|_| out.flush()).map_err(|e| Mishap::at(Step::Send, colleague, e))
+    out.write_all(&frame).and_then(|_| out.flush()).map_err(|e| PeerError::at(Step::Send, peer, e))
 }
 
 /// Reads one frame; `None` when the stream ended between frames.
@@ -63,15 +63,15 @@
 /// assert_eq!(frame::read::<Text>(&mut &packed[..], "x").unwrap().unwrap().as_str(), "a");
 /// assert!(frame::read::<Text>(&mut &packed[..9], "x").is_err());
 /// ```
-pub fn read<M: for<'a> DekuContainerRead<'a>>(input: &mut impl Read, colleague: &str) -> Result<Option<M>, Mishap> {
-    let fault = |e: std::io::Error| Mishap::at(Step::Receive, colleague, e);
+pub fn read<M: for<'a> DekuContainerRead<'a>>(input: &mut impl Read, peer: &str) -> Result<Option<M>, PeerError> {
+    let fault = |e: std::io::Error| PeerError::at(Step::Receive, peer, e);
     let mut head = [0u8; 8];
     let mut got = 0;
     while got < head.len() {
         match input.read(&mut head[got..]) {
             Ok(0) if got == 0 => return Ok(None),
             Ok(0) => {
-                return Err(Mishap::at(Step::Receive, colleague, "stream ended inside a frame"));
+                return Err(PeerError::at(Step::Receive, peer, "stream ended inside a frame"));
             }
             Ok(n) => got += n,
             Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
@@ -81,14 +81,14 @@
     let length = u32::from_le_bytes(head[..4].try_into().unwrap_or_default()) as usize;
     let sum = u32::from_le_bytes(head[4..].try_into().unwrap_or_default());
     if length > FRAME_MAX {
-        return Err(Mishap::at(Step::Decode, colleague, format!("frame of {length} bytes")));
+        return Err(PeerError::at(Step::Decode, peer, format!("frame of {length} bytes")));
     }
     let mut body = Vec::new();
     input.take(length as u64).read_to_end(&mut body).map_err(fault)?;
     if body.len() != length || hash::bytes(3, &body) as u32 != sum {
-        return Err(Mishap::at(Step::Decode, colleague, "frame cut or damaged"));
+        return Err(PeerError::at(Step::Decode, peer, "frame cut or damaged"));
     }
-    unpack(&body, colleague).map(Some)
+    unpack(&body, peer).map(Some)
 }
 
 /// Opens a stream to a peer with bounds on connecting, reading and writing. A caller that waits less than
@@ -97,8 +97,8 @@
 /// let gone = fleet_common::frame::connect("127.0.0.1:1".parse().unwrap(), std::time::Duration::from_millis(50));
 /// assert!(gone.is_err());
 /// ```
-pub fn connect(to: SocketAddr, read_wait: Duration) -> Result<TcpStream, Mishap> {
-    let fault = |e| Mishap::at(Step::Connect, to, e);
+pub fn connect(to: SocketAddr, read_wait: Duration) -> Result<TcpStream, PeerError> {
+    let fault = |e| PeerError::at(Step::Connect, to, e);
     let stream = TcpStream::connect_timeout(&to, CONNECT_WAIT.min(read_wait)).map_err(fault)?;
     stream.set_nodelay(true).map_err(fault)?;
     stream.set_read_timeout(Some(read_wait)).map_err(fault)?;
@@ -106,7 +106,7 @@
     Ok(stream)
 }
 
-/// A kept stream on which asks are answered one at a time; reopened after any mishap.
+/// A kept stream on which asks are answered one at a time; reopened after any error.
 pub struct Caller {
     to: SocketAddr,
     wait: Duration,
@@ -139,7 +139,7 @@
     /// let mut caller = Caller::new("127.0.0.1:1".parse().unwrap(), std::time::Duration::from_millis(50));
     /// assert!(caller.ask::<Text, Text>(&Text::from("anyone?")).is_err());
     /// ```
-    pub fn ask<A: DekuContainerWrite, B: for<'a> DekuContainerRead<'a>>(&mut self, ask: &A) -> Result<B, Mishap> {
+    pub fn ask<A: DekuContainerWrite, B: for<'a> DekuContainerRead<'a>>(&mut self, ask: &A) -> Result<B, PeerError> {
         let mut stream = match self.stream.take() {
             Some(stream) => stream,
             None => connect(self.to, self.wait)?,
@@ -148,7 +148,7 @@
         write(&mut stream, ask, &name)?;
         let answer = read(&mut stream, &name)?;
         self.stream = Some(stream);
-        answer.ok_or_else(|| Mishap::at(Step::Receive, self.to, "stream ended before an answer"))
+        answer.ok_or_else(|| PeerError::at(Step::Receive, self.to, "stream ended before an answer"))
     }
 }
 
@@ -218,9 +218,9 @@
                 }
             }
             Ok(None) => return,
-            Err(mishap) => {
-                if mishap.step == Step::Decode {
-                    ring::mishap(&mishap);
+            Err(error) => {
+                if error.step == Step::Decode {
+                    ring::error(&error);
                 }
                 return;
             }
--- a/crates/fleet-common/src/hash.rs
+++ b/crates/fleet-common/src/hash.rs
@@ -60,21 +60,21 @@
 
 /// A small seeded source of numbers, for jitter and simulations.
 #[derive(Clone, Debug)]
-pub struct Dice(u64);
+pub struct SeededRng(u64);
 
-impl Dice {
+impl SeededRng {
     /// Starts from a seed; the same seed gives the same numbers.
     /// ```
-    /// use fleet_common::hash::Dice;
-    /// assert_eq!(Dice::new(5).next(10), Dice::new(5).next(10));
+    /// use fleet_common::hash::SeededRng;
+    /// assert_eq!(SeededRng::new(5).next(10), SeededRng::new(5).next(10));
     /// ```
     pub fn new(seed: u64) -> Self {
-        Dice(mix(seed))
+        SeededRng(mix(seed))
     }
 
     /// A number below `below` (0 if `below` is 0).
     /// ```
-    /// assert!(fleet_common::hash::Dice::new(1).next(6) < 6);
+    /// assert!(fleet_common::hash::SeededRng::new(1).next(6) < 6);
     /// ```
     pub fn next(&mut self, below: u64) -> u64 {
         self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
--- a/crates/fleet-common/src/http_cut.rs
+++ b/crates/fleet-common/src/http_cut.rs
@@ -2,7 +2,7 @@
 //! every byte that leaves. `attohttpc` hands its socket to nobody, so this goes through its nearest kin
 //! `ureq`, whose connector and transport are ours.
 use crate::http_out::{Headers, Opened};
-use crate::{Mishap, Step};
+use crate::{PeerError, Step};
 use std::fmt;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -15,7 +15,7 @@
 use ureq::unversioned::transport::{Buffers, ConnectionDetails, Connector, LazyBuffers, NextTimeout, Transport};
 
 const CONNECT_WAIT: Duration = Duration::from_millis(800);
-/// A colleague that takes nothing for so long is given up.
+/// A peer that takes nothing for so long is given up.
 const WRITE_WAIT: Duration = Duration::from_secs(8);
 
 /// Asked before each byte that leaves; `false` lets none go.
@@ -153,7 +153,7 @@
 }
 
 /// Sends a request and returns once the head of the answer is in. Waiting has no limit of its own:
-/// whoever watches shuts the stream. A mishap at `Step::Connect` means that no byte has left.
+/// whoever watches shuts the stream. An error at `Step::Connect` means that no byte has left.
 /// ```
 /// use fleet_common::http_cut::{Shutter, open};
 /// let closed = open("POST", "http://127.0.0.1:1/", &[], b"x", std::sync::Arc::new(|| false), &Shutter::default());
@@ -166,10 +166,10 @@
     body: &[u8],
     gate: Gate,
     shutter: &Shutter,
-) -> Result<Opened<impl Read + Send + use<>>, Mishap> {
+) -> Result<Opened<impl Read + Send + use<>>, PeerError> {
     let fault = |e: String| {
         let step = if shutter.begun() { Step::Receive } else { Step::Connect };
-        Mishap::at(step, url, e)
+        PeerError::at(step, url, e)
     };
     let authority = url.strip_prefix("http://").unwrap_or(url).split(['/', '?']).next().unwrap_or_default();
     let to = authority.parse().map_err(|_| fault(format!("{authority} is not an IP and port")))?;
--- a/crates/fleet-common/src/http_out.rs
+++ b/crates/fleet-common/src/http_out.rs
@@ -1,6 +1,6 @@
-//! Asking over HTTP/1.1, through `attohttpc`. A body shorter than its stated length is a mishap:
+//! Asking over HTTP/1.1, through `attohttpc`. A body shorter than its stated length is an error:
 //! the library gives such a body without a word, so the length is checked here.
-use crate::{Mishap, Step};
+use crate::{PeerError, Step};
 use attohttpc::{Method, RequestBuilder};
 use std::io::Read;
 use std::time::Duration;
@@ -40,8 +40,8 @@
 /// let gone = http_out::open("GET", "http://127.0.0.1:1/", &[], &[], std::time::Duration::from_millis(100));
 /// assert!(gone.is_err());
 /// ```
-pub fn open(method: &str, url: &str, headers: Headers, body: &[u8], wait: Duration) -> Result<Opened, Mishap> {
-    let fault = |step, e: String| Mishap::at(step, url, e);
+pub fn open(method: &str, url: &str, headers: Headers, body: &[u8], wait: Duration) -> Result<Opened, PeerError> {
+    let fault = |step, e: String| PeerError::at(step, url, e);
     let method = Method::from_bytes(method.as_bytes()).map_err(|e| fault(Step::Send, e.to_string()))?;
     let mut builder = RequestBuilder::try_new(method, url)
         .map_err(|e| fault(Step::Send, e.to_string()))?
@@ -79,25 +79,31 @@
 /// use fleet_common::http_out;
 /// assert!(http_out::ask("GET", "http://127.0.0.1:1/", &[], &[], std::time::Duration::from_millis(100)).is_err());
 /// ```
-pub fn ask(method: &str, url: &str, headers: Headers, body: &[u8], wait: Duration) -> Result<(u16, Vec<u8>), Mishap> {
+pub fn ask(
+    method: &str,
+    url: &str,
+    headers: Headers,
+    body: &[u8],
+    wait: Duration,
+) -> Result<(u16, Vec<u8>), PeerError> {
     let opened = open(method, url, headers, body, wait)?;
     let mut whole = Vec::new();
-    opened.body.take(64 << 20).read_to_end(&mut whole).map_err(|e| Mishap::at(Step::Receive, url, e))?;
+    opened.body.take(64 << 20).read_to_end(&mut whole).map_err(|e| PeerError::at(Step::Receive, url, e))?;
     Ok((opened.status, whole))
 }
 
-/// As `ask`, for JSON: anything but a 2xx is a mishap that quotes the answer.
+/// As `ask`, for JSON: anything but a 2xx is an error that quotes the answer.
 /// ```
 /// use fleet_common::http_out;
 /// assert!(http_out::json("GET", "http://127.0.0.1:1/", "", std::time::Duration::from_millis(100)).is_err());
 /// ```
-pub fn json(method: &str, url: &str, body: &str, wait: Duration) -> Result<String, Mishap> {
+pub fn json(method: &str, url: &str, body: &str, wait: Duration) -> Result<String, PeerError> {
     let kind = [("content-type", "application/json".to_string())];
     let (status, whole) = ask(method, url, &kind, body.as_bytes(), wait)?;
     let text = String::from_utf8_lossy(&whole).into_owned();
     if (200..300).contains(&status) {
         Ok(text)
     } else {
-        Err(Mishap::at(Step::Receive, url, format!("{status}: {text}")))
+        Err(PeerError::at(Step::Receive, url, format!("{status}: {text}")))
     }
 }
--- a/crates/fleet-common/src/lib.rs
+++ b/crates/fleet-common/src/lib.rs
@@ -1,5 +1,5 @@
-//! What every program of the fleet shares: frames between our own processes, mishaps that carry
-//! step and colleague, the ring log, hashes, HTTP edges, and checked JSON.
+//! What every program of the fleet shares: frames between our own processes, errors that carry
+//! step and peer, the ring log, hashes, HTTP edges, and checked JSON.
 
 pub mod ask;
 pub mod counters;
@@ -9,9 +9,9 @@
 pub mod http_in;
 pub mod http_out;
 pub mod json;
-pub mod mishap;
 pub mod node;
 pub mod packed;
+pub mod peer_error;
 pub mod rcu;
 pub mod ring;
 pub mod settings;
@@ -19,6 +19,6 @@
 mod stream_of;
 pub mod threads;
 
-pub use mishap::{Mishap, Step};
 pub use packed::{Bytes, List, Text};
+pub use peer_error::{PeerError, Step};
 pub use rcu::Rcu;
--- a/crates/fleet-common/src/node.rs
+++ b/crates/fleet-common/src/node.rs
@@ -1,7 +1,7 @@
 //! A node's link to the core: long pulls under a term, from three seeds onwards.
-use crate::ask::{Answer, Ask, CORES, Pull, Pulled, SOURCES, TERM, Vector};
+use crate::ask::{Answer, Ask, CORES, LEASE, Pull, Pulled, SOURCES, Vector};
 use crate::frame::Caller;
-use crate::{Mishap, Rcu, Step, ring};
+use crate::{PeerError, Rcu, Step, ring};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -75,30 +75,30 @@
     /// # let me = Identity { name: "e1".into(), kind: "edge", incarnation: 1, at: "".into(), district: "a".into() };
     /// assert!(Link::new(me, Default::default()).ask(&Ask::Query("holds".into())).is_err());
     /// ```
-    pub fn ask(&mut self, ask: &Ask) -> Result<Answer, Mishap> {
+    pub fn ask(&mut self, ask: &Ask) -> Result<Answer, PeerError> {
         for _ in 0..4 {
             let mut caller = match self.caller.take() {
                 Some(caller) => caller,
                 None => match self.next_core() {
                     Some(to) => Caller::new(to, ASK_WAIT),
-                    None => return Err(Mishap::at(Step::Pull, "any core", "no core is known")),
+                    None => return Err(PeerError::at(Step::Pull, "any core", "no core is known")),
                 },
             };
             match caller.ask(ask)? {
                 Answer::Elsewhere(at) => match at.as_str().parse() {
                     Ok(to) => self.caller = Some(Caller::new(to, ASK_WAIT)),
                     Err(_) => {
-                        return Err(Mishap::at(Step::Pull, caller.to(), "no tail holds its term"));
+                        return Err(PeerError::at(Step::Pull, caller.to(), "no tail holds its term"));
                     }
                 },
-                Answer::Unavailable(reason) => return Err(Mishap::at(Step::Pull, caller.to(), reason)),
+                Answer::Unavailable(reason) => return Err(PeerError::at(Step::Pull, caller.to(), reason)),
                 answer => {
                     self.caller = Some(caller);
                     return Ok(answer);
                 }
             }
         }
-        Err(Mishap::at(Step::Pull, "cores", "sent round in a circle"))
+        Err(PeerError::at(Step::Pull, "cores", "sent round in a circle"))
     }
 
     /// One long pull. Gives when it was sent and what came.
@@ -113,7 +113,7 @@
         confirmed: Vector,
         holding: bool,
         wait_ms: u32,
-    ) -> Result<(Instant, Pulled), Mishap> {
+    ) -> Result<(Instant, Pulled), PeerError> {
         let me = &self.identity;
         let ask = Ask::Pull(Pull {
             node: me.name.as_str().into(),
@@ -130,7 +130,7 @@
         let pulled = match self.ask(&ask)? {
             Answer::Pulled(pulled) => pulled,
             other => {
-                return Err(Mishap::at(Step::Pull, "core", format!("odd answer {other:?}")));
+                return Err(PeerError::at(Step::Pull, "core", format!("odd answer {other:?}")));
             }
         };
         for news in pulled.changed.items().iter().filter(|n| n.source as usize == CORES) {
@@ -151,7 +151,7 @@
     let mut have: Vector = [0; SOURCES.len()];
     let mut held = Instant::now();
     loop {
-        let holding = held.elapsed() < TERM + Duration::from_millis(300);
+        let holding = held.elapsed() < LEASE + Duration::from_millis(300);
         match link.pull(have, have, holding, 800) {
             Ok((sent, pulled)) => {
                 held = sent;
@@ -161,8 +161,8 @@
                     std::thread::sleep(Duration::from_millis(50));
                 }
             }
-            Err(mishap) => {
-                ring::note(&mishap.to_string());
+            Err(error) => {
+                ring::note(&error.to_string());
                 std::thread::sleep(Duration::from_millis(100));
             }
         }
--- a/crates/fleet-common/src/ring.rs
+++ b/crates/fleet-common/src/ring.rs
@@ -1,5 +1,5 @@
 //! The log: a ring in memory, written out when something goes wrong, and little else.
-use crate::Mishap;
+use crate::PeerError;
 use logforth::append::Append;
 use std::collections::VecDeque;
 use std::io::Write;
@@ -69,13 +69,13 @@
     ring().lock().unwrap_or_else(|held| held.into_inner()).lines.iter().cloned().collect()
 }
 
-/// Notes a mishap and writes the ring out to standard error; the ring is empty afterwards.
+/// Notes an error and writes the ring out to standard error; the ring is empty afterwards.
 /// ```
-/// use fleet_common::{Mishap, Step, ring};
-/// ring::mishap(&Mishap::at(Step::Disk, "own disk", "no space left"));
+/// use fleet_common::{PeerError, Step, ring};
+/// ring::error(&PeerError::at(Step::Disk, "own disk", "no space left"));
 /// ```
-pub fn mishap(mishap: &Mishap) {
-    note(&format!("MISHAP {mishap}"));
+pub fn error(error: &PeerError) {
+    note(&format!("ERROR {error}"));
     let (program, lines) = {
         let mut ring = ring().lock().unwrap_or_else(|held| held.into_inner());
         ring.written_out += 1;
--- a/crates/fleet-common/src/settings.rs
+++ b/crates/fleet-common/src/settings.rs
@@ -1,5 +1,5 @@
 //! Settings: a JSON file, flags over it, all faults reported together.
-use crate::{Mishap, Step, json, ring};
+use crate::{PeerError, Step, json, ring};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -177,7 +177,7 @@
         &self.faults
     }
 
-    /// Puts settings that were read again to use; faulty ones change nothing and are a mishap.
+    /// Puts settings that were read again to use; faulty ones change nothing and are an error.
     /// ```
     /// # use fleet_common::settings::Settings;
     /// let settings = Settings::read(None, &["odd=1".into()], &[]);
@@ -186,7 +186,7 @@
     pub fn put_to_use(&self, put: impl FnOnce()) {
         match self.faults() {
             [] => put(),
-            faults => ring::mishap(&Mishap::at(Step::Settings, "own settings", faults.join("; "))),
+            faults => ring::error(&PeerError::at(Step::Settings, "own settings", faults.join("; "))),
         }
     }
 
--- a/crates/fleet-common/tests/edges.rs
+++ b/crates/fleet-common/tests/edges.rs
@@ -141,8 +141,8 @@
     drop(deaf);
 }
 
-/// A colleague that says nothing: the one who asked is let go the moment its stream is shut, and the
-/// colleague sees the end of it.
+/// A peer that says nothing: the one who asked is let go the moment its stream is shut, and the
+/// peer sees the end of it.
 #[test]
 fn a_shut_stream_ends_for_both_at_once() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -160,7 +160,7 @@
         seen.push(byte[0]);
     }
     shutter.shut();
-    assert!(!matches!(stream.read(&mut [0; 8]), Ok(1..)), "the colleague sees the end");
+    assert!(!matches!(stream.read(&mut [0; 8]), Ok(1..)), "the peer sees the end");
     assert_eq!(asker.join().unwrap().step, fleet_common::Step::Receive);
 }
 
@@ -171,7 +171,7 @@
     for open_for in 0..6 {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let at = listener.local_addr().unwrap();
-        let colleague = std::thread::spawn(move || {
+        let peer = std::thread::spawn(move || {
             let mut seen = Vec::new();
             let Ok((mut stream, _)) = listener.accept() else { return seen };
             let _ = stream.read_to_end(&mut seen);
@@ -185,7 +185,7 @@
         drop(sent);
         let _ = TcpStream::connect(at);
         shutter.shut();
-        let seen = colleague.join().unwrap();
+        let seen = peer.join().unwrap();
         assert!(seen.len() < body.len(), "{open_for}: {} bytes came", seen.len());
         assert_eq!(shutter.begun(), open_for > 1, "{open_for}");
     }
--- a/crates/fleet-query/src/commands.rs
+++ b/crates/fleet-query/src/commands.rs
@@ -40,8 +40,8 @@
     let body = format!("{{\"id\":{},\"expect\":{expect},\"kind\":{}{rest}}}", quote(&id), quote(kind));
     let (status, text) = match cores.post(&body) {
         Ok(answer) => answer,
-        Err(mishap) => {
-            eprintln!("fleet-query: unknown whether command {id} took effect: {mishap}");
+        Err(error) => {
+            eprintln!("fleet-query: unknown whether command {id} took effect: {error}");
             eprintln!("fleet-query: ask later with: fleet-query outcome {id}");
             return 2;
         }
@@ -80,8 +80,8 @@
             println!("{text}");
             i32::from(status >= 300)
         }
-        Err(mishap) => {
-            eprintln!("fleet-query: unknown whether the list took hold (ask: fleet-query holds): {mishap}");
+        Err(error) => {
+            eprintln!("fleet-query: unknown whether the list took hold (ask: fleet-query holds): {error}");
             2
         }
     }
--- a/crates/fleet-query/src/cores.rs
+++ b/crates/fleet-query/src/cores.rs
@@ -1,5 +1,5 @@
 //! Asking the cores: any of them will do, so one after another is tried.
-use fleet_common::{Mishap, Step, http_out};
+use fleet_common::{PeerError, Step, http_out};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,30 +12,30 @@
         Cores(list)
     }
 
-    pub fn get(&self, path: &str) -> Result<String, Mishap> {
-        let mut last = Mishap::at(Step::Query, "cores", "no cores are named: --cores or COURSEBEND_CORES");
+    pub fn get(&self, path: &str) -> Result<String, PeerError> {
+        let mut last = PeerError::at(Step::Query, "cores", "no cores are named: --cores or COURSEBEND_CORES");
         for core in &self.0 {
             match http_out::json("GET", &format!("http://{core}{path}"), "", WAIT) {
                 Ok(text) => return Ok(text),
-                Err(mishap) => last = mishap,
+                Err(error) => last = error,
             }
         }
         Err(last)
     }
 
     /// Posts a command. The same command may go to several cores: its id keeps it from counting twice.
-    pub fn post(&self, body: &str) -> Result<(u16, String), Mishap> {
+    pub fn post(&self, body: &str) -> Result<(u16, String), PeerError> {
         self.post_to("/commands", body)
     }
 
-    pub fn post_to(&self, path: &str, body: &str) -> Result<(u16, String), Mishap> {
-        let mut last = Mishap::at(Step::Command, "cores", "no cores are named: --cores or COURSEBEND_CORES");
+    pub fn post_to(&self, path: &str, body: &str) -> Result<(u16, String), PeerError> {
+        let mut last = PeerError::at(Step::Command, "cores", "no cores are named: --cores or COURSEBEND_CORES");
         for core in &self.0 {
             let kind = [("content-type", "application/json".to_string())];
             match http_out::ask("POST", &format!("http://{core}{path}"), &kind, body.as_bytes(), WAIT) {
-                Ok((503, text)) => last = Mishap::at(Step::Command, core, String::from_utf8_lossy(&text)),
+                Ok((503, text)) => last = PeerError::at(Step::Command, core, String::from_utf8_lossy(&text)),
                 Ok((status, text)) => return Ok((status, String::from_utf8_lossy(&text).into_owned())),
-                Err(mishap) => last = mishap,
+                Err(error) => last = error,
             }
         }
         Err(last)
--- a/crates/fleet-query/src/queries.rs
+++ b/crates/fleet-query/src/queries.rs
@@ -1,20 +1,20 @@
 //! Queries: what holds now.
-use fleet_common::{Mishap, http_out};
+use fleet_common::{PeerError, http_out};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-pub fn ask(at: SocketAddr, path: &str) -> Result<String, Mishap> {
+pub fn ask(at: SocketAddr, path: &str) -> Result<String, PeerError> {
     http_out::json("GET", &format!("http://{at}{path}"), "", Duration::from_secs(3))
 }
 
-pub fn show(answer: Result<String, Mishap>) -> i32 {
+pub fn show(answer: Result<String, PeerError>) -> i32 {
     match answer {
         Ok(text) => {
             println!("{text}");
             0
         }
-        Err(mishap) => {
-            eprintln!("fleet-query: {mishap}");
+        Err(error) => {
+            eprintln!("fleet-query: {error}");
             2
         }
     }
--- a/crates/measure-index/src/load.rs
+++ b/crates/measure-index/src/load.rs
@@ -1,5 +1,5 @@
 //! The load: conversations that begin with a shared prefix and grow turn by turn.
-use fleet_common::hash::{self, Dice};
+use fleet_common::hash::{self, SeededRng};
 
 /// A kind of work: weight, shared blocks, own blocks at first, own blocks each turn.
 pub type Kind = (u64, usize, usize, usize);
@@ -52,7 +52,7 @@
 /// An endless source of requests.
 pub struct Load {
     shape: Shape,
-    dice: Dice,
+    rng: SeededRng,
     talks: Vec<Talk>,
     number: u64,
 }
@@ -64,20 +64,20 @@
     /// assert!(!Load::new(TANOA, 1).next().blocks.is_empty());
     /// ```
     pub fn new(shape: Shape, seed: u64) -> Self {
-        Load { shape, dice: Dice::new(seed), talks: Vec::new(), number: 0 }
+        Load { shape, rng: SeededRng::new(seed), talks: Vec::new(), number: 0 }
     }
 
     fn grow(&mut self, blocks: &mut Vec<u64>, by: usize) {
         for _ in 0..by {
             let before = blocks.last().copied().unwrap_or(0);
-            blocks.push(hash::mix(before ^ self.dice.next(u64::MAX)));
+            blocks.push(hash::mix(before ^ self.rng.next(u64::MAX)));
         }
     }
 
     fn begin(&mut self) -> Talk {
         self.number += 1;
-        let tenant = self.dice.next(self.shape.tenants).min(self.dice.next(self.shape.tenants));
-        let mut roll = self.dice.next(self.shape.kinds.iter().map(|k| k.0).sum());
+        let tenant = self.rng.next(self.shape.tenants).min(self.rng.next(self.shape.tenants));
+        let mut roll = self.rng.next(self.shape.kinds.iter().map(|k| k.0).sum());
         let mut at = 0;
         while roll >= self.shape.kinds[at].0 {
             roll -= self.shape.kinds[at].0;
@@ -91,7 +91,7 @@
             blocks.push(before);
         }
         self.grow(&mut blocks, own);
-        let turns = 2 + self.dice.next(9);
+        let turns = 2 + self.rng.next(9);
         Talk { name: format!("s{}", self.number), blocks, grows, turns }
     }
 
@@ -103,11 +103,11 @@
     /// ```
     #[allow(clippy::should_implement_trait)]
     pub fn next(&mut self) -> Request {
-        if self.talks.len() < 120 || self.dice.next(8) == 0 {
+        if self.talks.len() < 120 || self.rng.next(8) == 0 {
             let talk = self.begin();
             self.talks.push(talk);
         }
-        let at = self.dice.next(self.talks.len() as u64) as usize;
+        let at = self.rng.next(self.talks.len() as u64) as usize;
         let mut talk = self.talks.swap_remove(at);
         let request = Request { session: talk.name.clone(), blocks: talk.blocks.clone() };
         let mut blocks = std::mem::take(&mut talk.blocks);
--- a/crates/measure-index/src/world.rs
+++ b/crates/measure-index/src/world.rs
@@ -3,7 +3,7 @@
 use crate::replica::{Replica, all_known, mirror, new_replica};
 use control_chain::blueprint::{Links, Model};
 use fleet_common::ask::audit;
-use fleet_common::hash::Dice;
+use fleet_common::hash::SeededRng;
 use prefix_table::event::Batch;
 use std::sync::Arc;
 use std::time::Duration;
@@ -75,7 +75,7 @@
 /// ```
 pub fn run(shape: Shape, knobs: Knobs, seed: u64) -> Figures {
     let mut load = Load::new(shape, seed);
-    let mut dice = Dice::new(seed ^ 0x6d65);
+    let mut rng = SeededRng::new(seed ^ 0x6d65);
     let links = Links { near_us_per_block: shape.near_us, far_us_per_block: shape.far_us, setup_us: SETUP_US };
     let model = Model { weights: "w".into(), prefill_us_per_block: PREFILL_US };
     let mut replicas: Vec<Replica> = (0..REPLICAS).map(|at| new_replica(at, knobs)).collect();
@@ -91,7 +91,7 @@
             hear(replica, now, knobs, &mut edges, &mut figures);
         }
         let request = load.next();
-        let edge = dice.next(EDGES as u64) as usize;
+        let edge = rng.next(EDGES as u64) as usize;
         serve(now, &request, &mut replicas, &mut edges[edge], (knobs, &links, &model, seed), &mut figures);
     }
     figures
--- a/crates/prefix-index/src/doing.rs
+++ b/crates/prefix-index/src/doing.rs
@@ -75,8 +75,8 @@
     let mut link = shared.link.lock().unwrap_or_else(|held| held.into_inner());
     let answer = Envelope::bare(command).ask().and_then(|ask| link.ask(&ask));
     drop(link);
-    if let Err(mishap) = answer {
-        ring::note(&mishap.to_string());
+    if let Err(error) = answer {
+        ring::note(&error.to_string());
     }
 }
 
--- a/crates/prefix-index/src/lib.rs
+++ b/crates/prefix-index/src/lib.rs
@@ -16,7 +16,7 @@
 pub struct Start {
     pub identity: Identity,
     pub seeds: Seeds,
-    /// Where routers and colleagues ask; the identity names its address.
+    /// Where routers and peers ask; the identity names its address.
     pub frames: TcpListener,
     pub replicas: Arc<dyn Replicas>,
 }
--- a/crates/prefix-index/src/replicas.rs
+++ b/crates/prefix-index/src/replicas.rs
@@ -51,7 +51,7 @@
     fn poll(&self, ask: &PollAsk) -> Result<Report, String> {
         let PollAsk { at, incarnation, from, .. } = ask;
         let url = format!("http://{at}/events?from={from}&incarnation={incarnation}&wait_ms={POLL_MS}");
-        let text = http_out::json("GET", &url, "", POLL_WAIT).map_err(|mishap| mishap.to_string())?;
+        let text = http_out::json("GET", &url, "", POLL_WAIT).map_err(|error| error.to_string())?;
         sonic_rs::from_str(&text).map_err(|e| format!("events of {at} cannot be read: {e}"))
     }
 
@@ -63,6 +63,6 @@
             json::quote(&ask.weights)
         );
         let sent = http_out::json("POST", &format!("http://{}/orders", ask.at), &body, ORDER_WAIT);
-        sent.map(|_| Ordered::Taken).map_err(|mishap| mishap.to_string())
+        sent.map(|_| Ordered::Taken).map_err(|error| error.to_string())
     }
 }
--- a/crates/prefix-index/src/shared.rs
+++ b/crates/prefix-index/src/shared.rs
@@ -1,5 +1,5 @@
 //! The index node's state machine behind one short lock, and the threads that do what it says: polls of
-//! each replica by a thread of its own, asks of colleagues and orders by a pool, news by a sender for each colleague.
+//! each replica by a thread of its own, asks of peers and orders by a pool, news by a sender for each peer.
 //! Lock order: the keeper's lock is never held while anything else is waited for or locked.
 use crate::doing::{self, Job, Watch, Watcher};
 use crate::replicas::{OrderAsk, PollAsk, Replicas};
@@ -13,7 +13,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-/// Senders of colleagues that are gone go when there are more than a fleet has nodes.
+/// Senders of peers that are gone go when there are more than a fleet has nodes.
 const SENDERS_MOST: usize = 4096;
 const TICK: Duration = Duration::from_millis(50);
 const WORKERS: usize = 6;
@@ -65,7 +65,7 @@
         keeper
     }
 
-    /// Answers a router or a colleague.
+    /// Answers a router or a peer.
     /// ```
     /// # use fleet_common::node::Identity;
     /// # let identity = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
@@ -135,7 +135,7 @@
         }
     }
 
-    /// One sender a colleague, so that a dead one holds nobody up. What it has no room for is told again.
+    /// One sender a peer, so that a dead one holds nobody up. What it has no room for is told again.
     fn tell(&self, at: &str, ask: Ask) {
         let mut senders = self.senders.lock().unwrap_or_else(|held| held.into_inner());
         if senders.len() > SENDERS_MOST {
--- a/crates/prefix-table/src/keeper.rs
+++ b/crates/prefix-table/src/keeper.rs
@@ -8,7 +8,7 @@
 use crate::table::Shape;
 use control_chain::command::Command;
 use control_chain::fleet::Fleet;
-use fleet_common::ask::{Ask, Pulled, SeatNews, TERM, TableCopy, Vector};
+use fleet_common::ask::{Ask, LEASE, Pulled, SeatNews, TableCopy, Vector};
 use fleet_common::node::Identity;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -21,13 +21,13 @@
     Pulled(Duration, Pulled),
     /// A replica's events, asked for under a fence.
     Polled(String, u64, Result<Report, String>),
-    /// A colleague's copy of a table, if it had one.
+    /// A peer's copy of a table, if it had one.
     Copied(String, Option<TableCopy>),
     /// A command about a replica's duty was answered, one way or another.
     Commanded(String),
     /// An order to load these weights was answered.
     Ordered(String, String, Result<Ordered, String>),
-    /// A colleague's news changed a replica's state: what waits for it goes on at once.
+    /// A peer's news changed a replica's state: what waits for it goes on at once.
     Stirred,
     /// This node is to stop: duties are given up and tables handed over.
     Leave,
@@ -67,7 +67,7 @@
     pub me: Identity,
     pub fleet: Fleet,
     pub kept: BTreeMap<String, Kept>,
-    /// What colleagues told of the replicas that they hold.
+    /// What peers told of the replicas that they hold.
     pub news: News,
     pub(crate) now: Duration,
     pub(crate) confirmed: Option<Duration>,
@@ -138,7 +138,7 @@
     /// assert!(!keeper.fresh());
     /// ```
     pub fn fresh(&self) -> bool {
-        self.confirmed.is_some_and(|sent| self.now < sent + TERM)
+        self.confirmed.is_some_and(|sent| self.now < sent + LEASE)
     }
 
     /// The fence under which this node holds a replica's duty now: by the core's word, under its term.
--- a/crates/prefix-table/src/news.rs
+++ b/crates/prefix-table/src/news.rs
@@ -1,5 +1,5 @@
 //! What an index node tells: filters to routers after beta events, the state of its replicas to routers
-//! and colleagues; and what it answers when it is asked.
+//! and peers; and what it answers when it is asked.
 use crate::keeper::{Keeper, Output, shape};
 use crate::seats::{self, same_state};
 use crate::table::Table;
@@ -18,7 +18,7 @@
 pub(crate) struct Audience {
     version: u64,
     edges: BTreeSet<String>,
-    /// Edges and colleagues.
+    /// Edges and peers.
     all: BTreeSet<String>,
 }
 
@@ -164,7 +164,7 @@
         }
     }
 
-    /// Answers routers and colleagues.
+    /// Answers routers and peers.
     /// ```
     /// # use fleet_common::node::Identity;
     /// # let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
--- a/crates/prefix-table/src/ordering.rs
+++ b/crates/prefix-table/src/ordering.rs
@@ -4,7 +4,7 @@
 use crate::kept::{Kept, Order};
 use crate::rolling::{LOAD_BOUND, Row, Turn, turn};
 use control_chain::fleet::{APP, STORE};
-use fleet_common::ask::{TERM, stage};
+use fleet_common::ask::{LEASE, stage};
 use std::time::Duration;
 
 /// An order whose fate is not known, or that was not taken, is given again after this.
@@ -34,7 +34,7 @@
         (order.weights.clone(), at)
     }
 
-    /// All replicas of a model: those held here as they are, the others as colleagues told lately.
+    /// All replicas of a model: those held here as they are, the others as peers told lately.
     fn rows(&self, model: &str, wanted: &str) -> Vec<Row> {
         let of_model = self.fleet.replicas.iter().filter(|row| row.model == model);
         of_model
@@ -96,7 +96,7 @@
         let now = self.now;
         let known = |kept: &&mut Kept| kept.fence == Some(fence) && kept.heard && !kept.down;
         let Some(kept) = self.kept.get_mut(replica).filter(known) else { return };
-        if waits && now.saturating_sub(kept.since) < TERM + TAKEN_OVER_WAIT {
+        if waits && now.saturating_sub(kept.since) < LEASE + TAKEN_OVER_WAIT {
             return;
         }
         let next = now + AGAIN;
--- a/crates/prefix-table/tests/parts.rs
+++ b/crates/prefix-table/tests/parts.rs
@@ -1,7 +1,7 @@
 //! Parts of prompts in a table: what counts as kept, gaps and whole lists, against a plain model; and a
 //! replica's report as JSON.
 use fleet_common::ask::audit;
-use fleet_common::hash::Dice;
+use fleet_common::hash::SeededRng;
 use prefix_table::blocks::{part, salt_text};
 use prefix_table::event::{Batch, Event, Numbered, Report};
 use prefix_table::table::{DOUBT, Shape, Table};
@@ -40,12 +40,12 @@
 #[test]
 fn a_table_of_parts_follows_its_replica() {
     for seed in 0..50 {
-        let mut dice = Dice::new(seed);
+        let mut rng = SeededRng::new(seed);
         let mut table = Table::new(SHAPE, Duration::ZERO);
         let (mut now_kept, mut most): (BTreeMap<u64, u64>, BTreeMap<u64, u64>) = Default::default();
         for seq in 0..2000 {
-            let hash = dice.next(80);
-            let tokens = dice.next(20) * 16;
+            let hash = rng.next(80);
+            let tokens = rng.next(20) * 16;
             now_kept.insert(hash, tokens);
             let largest = most.entry(hash).or_default();
             *largest = tokens.max(*largest);
--- a/crates/prefix-table/tests/rolling.rs
+++ b/crates/prefix-table/tests/rolling.rs
@@ -1,7 +1,7 @@
 //! Roll-outs in simulated time, as all index nodes together bring them about: the share that keeps
 //! serving, the time until all serve the new weights, replicas that cannot load, and the halt.
 use fleet_common::ask::stage;
-use fleet_common::hash::Dice;
+use fleet_common::hash::SeededRng;
 use prefix_table::rolling::{LOAD_BOUND, Row, Turn, at_once, turn};
 use rstest::rstest;
 use std::time::Duration;
@@ -22,7 +22,7 @@
 
 impl Sim {
     fn new(seed: u64, n: usize, broken: usize) -> Self {
-        let mut dice = Dice::new(seed);
+        let mut rng = SeededRng::new(seed);
         let row = |at: usize| Row {
             id: format!("r{at}"),
             weights: "w1".into(),
@@ -31,7 +31,7 @@
             leaving: false,
             silent: false,
         };
-        let load = (0..n).map(|_| Some(Duration::from_millis(500 + dice.next(5500)))).collect();
+        let load = (0..n).map(|_| Some(Duration::from_millis(500 + rng.next(5500)))).collect();
         let mut sim = Sim {
             rows: (0..n).map(row).collect(),
             load,
@@ -42,7 +42,7 @@
             halted: false,
         };
         for _ in 0..broken {
-            let at = dice.next(n as u64) as usize;
+            let at = rng.next(n as u64) as usize;
             sim.load[at] = None;
         }
         sim
--- a/crates/prefix-table/tests/sizing.rs
+++ b/crates/prefix-table/tests/sizing.rs
@@ -1,6 +1,6 @@
 //! A table's m against its number of items, as parts come and go.
 use fleet_common::ask::audit;
-use fleet_common::hash::Dice;
+use fleet_common::hash::SeededRng;
 use prefix_table::counting::Counting;
 use prefix_table::event::{Batch, Event, Numbered};
 use prefix_table::table::{Shape, Table};
@@ -11,13 +11,13 @@
 #[test]
 fn m_follows_the_number_of_items_both_ways() {
     for seed in 0..10 {
-        let mut dice = Dice::new(seed);
+        let mut rng = SeededRng::new(seed);
         let mut table = Table::new(Shape { bits: MOST, hashes: 0 }, Duration::ZERO);
         let mut sizes = std::collections::BTreeSet::new();
         for seq in 0..8000 {
             // Grows for a while, then shrinks.
-            let tokens = u64::from(dice.next(100) < if seq % 4000 < 2000 { 80 } else { 5 }) * 9;
-            let event = Event::PartKept { part_hash: dice.next(1500), tokens };
+            let tokens = u64::from(rng.next(100) < if seq % 4000 < 2000 { 80 } else { 5 }) * 9;
+            let event = Event::PartKept { part_hash: rng.next(1500), tokens };
             let batch = Batch {
                 incarnation: "1".into(),
                 next: seq + 1,
--- a/crates/prefix-table/tests/table_model.rs
+++ b/crates/prefix-table/tests/table_model.rs
@@ -1,6 +1,6 @@
 //! The index's table against a plain model: a replica that forgets the least lately used, and a
 //! network that loses, doubles, delays and reorders its events.
-use fleet_common::hash::Dice;
+use fleet_common::hash::SeededRng;
 use prefix_table::counting::Counting;
 use prefix_table::event::{Batch, Event, Numbered};
 use prefix_table::table::{DOUBT, Shape, Table};
@@ -12,7 +12,7 @@
 
 /// A replica with a real cache, oldest first.
 struct Replica {
-    dice: Dice,
+    rng: SeededRng,
     cache: Vec<u64>,
     incarnation: u64,
     next: u64,
@@ -25,7 +25,7 @@
     }
 
     fn act(&mut self) -> Vec<Numbered> {
-        match self.dice.next(60) {
+        match self.rng.next(60) {
             0 => {
                 self.cache.clear();
                 vec![self.number(Event::AllBlocksCleared)]
@@ -37,8 +37,8 @@
                 vec![]
             }
             _ => {
-                let first = self.dice.next(400);
-                let blocks: Vec<u64> = (first..first + 1 + self.dice.next(6)).collect();
+                let first = self.rng.next(400);
+                let blocks: Vec<u64> = (first..first + 1 + self.rng.next(6)).collect();
                 let fresh: Vec<u64> = blocks.into_iter().filter(|b| !self.cache.contains(b)).collect();
                 self.cache.extend(&fresh);
                 let over = self.cache.len().saturating_sub(120);
@@ -93,7 +93,7 @@
 #[case(Network::OldIncarnation)]
 fn a_table_follows_its_replica(#[case] network: Network) {
     for seed in 0..100 {
-        let mut replica = Replica { dice: Dice::new(seed), cache: vec![], incarnation: 1, next: 0 };
+        let mut replica = Replica { rng: SeededRng::new(seed), cache: vec![], incarnation: 1, next: 0 };
         let mut table = Table::new(SHAPE, Duration::ZERO);
         let mut late: Vec<Batch> = Vec::new();
         let mut now = Duration::ZERO;
@@ -102,13 +102,13 @@
             let before = replica.incarnation;
             let mut events = replica.act();
             match network {
-                Network::Loses => events.retain(|_| replica.dice.next(10) > 0),
+                Network::Loses => events.retain(|_| replica.rng.next(10) > 0),
                 Network::Doubles => events = [events.clone(), events].concat(),
                 Network::Reorders => events.reverse(),
                 Network::Faithful | Network::OldIncarnation => {}
             }
             let batch = replica.batch(events);
-            if network == Network::OldIncarnation && replica.dice.next(5) == 0 && before == replica.incarnation {
+            if network == Network::OldIncarnation && replica.rng.next(5) == 0 && before == replica.incarnation {
                 late.push(batch.clone());
             }
             table.apply(now, &batch);
@@ -117,7 +117,7 @@
             if [Network::Faithful, Network::Doubles].contains(&network) {
                 assert_eq!(claims(&table), replica.held(), "{network:?} seed {seed}");
             }
-            if network == Network::OldIncarnation && replica.dice.next(20) == 0 {
+            if network == Network::OldIncarnation && replica.rng.next(20) == 0 {
                 // Word of an old life comes late; the next word of the present one puts it right.
                 if let Some(old) = late.pop() {
                     table.apply(now, &old);
@@ -139,7 +139,7 @@
 
 #[test]
 fn a_copy_goes_on_where_its_table_was() {
-    let mut replica = Replica { dice: Dice::new(4), cache: vec![], incarnation: 1, next: 0 };
+    let mut replica = Replica { rng: SeededRng::new(4), cache: vec![], incarnation: 1, next: 0 };
     let mut table = Table::new(SHAPE, Duration::ZERO);
     for step in 0..200 {
         let events = replica.act();
--- a/crates/request-router/src/claims.rs
+++ b/crates/request-router/src/claims.rs
@@ -27,8 +27,8 @@
             ring::note(&format!("command answered {other:?}"));
             None
         }
-        Err(mishap) => {
-            ring::note(&mishap.to_string());
+        Err(error) => {
+            ring::note(&error.to_string());
             None
         }
     }
--- a/crates/request-router/src/feed.rs
+++ b/crates/request-router/src/feed.rs
@@ -2,12 +2,12 @@
 use crate::shared::Shared;
 use fleet_common::ask::{Answer, Ask, Pull};
 use fleet_common::frame::Caller;
-use fleet_common::{Mishap, ring};
+use fleet_common::{PeerError, ring};
 use std::time::{Duration, Instant};
 
 const PARK_MS: u32 = 300;
 
-fn pull(shared: &Shared, caller: &mut Caller) -> Result<bool, Mishap> {
+fn pull(shared: &Shared, caller: &mut Caller) -> Result<bool, PeerError> {
     let have = shared.fleet.read().vector.to_vec();
     let ask = Ask::Pull(Pull {
         node: shared.name.as_str().into(),
@@ -37,8 +37,8 @@
         match pull(shared, &mut caller) {
             Ok(true) => {}
             Ok(false) => std::thread::sleep(Duration::from_millis(30)),
-            Err(mishap) => {
-                ring::note(&mishap.to_string());
+            Err(error) => {
+                ring::note(&error.to_string());
                 std::thread::sleep(Duration::from_millis(60));
             }
         }
--- a/crates/request-router/src/ferry.rs
+++ b/crates/request-router/src/ferry.rs
@@ -7,7 +7,7 @@
 use crate::upstream::{self, Answer, Coming, Upstream, Wish};
 use crossbeam::channel::RecvTimeoutError;
 use fleet_common::http_in::Pieces;
-use fleet_common::{Mishap, Step, ring};
+use fleet_common::{PeerError, Step, ring};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use way_choice::placing::Found;
@@ -91,7 +91,7 @@
                 heard
             }
             Ok(Coming::Whole) => Heard::Whole,
-            Ok(Coming::Broken(mishap)) => self.broken(mishap),
+            Ok(Coming::Broken(error)) => self.broken(error),
             Err(RecvTimeoutError::Disconnected) => Heard::Broken(true, "the stream ended oddly".into()),
             Err(RecvTimeoutError::Timeout) => self.silence(),
         }
@@ -110,14 +110,14 @@
         }
     }
 
-    fn broken(&mut self, mishap: Mishap) -> Heard {
-        ring::note(&mishap.to_string());
-        let left = mishap.step != Step::Connect;
+    fn broken(&mut self, error: PeerError) -> Heard {
+        ring::note(&error.to_string());
+        let left = error.step != Step::Connect;
         if let (false, true, Some(this)) = (left, may(self.shared, self.passage).is_ok(), &self.this) {
             let until = self.shared.now() + DOWN_FOR;
             self.shared.down.change(|down| down.insert(this.seat.id.clone(), until));
         }
-        Heard::Broken(left, mishap.to_string())
+        Heard::Broken(left, error.to_string())
     }
 
     fn act(&mut self, todo: Vec<Do>) {
--- a/crates/request-router/src/mirrors.rs
+++ b/crates/request-router/src/mirrors.rs
@@ -13,7 +13,7 @@
     shared.mirrors.change(|mirrors| take_filter(mirrors, fence, filter))
 }
 
-/// What colleagues may ask of a router: to take filters and news.
+/// What peers may ask of a router: to take filters and news.
 pub fn answer(shared: &Shared, ask: Ask) -> Answer {
     match ask {
         Ask::FilterPush(filter) => {
@@ -54,6 +54,6 @@
     match Caller::new(at, Duration::from_millis(1000)).ask(&Ask::FilterPull(replica.into())) {
         Ok(Answer::Filter(filter)) => _ = take(shared, filter),
         Ok(_) => {}
-        Err(mishap) => ring::note(&mishap.to_string()),
+        Err(error) => ring::note(&error.to_string()),
     }
 }
--- a/crates/request-router/src/passage.rs
+++ b/crates/request-router/src/passage.rs
@@ -78,7 +78,7 @@
 /// What a filter says: go on, answer this, or it has answered already.
 impl From<Told> for Reply {
     fn from(told: Told) -> Self {
-        // Callers that are told to come back do not all come at once; a colleague's own word stands.
+        // Callers that are told to come back do not all come at once; a peer's own word stands.
         let spread = || 1 + fleet_common::hash::unique() % 3;
         let retry_after = told.retry_after.map(|after| if after == 0 { spread() } else { after });
         Reply { retry_after, outcome: told.outcome, ..Reply::new(told.status, "", told.what) }
--- a/crates/request-router/src/reporting.rs
+++ b/crates/request-router/src/reporting.rs
@@ -77,7 +77,7 @@
                     }
                 }
                 Ok(_) => {}
-                Err(mishap) => ring::note(&mishap.to_string()),
+                Err(error) => ring::note(&error.to_string()),
             }
         }
     });
--- a/crates/request-router/src/upstream.rs
+++ b/crates/request-router/src/upstream.rs
@@ -4,7 +4,7 @@
 use fleet_common::http_cut::{self, Gate, Shutter};
 use fleet_common::http_out::Opened;
 use fleet_common::threads::{self, STACK};
-use fleet_common::{Mishap, Step};
+use fleet_common::{PeerError, Step};
 use std::io::Read;
 
 /// The most that is read of an answer that is handed on whole.
@@ -29,7 +29,7 @@
     Answer(Answer),
     Event(Vec<u8>),
     Whole,
-    Broken(Mishap),
+    Broken(PeerError),
 }
 
 /// What is asked.
@@ -63,7 +63,7 @@
     let started = threads::spawn_named("upstream", STACK, move || {
         let opened = http_cut::open(&wish.method, &wish.url, &wish.headers, &wish.body, gate, &held);
         let last = match opened {
-            Err(mishap) => Coming::Broken(mishap),
+            Err(error) => Coming::Broken(error),
             Ok(opened) if wish.events && opened.status == 200 => pump(opened.body, &wish.url, &sender),
             Ok(opened) => whole(opened, &wish.url, &sender),
         };
@@ -71,7 +71,7 @@
     });
     if let Err(error) = started {
         // Nothing has left, as where nobody could be reached.
-        let _ = refused.send(Coming::Broken(Mishap::at(Step::Connect, url, error)));
+        let _ = refused.send(Coming::Broken(PeerError::at(Step::Connect, url, error)));
     }
     Upstream { coming, shutter }
 }
@@ -84,8 +84,8 @@
             let _ = sender.send(Coming::Answer(answer));
             Coming::Whole
         }
-        Ok(_) => Coming::Broken(Mishap::at(Step::Ferry, url, "an answer over 64 MiB")),
-        Err(e) => Coming::Broken(Mishap::at(Step::Ferry, url, e)),
+        Ok(_) => Coming::Broken(PeerError::at(Step::Forward, url, "an answer over 64 MiB")),
+        Err(e) => Coming::Broken(PeerError::at(Step::Forward, url, e)),
     }
 }
 
@@ -95,7 +95,7 @@
     loop {
         match body.read(&mut buffer) {
             Ok(0) if held.is_empty() => return Coming::Whole,
-            Ok(0) => return Coming::Broken(Mishap::at(Step::Ferry, url, "the stream ended inside an event")),
+            Ok(0) => return Coming::Broken(PeerError::at(Step::Forward, url, "the stream ended inside an event")),
             Ok(n) => {
                 held.extend_from_slice(&buffer[..n]);
                 while let Some(end) = held.windows(2).position(|pair| pair == b"\n\n") {
@@ -107,7 +107,7 @@
                 }
             }
             Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
-            Err(e) => return Coming::Broken(Mishap::at(Step::Ferry, url, e)),
+            Err(e) => return Coming::Broken(PeerError::at(Step::Forward, url, e)),
         }
     }
 }
--- a/crates/router-agent/src/agent.rs
+++ b/crates/router-agent/src/agent.rs
@@ -63,9 +63,9 @@
                 self.idle.lock().unwrap_or_else(|held| held.into_inner()).push(link);
                 answer
             }
-            Err(mishap) => {
-                ring::note(&mishap.to_string());
-                Answer::Refused(mishap.to_string().as_str().into())
+            Err(error) => {
+                ring::note(&error.to_string());
+                Answer::Refused(error.to_string().as_str().into())
             }
         }
     }
@@ -90,8 +90,8 @@
                         std::thread::sleep(MEMBER_AGAIN);
                     }
                 }
-                Err(mishap) => {
-                    ring::note(&mishap.to_string());
+                Err(error) => {
+                    ring::note(&error.to_string());
                     std::thread::sleep(PULL_AGAIN);
                 }
             }
@@ -114,7 +114,7 @@
         if !self.held.router_may_hold() {
             match Envelope::bare(bye).ask() {
                 Ok(ask) => _ = self.pass_on(&ask),
-                Err(error) => ring::mishap(&error),
+                Err(error) => ring::error(&error),
             }
         }
     }
--- a/crates/scale-fleet/src/hollow.rs
+++ b/crates/scale-fleet/src/hollow.rs
@@ -3,7 +3,7 @@
 use control_chain::command::{Command, Envelope, Outcome};
 use control_chain::configuration::Change;
 use control_chain::relay::Relay;
-use fleet_common::ask::{Answer, Ask, CONFIGURATION, Pulled, TERM};
+use fleet_common::ask::{Answer, Ask, CONFIGURATION, LEASE, Pulled};
 use fleet_common::frame;
 use fleet_common::node::{Identity, Link, Seeds};
 use scale_fleet::counts::{Counts, FILTERS, NEWS, PULLS, Report, SOURCE};
@@ -64,7 +64,7 @@
     fn take(&self, mut stream: TcpStream) -> Result<(), String> {
         let fault = |e: std::io::Error| format!("frame at a hollow node: {e}");
         stream.set_nodelay(true).map_err(fault)?;
-        let done = frame::pack(&Answer::Done).map_err(|mishap| mishap.to_string())?;
+        let done = frame::pack(&Answer::Done).map_err(|error| error.to_string())?;
         let (mut head, mut body) = ([0u8; 8], Vec::new());
         loop {
             stream.read_exact(&mut head).map_err(fault)?;
@@ -149,7 +149,7 @@
             match link.ask(ask) {
                 Ok(Answer::Json(text)) => return Ok(text.as_slice().to_vec()),
                 Ok(other) if Instant::now() > until => return Err(format!("operator's ask: odd answer {other:?}")),
-                Err(mishap) if Instant::now() > until => return Err(format!("operator's ask: {mishap}")),
+                Err(error) if Instant::now() > until => return Err(format!("operator's ask: {error}")),
                 _ => std::thread::sleep(LOOK),
             }
         }
@@ -170,7 +170,7 @@
         }
         let took_ms = begun.elapsed().as_secs_f64() * 1000.0;
         let ask = Ask::Query(format!("command/{id}").as_str().into());
-        while begun.elapsed() < LONGEST + TERM {
+        while begun.elapsed() < LONGEST + LEASE {
             let words = self.asker(LONGEST, &ask)?;
             if String::from_utf8_lossy(&words).contains("in force") {
                 break;
--- a/crates/simulate-fleet/src/asked.rs
+++ b/crates/simulate-fleet/src/asked.rs
@@ -48,11 +48,11 @@
 
     fn ask_replica(&mut self, at: usize, asked: Asked) {
         let (now, me) = (self.now(), Place::Replica(at));
-        let lost = self.dice.next(100) < self.replicas[at].loses;
+        let lost = self.rng.next(100) < self.replicas[at].loses;
         let replica = &mut self.replicas[at];
         *self.tries.entry(asked.stream.0).or_default() += 1;
         let to = Place::Router(asked.from);
-        if self.dice.next(100) < replica.refuses {
+        if self.rng.next(100) < replica.refuses {
             return self.send(me, to, Message::Refused(asked.stream, 503, Some(3)));
         }
         if replica.loading.is_some() || replica.weights != asked.weights || at == STORE {
--- a/crates/simulate-fleet/src/callers.rs
+++ b/crates/simulate-fleet/src/callers.rs
@@ -58,7 +58,7 @@
     pub fn step(&mut self, world: &mut World) {
         let now = world.now();
         if now >= self.next {
-            self.next = now + ms(10 + world.dice.next(40));
+            self.next = now + ms(10 + world.rng.next(40));
             let request = self.request(world);
             world.call(request, 0);
         }
@@ -70,7 +70,7 @@
             };
             let again = world.calls.get(&call).filter(|open| open.request.once.is_some() && open.repeats < 3);
             if let Some(open) = again.cloned() {
-                let when = at + ms(300 + world.dice.next(4000));
+                let when = at + ms(300 + world.rng.next(4000));
                 self.repeats.push((when, open.request, open.repeats + 1));
             }
         }
@@ -79,27 +79,27 @@
         self.repeats = later;
         let due: Vec<(Duration, Request, u64)> = due;
         for (_, mut request, repeats) in due {
-            request.edge = (request.edge + 1 + world.dice.next(EDGES as u64 - 1) as usize) % EDGES;
+            request.edge = (request.edge + 1 + world.rng.next(EDGES as u64 - 1) as usize) % EDGES;
             world.call(request, repeats);
         }
     }
 
     fn request(&mut self, world: &mut World) -> Request {
-        let dice = &mut world.dice;
-        let (tenant, _) = TENANTS[dice.next(4).min(dice.next(4)) as usize];
-        let kind = dice.next(3);
+        let rng = &mut world.rng;
+        let (tenant, _) = TENANTS[rng.next(4).min(rng.next(4)) as usize];
+        let kind = rng.next(3);
         let shared = format!("{kind} the shared part of the prompt, always the same; ").repeat(12);
-        let session = dice.next(12);
-        let own = format!("session {session} {}", dice.next(1000)).repeat(4);
-        let number = if self.withdrawn > 0 && dice.next(4) == 0 { self.withdrawn - 1 } else { self.withdrawn };
-        let tokens = match dice.next(20) {
+        let session = rng.next(12);
+        let own = format!("session {session} {}", rng.next(1000)).repeat(4);
+        let number = if self.withdrawn > 0 && rng.next(4) == 0 { self.withdrawn - 1 } else { self.withdrawn };
+        let tokens = match rng.next(20) {
             0 => 700,
             1..=4 => 40,
-            _ => 3 + dice.next(8),
+            _ => 3 + rng.next(8),
         };
-        let once = dice.next(5) == 0;
-        let edge = dice.next(EDGES as u64) as usize;
-        let (stream, tag) = (dice.next(4) > 0, dice.next(1 << 40));
+        let once = rng.next(5) == 0;
+        let edge = rng.next(EDGES as u64) as usize;
+        let (stream, tag) = (rng.next(4) > 0, rng.next(1 << 40));
         Request {
             call: 0,
             edge,
--- a/crates/simulate-fleet/src/faults.rs
+++ b/crates/simulate-fleet/src/faults.rs
@@ -55,12 +55,12 @@
 }
 
 fn one(world: &mut World, below: usize) -> usize {
-    world.dice.next(below as u64) as usize
+    world.rng.next(below as u64) as usize
 }
 
 impl World {
     fn for_a_while(&mut self) -> Duration {
-        self.now() + ms(500 + self.dice.next(7000))
+        self.now() + ms(500 + self.rng.next(7000))
     }
 
     fn freeze_router(&mut self, at: usize, until: Duration) {
@@ -115,7 +115,7 @@
                 (0..6).for_each(|n| self.replicas[(replica + n * 3) % REPLICAS].load = None);
             }
             Fault::EdgeAndReplicasCut => {
-                let (there, back) = (self.dice.next(3) > 0, self.dice.next(3) > 0);
+                let (there, back) = (self.rng.next(3) > 0, self.rng.next(3) > 0);
                 for at in (0..REPLICAS).filter(|at| (at + replica).is_multiple_of(2)) {
                     self.cut.extend(there.then_some((edge, 100 + at)));
                     self.cut.extend(back.then_some((100 + at, edge)));
@@ -131,7 +131,7 @@
             Fault::EdgeCutOff => self.cut_edge_from_cores(edge, until),
             Fault::EdgeKilled => {
                 self.kill_edge(edge);
-                if self.dice.next(2) == 0 {
+                if self.rng.next(2) == 0 {
                     self.start_edge(edge);
                 }
             }
@@ -140,7 +140,7 @@
             Fault::IndexKilled => self.indexes[edge].up = false,
             Fault::ReplicaCrashes => {
                 self.replicas[replica].crash(now);
-                if self.dice.next(2) == 0 {
+                if self.rng.next(2) == 0 {
                     self.replicas[replica].start();
                 }
             }
@@ -148,7 +148,7 @@
             Fault::ReplicasReplaced => self.replacing = Some((0, now)),
             Fault::CoreCrashes => {
                 self.cores.power_loss(core);
-                if self.dice.next(2) == 0 {
+                if self.rng.next(2) == 0 {
                     self.cores.start(core);
                 }
             }
--- a/crates/simulate-fleet/src/index.rs
+++ b/crates/simulate-fleet/src/index.rs
@@ -5,7 +5,7 @@
 use crate::wire::{Message, Place};
 use crate::world::World;
 use control_chain::command::Envelope;
-use fleet_common::ask::{Answer, Ask, Pull, TERM};
+use fleet_common::ask::{Answer, Ask, LEASE, Pull};
 use fleet_common::node::Identity;
 use prefix_table::keeper::{Input, Keeper, Ordered, Output};
 use std::time::Duration;
@@ -61,7 +61,7 @@
             district: me.district.as_str().into(),
             have: have.clone().into(),
             confirmed: have.into(),
-            holding: (now.saturating_sub(self.held) < TERM + ms(300)).into(),
+            holding: (now.saturating_sub(self.held) < LEASE + ms(300)).into(),
             wait_ms: 800,
         })
     }
@@ -145,7 +145,7 @@
                 let order = Message::Order { by: at, replica, fence, weights };
                 let to = Place::Replica(machine(&to));
                 // An order may be long on its way, past its giver's term.
-                let late = if self.dice.next(100) < self.loses { self.dice.next(5000) } else { 0 };
+                let late = if self.rng.next(100) < self.loses { self.rng.next(5000) } else { 0 };
                 if self.passes(me, to) {
                     self.put(now + ms(2 + late), to, order);
                 }
--- a/crates/simulate-fleet/src/run.rs
+++ b/crates/simulate-fleet/src/run.rs
@@ -133,7 +133,7 @@
         self.callers.withdrawn = round;
         self.pass(ms(500));
         self.world.bring_about(fault);
-        let some = ms(self.world.dice.next(2500));
+        let some = ms(self.world.rng.next(2500));
         self.pass(some);
         // The keys of the round before are withdrawn, two operators race, and one replica is to leave.
         for (tenant, _) in TENANTS.iter().take(2) {
@@ -142,13 +142,13 @@
         }
         self.operators.state(&self.world, What::Blueprint(round * 10));
         self.operators.state(&self.world, What::Blueprint(round * 10 + 1));
-        let leaver = self.world.dice.next(REPLICAS as u64) as usize;
+        let leaver = self.world.rng.next(REPLICAS as u64) as usize;
         if self.world.replacing.is_none() {
             self.mark(leaver, true);
         }
-        let some = ms(self.world.dice.next(3000));
+        let some = ms(self.world.rng.next(3000));
         self.pass(some);
-        if self.world.dice.next(2) == 0 {
+        if self.world.rng.next(2) == 0 {
             self.world.bring_about(fault);
         }
         let named = format!("w{}", round + 1);
--- a/crates/simulate-fleet/src/serving.rs
+++ b/crates/simulate-fleet/src/serving.rs
@@ -89,7 +89,7 @@
 
     fn claim(&mut self, at: usize, call: u64) {
         let (now, deadline) = (self.now(), self.claim_wait());
-        let late = if self.late_claims && self.dice.next(4) == 0 { self.dice.next(9000) } else { 0 };
+        let late = if self.late_claims && self.rng.next(4) == 0 { self.rng.next(9000) } else { 0 };
         let router = &mut self.routers[at];
         let edge = router.edge.name.clone();
         let Some(going) = router.going.get_mut(&call) else { return };
--- a/crates/simulate-fleet/src/wire.rs
+++ b/crates/simulate-fleet/src/wire.rs
@@ -128,20 +128,20 @@
             return;
         }
         let soonest = self.last_on_wire.get(&(from, to)).copied().unwrap_or_default();
-        let when = (self.now() + ms(1 + self.dice.next(6))).max(soonest);
+        let when = (self.now() + ms(1 + self.rng.next(6))).max(soonest);
         self.last_on_wire.insert((from, to), when);
         self.put(when, to, message);
     }
 
     /// Sends what may come late, twice, out of order or never.
     pub(crate) fn send_loosely(&mut self, from: Place, to: Place, message: Message) {
-        if !self.passes(from, to) || self.dice.next(100) < self.loses {
+        if !self.passes(from, to) || self.rng.next(100) < self.loses {
             return;
         }
-        let times = if self.dice.next(100) < self.loses { 2 } else { 1 };
+        let times = if self.rng.next(100) < self.loses { 2 } else { 1 };
         for _ in 0..times {
-            let late = if self.dice.next(100) < self.loses { self.dice.next(3000) } else { 0 };
-            let when = self.now() + ms(1 + self.dice.next(10) + late);
+            let late = if self.rng.next(100) < self.loses { self.rng.next(3000) } else { 0 };
+            let when = self.now() + ms(1 + self.rng.next(10) + late);
             self.put(when, to, message.clone());
         }
     }
--- a/crates/simulate-fleet/src/world.rs
+++ b/crates/simulate-fleet/src/world.rs
@@ -8,7 +8,7 @@
 use crate::shape::{DISTRICTS, EDGES, Off, REPLICAS, STORE};
 use crate::wire::{Message, Place};
 use control_chain::command::Replica as Row;
-use fleet_common::hash::Dice;
+use fleet_common::hash::SeededRng;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -27,7 +27,7 @@
 /// All of it.
 pub struct World {
     pub cores: Cores,
-    pub dice: Dice,
+    pub rng: SeededRng,
     pub off: Off,
     pub routers: Vec<Router>,
     pub(crate) indexes: Vec<Index>,
@@ -88,7 +88,7 @@
         let edge_off = if off == Off::Term { EdgeOff::NoTerm } else { EdgeOff::Nothing };
         World {
             cores,
-            dice: Dice::new(seed ^ 0x0066_6c65_6574),
+            rng: SeededRng::new(seed ^ 0x0066_6c65_6574),
             off,
             routers: (0..EDGES).map(|at| Router::new(at, edge_off)).collect(),
             indexes: (0..EDGES).map(|at| Index::new(at, 1)).collect(),
--- a/crates/stand-in/src/caller.rs
+++ b/crates/stand-in/src/caller.rs
@@ -4,7 +4,7 @@
 use crate::figures::Figures;
 use crate::flags::Caller as Flags;
 use crossbeam::channel::bounded;
-use fleet_common::hash::Dice;
+use fleet_common::hash::SeededRng;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -31,10 +31,10 @@
 
 /// Deterministic text, so that the same prefix is the same bytes everywhere.
 fn text(seed: u64, bytes: usize) -> String {
-    let mut dice = Dice::new(seed);
+    let mut rng = SeededRng::new(seed);
     let mut out = String::with_capacity(bytes + 12);
     while out.len() < bytes {
-        out.push_str(&format!("{:x} ", dice.next(1 << 40)));
+        out.push_str(&format!("{:x} ", rng.next(1 << 40)));
     }
     out.truncate(bytes);
     out
@@ -48,25 +48,25 @@
     let model = flags.model.clone().unwrap_or_else(|| "m1".into());
     let seed = flags.seed.unwrap_or(1);
     let once_share = flags.once_share.unwrap_or(5);
-    let mut dice = Dice::new(seed);
+    let mut rng = SeededRng::new(seed);
     let mut number = 0u64;
     std::iter::repeat_with(move || {
         number += 1;
         // A few tenants are large: the first ones come up more often.
-        let at = dice.next(keys.len() as u64).min(dice.next(keys.len() as u64)) as usize;
+        let at = rng.next(keys.len() as u64).min(rng.next(keys.len() as u64)) as usize;
         let (key, tenant) = keys[at].clone();
-        let mut roll = dice.next(kinds.iter().map(|k| k.1).sum());
+        let mut roll = rng.next(kinds.iter().map(|k| k.1).sum());
         let kind = kinds.iter().find(|k| {
             let found = roll < k.1;
             roll = roll.saturating_sub(k.1);
             found
         });
         let (name, _, blocks, own, tokens) = *kind.unwrap_or(&kinds[0]);
-        let session = dice.next(6);
+        let session = rng.next(6);
         let shared = text(at as u64 * 31 + name.len() as u64, blocks * 64);
         let rest = text(seed ^ (number << 8), own);
         Job {
-            edge: edges[dice.next(edges.len() as u64) as usize].clone(),
+            edge: edges[rng.next(edges.len() as u64) as usize].clone(),
             session: format!("{tenant}-{name}-{session}"),
             prompt: format!("{shared}{:08}{rest}", session),
             key,
@@ -74,8 +74,8 @@
             model: model.clone(),
             kind: name,
             tokens,
-            stream: dice.next(5) > 0,
-            once: (dice.next(100) < once_share).then(|| format!("once-{seed}-{number}")),
+            stream: rng.next(5) > 0,
+            once: (rng.next(100) < once_share).then(|| format!("once-{seed}-{number}")),
             budget_ms: None,
         }
     })
--- a/crates/stream-router/src/feed.rs
+++ b/crates/stream-router/src/feed.rs
@@ -5,7 +5,7 @@
 use crate::subsets::{Router, Subsets};
 use fleet_common::ask::{Answer, Ask, Filter, Pull};
 use fleet_common::frame::Caller;
-use fleet_common::{Mishap as Error, ring};
+use fleet_common::{PeerError as Error, ring};
 use std::collections::HashSet;
 use std::time::{Duration, Instant};
 use way_choice::backlog::key;
--- a/crates/stream-router/tests/budget_fleet.rs
+++ b/crates/stream-router/tests/budget_fleet.rs
@@ -1,5 +1,5 @@
 //! The budget of further tries over a whole fleet: no window holds more of them than the operator allows.
-use fleet_common::hash::Dice;
+use fleet_common::hash::SeededRng;
 use rstest::rstest;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -36,17 +36,17 @@
         budget.share(routers);
         budget
     };
-    let mut dice = Dice::new(routers as u64);
+    let mut rng = SeededRng::new(routers as u64);
     let mut all: Vec<Budget> = (0..routers).map(|_| fresh()).collect();
     let (mut asked, mut spent) = (Times::default(), Times::default());
     let keep = bound.window * 3;
     for number in 0..load.per_second * seconds {
-        let now = Duration::from_micros(number * 1_000_000 / load.per_second + dice.next(900_000 / load.per_second));
-        if load.restarts > 0 && dice.next(load.restarts) == 0 {
-            all[dice.next(routers as u64) as usize] = fresh();
+        let now = Duration::from_micros(number * 1_000_000 / load.per_second + rng.next(900_000 / load.per_second));
+        if load.restarts > 0 && rng.next(load.restarts) == 0 {
+            all[rng.next(routers as u64) as usize] = fresh();
         }
         // Shares are not even.
-        let at = dice.next(routers as u64).min(dice.next(routers as u64)) as usize;
+        let at = rng.next(routers as u64).min(rng.next(routers as u64)) as usize;
         asked.0.push_back(now);
         all[at].earn(now);
         if load.period == 0 || now.as_secs() / load.period % 2 == 1 {
--- a/crates/stream-router/tests/events_model.rs
+++ b/crates/stream-router/tests/events_model.rs
@@ -1,5 +1,5 @@
 //! Events cut from random reads against the events that the stream was made from.
-use fleet_common::hash::Dice;
+use fleet_common::hash::SeededRng;
 use rstest::rstest;
 use stream_router::events::{Events, id};
 
@@ -8,18 +8,18 @@
     id: Option<String>,
 }
 
-fn make(dice: &mut Dice, number: u64) -> Made {
-    let end = ["\n", "\r\n"][dice.next(2) as usize];
+fn make(rng: &mut SeededRng, number: u64) -> Made {
+    let end = ["\n", "\r\n"][rng.next(2) as usize];
     let mut lines = Vec::new();
-    if dice.next(4) == 0 {
+    if rng.next(4) == 0 {
         lines.push("weights-told: m1=3".to_string());
     }
-    let own = (dice.next(4) > 0).then(|| (number * 3).to_string());
-    let colon = ["id: ", "id:"][dice.next(2) as usize];
+    let own = (rng.next(4) > 0).then(|| (number * 3).to_string());
+    let colon = ["id: ", "id:"][rng.next(2) as usize];
     lines.extend(own.iter().map(|id| format!("{colon}{id}")));
-    for _ in 0..dice.next(4) {
+    for _ in 0..rng.next(4) {
         lines.push(
-            ["data: id: 99", "data:", ": note", "data: \u{fc}\u{20ac} x", "event: id"][dice.next(5) as usize].into(),
+            ["data: id: 99", "data:", ": note", "data: \u{fc}\u{20ac} x", "event: id"][rng.next(5) as usize].into(),
         );
     }
     if lines.is_empty() {
@@ -32,15 +32,15 @@
 #[test]
 fn whole_events_come_out_as_soon_as_they_are_whole_and_nothing_else_does() {
     for seed in 0..3000 {
-        let mut dice = Dice::new(seed);
-        let events: Vec<Made> = (1..=dice.next(8)).map(|number| make(&mut dice, number)).collect();
+        let mut rng = SeededRng::new(seed);
+        let events: Vec<Made> = (1..=rng.next(8)).map(|number| make(&mut rng, number)).collect();
         let mut wire: Vec<u8> = events.iter().flat_map(|e| e.bytes.clone()).collect();
         // The last one may break off.
-        wire.truncate(wire.len() - dice.next(wire.len() as u64 / 2 + 1) as usize);
+        wire.truncate(wire.len() - rng.next(wire.len() as u64 / 2 + 1) as usize);
         let (mut reader, mut got, mut last, mut came) = (Events::default(), Vec::new(), None, 0);
-        let most = [1, 3, 20, 500][dice.next(4) as usize];
+        let most = [1, 3, 20, 500][rng.next(4) as usize];
         while came < wire.len() {
-            let now = (1 + dice.next(most) as usize).min(wire.len() - came);
+            let now = (1 + rng.next(most) as usize).min(wire.len() - came);
             let (whole, id) = reader.take(&wire[came..came + now]);
             came += now;
             got.extend(whole);
--- a/crates/stream-router/tests/progress_table.rs
+++ b/crates/stream-router/tests/progress_table.rs
@@ -1,5 +1,5 @@
 //! What is done after a failed try, against a plain table over everything that it may depend on.
-use fleet_common::hash::Dice;
+use fleet_common::hash::SeededRng;
 use stream_router::progress::{Failure, Next, Progress};
 
 const FAILURES: [Failure; 6] =
@@ -80,24 +80,24 @@
 #[test]
 fn nothing_runs_twice_that_may_not_and_no_promise_is_broken() {
     for seed in 0..20_000 {
-        let mut dice = Dice::new(seed);
-        let (repeatable, tries) = (dice.next(2) == 0, 1 + dice.next(4) as u32);
-        let mut progress = Progress::new(repeatable, repeatable && dice.next(2) == 0, tries);
+        let mut rng = SeededRng::new(seed);
+        let (repeatable, tries) = (rng.next(2) == 0, 1 + rng.next(4) as u32);
+        let mut progress = Progress::new(repeatable, repeatable && rng.next(2) == 0, tries);
         let (mut sends, mut runs, mut rounds) = (0, 0, 0);
         let end = loop {
             rounds += 1;
             assert!(rounds < 20, "seed {seed}: it comes to an end");
-            let failure = &FAILURES[dice.next(6) as usize];
+            let failure = &FAILURES[rng.next(6) as usize];
             if !matches!(failure, Failure::Unsent | Failure::NoPlace) {
                 sends += 1;
                 progress.sent += 1;
                 // Whatever leaves it open is taken to have run.
                 runs += u32::from(*failure != Failure::Refused);
-                if progress.resumable && matches!(failure, Failure::Unknown) && dice.next(2) == 0 {
-                    (progress.answered, progress.after) = (true, dice.next(2) == 0);
+                if progress.resumable && matches!(failure, Failure::Unknown) && rng.next(2) == 0 {
+                    (progress.answered, progress.after) = (true, rng.next(2) == 0);
                 }
             }
-            match progress.after(failure, || dice.next(4) > 0) {
+            match progress.after(failure, || rng.next(4) > 0) {
                 Next::Again => assert!(repeatable || runs == 0, "seed {seed}: again after a possible run"),
                 end => break end,
             }
--- a/crates/way-choice/src/desk.rs
+++ b/crates/way-choice/src/desk.rs
@@ -2,7 +2,7 @@
 //! door itself.
 use crate::place::Seat;
 use control_chain::fleet::Fleet;
-use fleet_common::ask::{SeatNews, TERM, stage};
+use fleet_common::ask::{LEASE, SeatNews, stage};
 pub use prefix_table::seats::{News, take};
 use std::collections::HashMap;
 use std::time::Duration;
@@ -29,7 +29,7 @@
     let seat = |row: &control_chain::command::Replica| {
         let told = news.get(&row.id);
         let lately = down.get(&row.id).is_some_and(|until| now < *until);
-        let heard = told.filter(|(_, at)| now.saturating_sub(*at) < TERM).map(|(told, _)| told);
+        let heard = told.filter(|(_, at)| now.saturating_sub(*at) < LEASE).map(|(told, _)| told);
         let fence = fleet.duties.get(&row.id).map_or(0, |duty| duty.fence);
         let floor = heard.map_or(NO_FLOOR, |told| (told.fence.max(fence), told.floor));
         let told = told.map(|(told, _)| told);
--- a/crates/way-choice/src/fresh.rs
+++ b/crates/way-choice/src/fresh.rs
@@ -1,5 +1,5 @@
 //! Freshness: a router works only within a term of its last confirmed pull, by the monotonic clock.
-use fleet_common::ask::TERM;
+use fleet_common::ask::LEASE;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
@@ -36,7 +36,7 @@
     /// assert!(!fresh.holds(std::time::Instant::now()), "nothing is confirmed yet");
     /// ```
     pub fn holds(&self, now: Instant) -> bool {
-        self.holds_for(now, TERM)
+        self.holds_for(now, LEASE)
     }
 
     /// Whether it holds where it may be no longer than so long.
@@ -48,6 +48,6 @@
     /// ```
     pub fn holds_for(&self, now: Instant, lease: Duration) -> bool {
         let last = self.last_us.load(Ordering::Acquire);
-        last > 0 && now.saturating_duration_since(self.begun) < Duration::from_micros(last) + lease.min(TERM)
+        last > 0 && now.saturating_duration_since(self.begun) < Duration::from_micros(last) + lease.min(LEASE)
     }
 }
--- a/crates/way-choice/tests/backlogs.rs
+++ b/crates/way-choice/tests/backlogs.rs
@@ -1,5 +1,5 @@
 //! Backlogs against queues that are worked off, and what was sent lately against a plain list.
-use fleet_common::hash::Dice;
+use fleet_common::hash::SeededRng;
 use std::collections::HashMap;
 use std::time::Duration;
 use way_choice::backlog::Backlogs;
@@ -37,20 +37,20 @@
 #[test]
 fn backlogs_are_queues_that_are_worked_off() {
     for seed in 0..300 {
-        let (mut dice, mut backlogs, mut queues) = (Dice::new(seed), Backlogs::default(), Queues::default());
+        let (mut rng, mut backlogs, mut queues) = (SeededRng::new(seed), Backlogs::default(), Queues::default());
         let mut now = Duration::ZERO;
         for step in 0..300 {
-            let passed = [0, dice.next(1000), dice.next(300_000), dice.next(8_000_000)][dice.next(4) as usize];
+            let passed = [0, rng.next(1000), rng.next(300_000), rng.next(8_000_000)][rng.next(4) as usize];
             now += Duration::from_micros(passed);
             queues.pass(passed);
-            let link = dice.next(4);
-            match dice.next(10) {
+            let link = rng.next(4);
+            match rng.next(10) {
                 1 => {
                     backlogs.keep(|one| one != link);
                     queues.0.remove(&link);
                 }
                 _ => {
-                    let work = [dice.next(2_000), dice.next(400_000), dice.next(9_000_000)][dice.next(3) as usize];
+                    let work = [rng.next(2_000), rng.next(400_000), rng.next(9_000_000)][rng.next(3) as usize];
                     backlogs.add(now, link, Duration::from_micros(work));
                     queues.add(link, work);
                 }
@@ -67,14 +67,14 @@
 #[test]
 fn what_was_sent_lately_is_as_in_a_plain_list() {
     for seed in 0..300 {
-        let (mut dice, mut recent) = (Dice::new(seed), Recent::default());
+        let (mut rng, mut recent) = (SeededRng::new(seed), Recent::default());
         let mut list: HashMap<(u64, u64), (u64, u64)> = HashMap::new();
         let mut now = 0;
         for step in 0..200 {
-            now += dice.next(900);
+            now += rng.next(900);
             let ms = Duration::from_millis(now);
-            let (replica, part, read) = (dice.next(3), dice.next(4), dice.next(2) == 0);
-            match dice.next(12) {
+            let (replica, part, read) = (rng.next(3), rng.next(4), rng.next(2) == 0);
+            match rng.next(12) {
                 0 => {
                     recent.forget(replica);
                     list.retain(|(at, _), _| *at != replica);
--- a/crates/way-choice/tests/choices.rs
+++ b/crates/way-choice/tests/choices.rs
@@ -1,7 +1,7 @@
 //! What may never be chosen: a source of other weights or behind another wall, a place that leaves.
 use control_chain::blueprint::{Links, Model};
 use fleet_common::ask::Filter;
-use fleet_common::hash::Dice;
+use fleet_common::hash::SeededRng;
 use prefix_table::blocks;
 use prefix_table::counting::Counting;
 use prefix_table::filter::Mirror;
@@ -96,7 +96,7 @@
 
 #[test]
 fn a_session_stays_unless_its_place_is_lost() {
-    let mut dice = Dice::new(3);
+    let mut rng = SeededRng::new(3);
     for session in 0..300 {
         let session = format!("s{session}");
         let mut seats: Vec<Seat> = (1..=18).map(|n| seat(&format!("r{n}"))).collect();
@@ -111,7 +111,7 @@
         };
         let home = place(&seats, &wish(None)).unwrap().0.id.clone();
         // Losing some other replica moves nobody.
-        let other = dice.next(18) as usize;
+        let other = rng.next(18) as usize;
         if seats[other].id != home {
             seats[other].leaving = true;
             assert_eq!(place(&seats, &wish(None)).unwrap().0.id, home);
--- a/crates/way-choice/tests/ledger_model.rs
+++ b/crates/way-choice/tests/ledger_model.rs
@@ -1,5 +1,5 @@
 //! The ledger of what is unread at replicas against plain lists that are added up each time.
-use fleet_common::hash::Dice;
+use fleet_common::hash::SeededRng;
 use std::collections::HashMap;
 use std::time::Duration;
 use way_choice::ledger::{Ledger, Sent};
@@ -41,17 +41,17 @@
 #[test]
 fn the_ledger_is_the_sum_of_its_entries() {
     for seed in 0..400 {
-        let (mut dice, mut ledger) = (Dice::new(seed), Ledger::default());
+        let (mut rng, mut ledger) = (SeededRng::new(seed), Ledger::default());
         let mut plain: HashMap<u64, Plain> = HashMap::new();
         let mut now = 0;
         for step in 0..250 {
-            now += [0, dice.next(900), dice.next(200_000), dice.next(5_000_000)][dice.next(4) as usize];
+            now += [0, rng.next(900), rng.next(200_000), rng.next(5_000_000)][rng.next(4) as usize];
             let time = Duration::from_micros(now);
-            let (replica, id) = (dice.next(3), dice.next(12));
+            let (replica, id) = (rng.next(3), rng.next(12));
             let row = plain.entry(replica).or_insert_with(|| Plain { pace: 1.0, ..Plain::default() });
-            match dice.next(6) {
+            match rng.next(6) {
                 0..=2 => {
-                    let (work, tokens) = (dice.next(300_000), dice.next(20_000));
+                    let (work, tokens) = (rng.next(300_000), rng.next(20_000));
                     let sent = Sent { work: Duration::from_micros(work), tokens, parts: vec![id] };
                     ledger.begin(time, replica, id, sent);
                     // What nobody heard of for eight seconds is forgotten when something new is sent.
@@ -67,7 +67,7 @@
                 3 => assert_eq!(ledger.read(time, replica, id).is_some(), row.end(now, id, true), "seed {seed}"),
                 4 => assert_eq!(ledger.undo(time, replica, id).is_some(), row.end(now, id, false), "seed {seed}"),
                 _ => {
-                    let (thought, took) = (1 + dice.next(200), dice.next(900));
+                    let (thought, took) = (1 + rng.next(200), rng.next(900));
                     ledger.learn(replica, Duration::from_millis(thought), Duration::from_millis(took));
                     if thought >= 20 {
                         row.pace += ((took as f64 / thought as f64).clamp(0.5, 3.0) - row.pace) * 0.08;
--- a/crates/way-choice/tests/ranking.rs
+++ b/crates/way-choice/tests/ranking.rs
@@ -1,5 +1,5 @@
 //! Ranking against a plain model that writes out every replica with every source.
-use fleet_common::hash::{self, Dice, mix};
+use fleet_common::hash::{self, SeededRng, mix};
 use prefix_table::filter::{Bits, Mirror, positions};
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
@@ -22,22 +22,23 @@
     prices: Prices,
 }
 
-fn world(dice: &mut Dice) -> World {
-    let parts: Parts = (0..dice.next(6)).map(|n| (mix(dice.next(1 << 40) + n), 1 + dice.next(4000))).collect();
+fn world(rng: &mut SeededRng) -> World {
+    let parts: Parts = (0..rng.next(6)).map(|n| (mix(rng.next(1 << 40) + n), 1 + rng.next(4000))).collect();
     let (mut mirrors, mut recent) = (Mirrors::new(), Recent::default());
     let (mut shown, mut read, mut soon) = (HashMap::new(), HashMap::new(), HashMap::new());
-    let seats: Vec<Seat> = (0..1 + dice.next(5))
+    let seats: Vec<Seat> = (0..1 + rng.next(5))
         .map(|n| {
             let id = format!("r{n}");
-            let floor = (dice.next(3), dice.next(3));
-            let some =
-                |dice: &mut Dice| parts.iter().map(|(part, _)| *part).filter(|_| dice.next(3) > 0).collect::<Vec<_>>();
-            if dice.next(4) > 0 {
+            let floor = (rng.next(3), rng.next(3));
+            let some = |rng: &mut SeededRng| {
+                parts.iter().map(|(part, _)| *part).filter(|_| rng.next(3) > 0).collect::<Vec<_>>()
+            };
+            if rng.next(4) > 0 {
                 let (m, k) = (1 << 14, 4);
                 let mut bits = Bits::new(m, k);
-                let held = some(dice);
+                let held = some(rng);
                 held.iter().flat_map(|part| positions(*part, m, k)).for_each(|at| bits.set(at));
-                let (fence, version, stale) = (dice.next(3), dice.next(3), dice.next(8) == 0);
+                let (fence, version, stale) = (rng.next(3), rng.next(3), rng.next(8) == 0);
                 if !stale && (fence > floor.0 || fence == floor.0 && version >= floor.1) {
                     // A filter may show more than there is: the model asks it too.
                     shown.insert(
@@ -49,9 +50,9 @@
                 let mirror = Mirror { replica, weights, index, fence, version, bits, false_hits: 0, stale };
                 mirrors.insert(id.clone(), std::sync::Arc::new(mirror));
             }
-            if dice.next(3) == 0 {
-                let sent = some(dice);
-                let done = dice.next(2) == 0;
+            if rng.next(3) == 0 {
+                let sent = some(rng);
+                let done = rng.next(2) == 0;
                 recent.note(Duration::from_secs(98), done, key(&id), &sent);
                 if done {
                     read.insert(id.clone(), sent.iter().copied().collect());
@@ -61,7 +62,7 @@
             Seat {
                 id,
                 at: "".into(),
-                district: format!("z{}", dice.next(2)),
+                district: format!("z{}", rng.next(2)),
                 model: "m".into(),
                 weights: "w".into(),
                 leaving: false,
@@ -72,9 +73,9 @@
         })
         .collect();
     let default = Prices::default();
-    let prices = match dice.next(3) {
+    let prices = match rng.next(3) {
         0 => Prices { again_us: 0.0, handover_us: 0.0, ..default },
-        1 => Prices { again_us: dice.next(50) as f64, busy_us: dice.next(5000) as f64, ..default },
+        1 => Prices { again_us: rng.next(50) as f64, busy_us: rng.next(5000) as f64, ..default },
         _ => default,
     };
     World { seats, parts, mirrors, recent, shown, read, soon, prices }
@@ -137,32 +138,32 @@
 fn the_choice_is_the_cheapest_of_all_there_are() {
     let (mut handed, mut own) = (0, 0);
     for seed in 0..20_000 {
-        let mut dice = Dice::new(seed);
-        let world = world(&mut dice);
-        let spread = dice.next(u64::MAX);
+        let mut rng = SeededRng::new(seed);
+        let world = world(&mut rng);
+        let spread = rng.next(u64::MAX);
         let candidates: Vec<Candidate> = world
             .seats
             .iter()
-            .filter(|_| dice.next(4) > 0)
+            .filter(|_| rng.next(4) > 0)
             .collect::<Vec<_>>()
             .into_iter()
             .map(|seat| Candidate {
                 seat,
                 parts: &world.parts,
-                busy: dice.next(20) as f64,
-                waiting_us: (dice.next(40_000) * [1, 75][dice.next(2) as usize]) as f64,
-                pace: 0.5 + dice.next(5) as f64 / 2.0,
-                memory: dice.next(20) as f64 / 10.0,
-                near: dice.next(2) == 0,
+                busy: rng.next(20) as f64,
+                waiting_us: (rng.next(40_000) * [1, 75][rng.next(2) as usize]) as f64,
+                pace: 0.5 + rng.next(5) as f64 / 2.0,
+                memory: rng.next(20) as f64 / 10.0,
+                near: rng.next(2) == 0,
             })
             .collect();
         let sources: Vec<Source> = world
             .seats
             .iter()
-            .filter(|_| dice.next(4) > 0)
+            .filter(|_| rng.next(4) > 0)
             .collect::<Vec<_>>()
             .into_iter()
-            .map(|seat| Source { seat, move_us: dice.next(12) as f64, waiting_us: dice.next(3) as f64 * 10_000.0 })
+            .map(|seat| Source { seat, move_us: rng.next(12) as f64, waiting_us: rng.next(3) as f64 * 10_000.0 })
             .collect();
         let held = Held { mirrors: &world.mirrors, recent: &world.recent, now: NOW };
         let choice = choose(&candidates, &sources, &held, &world.prices, spread);
--- a/crates/way-choice/tests/trips.rs
+++ b/crates/way-choice/tests/trips.rs
@@ -2,7 +2,7 @@
 //! in whatever order, nothing runs twice, nothing is told `not run` that may have run, no stream is
 //! spliced, each claim is settled once, and retries stay within their budget.
 use control_chain::command::Ran;
-use fleet_common::hash::Dice;
+use fleet_common::hash::SeededRng;
 use rstest::rstest;
 use way_choice::tokens::Tokens;
 use way_choice::trip::{Claimed, Do, Heard, Stop, Trip};
@@ -20,23 +20,23 @@
     ends: Vec<Do>,
 }
 
-fn heard(dice: &mut Dice, seen: &Seen) -> Heard {
+fn heard(rng: &mut SeededRng, seen: &Seen) -> Heard {
     let what = "broken".to_string();
-    match dice.next(12) {
+    match rng.next(12) {
         0 => Heard::Head(200, false, None),
-        1 => Heard::Head(400 + dice.next(30) as u16, dice.next(2) == 0, None),
-        2 => Heard::Head(500 + dice.next(4) as u16, dice.next(2) == 0, Some(dice.next(9))),
+        1 => Heard::Head(400 + rng.next(30) as u16, rng.next(2) == 0, None),
+        2 => Heard::Head(500 + rng.next(4) as u16, rng.next(2) == 0, Some(rng.next(9))),
         3..=6 => Heard::Piece(false),
         7 => Heard::Piece(true),
         8 => Heard::Whole,
-        9 => Heard::Broken(seen.left || dice.next(2) == 0, what),
+        9 => Heard::Broken(seen.left || rng.next(2) == 0, what),
         10 => Heard::CallerLeft,
         _ => Heard::Nothing,
     }
 }
 
-fn may(dice: &mut Dice) -> Result<(), Stop> {
-    match dice.next(30) {
+fn may(rng: &mut SeededRng) -> Result<(), Stop> {
+    match rng.next(30) {
         0 => Err(Stop::NotFresh),
         1 => Err(Stop::Withdrawn),
         2 => Err(Stop::Budget),
@@ -45,17 +45,17 @@
 }
 
 fn run(seed: u64, once: bool, stream: bool) -> Seen {
-    let mut dice = Dice::new(seed);
+    let mut rng = SeededRng::new(seed);
     let mut trip = Trip::new(once, stream);
-    let mut tokens = Tokens::new(dice.next(3));
+    let mut tokens = Tokens::new(rng.next(3));
     let mut seen = Seen::default();
-    let mut todo = trip.step(may(&mut dice), Heard::Start, &mut tokens);
+    let mut todo = trip.step(may(&mut rng), Heard::Start, &mut tokens);
     for _ in 0..200 {
         for act in std::mem::take(&mut todo) {
-            let now = may(&mut dice);
+            let now = may(&mut rng);
             let more = match act {
                 Do::Claim => {
-                    let claimed = match dice.next(5) {
+                    let claimed = match rng.next(5) {
                         0 => Claimed::Taken("other".into()),
                         1 => Claimed::Refused("full".into()),
                         2 => Claimed::Lost,
@@ -64,7 +64,7 @@
                     seen.claimed = matches!(claimed, Claimed::Yes | Claimed::Lost);
                     Some(Heard::Claimed(claimed))
                 }
-                Do::Place => Some(Heard::Placed((dice.next(9) > 0).then(|| format!("r{}", trip.tried.len())))),
+                Do::Place => Some(Heard::Placed((rng.next(9) > 0).then(|| format!("r{}", trip.tried.len())))),
                 Do::Send => {
                     assert!(now.is_ok() || !seen.open, "seed {seed}: two streams at once");
                     seen.sends += 1;
@@ -97,12 +97,12 @@
             break;
         }
         if todo.is_empty() {
-            let heard = heard(&mut dice, &seen);
+            let heard = heard(&mut rng, &seen);
             // A replica's word that it has not run is taken, unless it has sent pieces already.
             let refused = matches!(heard, Heard::Head(429, ..) | Heard::Head(_, true, _));
             let refused = refused && seen.pieces_of.last() != Some(&seen.sends);
             seen.left |= !refused && !matches!(heard, Heard::Broken(false, _) | Heard::Nothing | Heard::CallerLeft);
-            todo = trip.step(may(&mut dice), heard, &mut tokens);
+            todo = trip.step(may(&mut rng), heard, &mut tokens);
         }
     }
     seen
@@ -144,12 +144,12 @@
 #[test]
 fn retries_stay_a_tenth_even_when_routers_start_anew() {
     let (mut first, mut sent, mut starts) = (0u64, 0u64, 0u64);
-    let mut dice = Dice::new(7);
+    let mut rng = SeededRng::new(7);
     for _ in 0..9 {
         for _ in 0..5 {
             starts += 1;
             let mut tokens = Tokens::starting(1, 10);
-            for _ in 0..dice.next(400) {
+            for _ in 0..rng.next(400) {
                 first += 1;
                 let mut trip = Trip::new(false, true);
                 let mut todo = trip.step(Ok(()), Heard::Start, &mut tokens);
