--- a/tools/mutations/run.py
+++ b/tools/mutations/run.py
@@ -22,12 +22,12 @@
 # All tests of the two crates, as (crate, target), those that take least time first.
 TARGETS = [
     ("control-chain", target)
-    for target in ["lib", "restarts", "guards", "accepted_changes", "large_entries", "catch_up", "repeated_orders_sim",
+    for target in ["lib", "restarts", "guards", "learning", "accepted_changes", "large_entries", "catch_up", "repeated_orders_sim",
                    "claims_model", "configuration_model", "listing_sim", "cut_off", "chain_sim", "members_sim",
                    "freshness_sim", "half_chosen_view_sim", "configure_properties", "linearizability", "explore",
                    "second_loss", "weights_history", "doc"]
 ] + [("control-core", target) for target in ["lib", "disk", "power_loss", "driver", "silent_majority"]]
-USUAL_QUICK = ["guards", "restarts"]
+USUAL_QUICK = ["guards", "restarts", "learning"]
 TEST_SECONDS_MAX = 400
 
 
