--- a/crates/control-chain/tests/losses/mod.rs
+++ b/crates/control-chain/tests/losses/mod.rs
@@ -142,7 +142,7 @@
         }
     }
 
-    fn add_machine(&mut self) {
+    pub fn add_machine(&mut self) {
         let stays = self.world.ids().into_iter().take(2).map(place);
         self.world.seeds = stays.chain([place(99)]).collect();
         self.world.add(self.next_id, false);
--- a/crates/control-chain/tests/second_loss.rs
+++ b/crates/control-chain/tests/second_loss.rs
@@ -100,3 +100,32 @@
         assert!(faults.is_empty(), "seed {seed}: {faults:#?}");
     }
 }
+
+/// A successor that is there before its predecessor is told to stop takes its place before that one goes: the chain
+/// holds as many copies all the while.
+#[rstest]
+fn a_planned_replacement_narrows_the_chain_at_no_time(#[values(1, 2)] tolerance: u32, #[values(0, 1, 2)] place: usize) {
+    for seed in 0..10 {
+        let machines = 2 * tolerance + 1;
+        let mut run = Run::new(seed, tolerance, machines);
+        let leaves = run.world.top().chain.items()[place].id;
+        let newcomer = run.next_id;
+        run.add_machine();
+        let slow_until = run.world.now + ms(1000);
+        run.world.nodes.get_mut(&newcomer).unwrap().disk.stalled_until = slow_until;
+        while !run.world.top().spares.items().iter().any(|member| member.id == newcomer) {
+            run.work(ms(20));
+        }
+        run.lose(Loss::Restarted, leaves);
+        let begun = run.world.now;
+        while !run.let_go(leaves) {
+            assert!(run.world.now - begun < ms(4000), "seed {seed}: not let go in its time");
+            run.work(ms(20));
+        }
+        let top = run.world.top();
+        assert_eq!(top.chain.items().len(), machines as usize, "seed {seed}: {}", top.words());
+        assert!(top.chain.items().iter().any(|member| member.id == newcomer), "seed {seed}: {}", top.words());
+        let faults = run.close();
+        assert!(faults.is_empty(), "seed {seed}: {faults:#?}");
+    }
+}
