--- a/crates/control-chain/tests/guards.rs
+++ b/crates/control-chain/tests/guards.rs
@@ -2,7 +2,7 @@
 //! conditions elsewhere would often make up for.
 use control_chain::blueprint::Blueprint;
 use control_chain::command::{Command, Envelope};
-use control_chain::core::{Core, Found, Input, Output, Record};
+use control_chain::core::{Core, Found, Input, Output, Record, SUSPECT};
 use control_chain::log::{Entry, Position, Snapshot};
 use control_chain::message::{Accept, Ack, Append, Beat, Chain, Condition, Prepare, Sent};
 use control_chain::snapshots::{SnapshotProgress, SnapshotSender};
@@ -186,3 +186,27 @@
     assert_eq!(learner.log().last(), snapshot.at);
     assert_eq!(told_synced(&mut learner), snapshot.at);
 }
+
+/// A command that waits at a head when the majority falls silent is given up: whoever sent it is told that nobody
+/// can say, while it still listens.
+#[test]
+fn a_command_that_waits_without_a_majority_is_given_up() {
+    let mut head = member(1);
+    let present = |view| {
+        Chain::Beat(Beat {
+            view,
+            synced: Position::START,
+            committed: 0,
+            full: 1,
+            condition: Condition::Fit,
+            snapshot_at: Position::START,
+            receiving: SnapshotProgress::NONE,
+        })
+    };
+    [2, 3].into_iter().for_each(|id| _ = hears(&mut head, id, present(3)));
+    let outputs = head.step(SETTLED, Input::Asked(7, envelope(1).ask().unwrap()));
+    sync(&mut head, &outputs);
+    let answered = |outputs: Vec<Output>| outputs.iter().any(|output| matches!(output, Output::Answer(7, _)));
+    assert!(!answered(head.step(SETTLED + SUSPECT / 2, Input::Tick)), "the others may still have it");
+    assert!(answered(head.step(SETTLED + SUSPECT * 2, Input::Tick)));
+}
