Tests that drive single replicas share the heartbeat of an empty log

The same eight-field heartbeat stood in guards (twice), restarts, learning and silent_majority. It is one function in tests/direct now.

--- a/crates/control-chain/tests/guards.rs
+++ b/crates/control-chain/tests/guards.rs
@@ -1,13 +1,16 @@
 //! What a replica never does, whatever message arrives: each of these is refused by one condition, which other
 //! conditions elsewhere would often make up for.
+mod direct;
+
 use control_chain::blueprint::Blueprint;
 use control_chain::command::{Command, Envelope};
 use control_chain::core::{Core, Found, Input, Output, Record, SUSPECT};
 use control_chain::log::{Entry, Position, Snapshot};
-use control_chain::message::{Accept, Ack, Append, Beat, Chain, Condition, Prepare, Sent};
+use control_chain::message::{Accept, Ack, Append, Chain, Prepare, Sent};
 use control_chain::snapshots::{SnapshotProgress, SnapshotSender};
 use control_chain::state::State;
 use control_chain::view::{CoreAt, Member, Meta, View};
+use direct::empty_beat;
 use std::time::Duration;
 
 /// Grants that an earlier process may have given are over by then.
@@ -109,17 +112,7 @@
 #[test]
 fn no_entry_is_passed_on_before_it_is_synced() {
     let mut middle = member(2);
-    let follower_is_empty = || {
-        Chain::Beat(Beat {
-            view: 3,
-            synced: Position::START,
-            committed: 0,
-            full: 1,
-            condition: Condition::Fit,
-            snapshot_at: Position::START,
-            receiving: SnapshotProgress::NONE,
-        })
-    };
+    let follower_is_empty = || empty_beat(3, 1);
     let is_append = |message: &Chain| matches!(message, Chain::Append(_));
     let taken = hears(&mut middle, 1, append(3, Position::START, vec![entry(3, 1)]));
     assert!(!sends(&hears(&mut middle, 3, follower_is_empty()), is_append));
@@ -192,17 +185,7 @@
 #[test]
 fn a_command_that_waits_without_a_majority_is_given_up() {
     let mut head = member(1);
-    let present = |view| {
-        Chain::Beat(Beat {
-            view,
-            synced: Position::START,
-            committed: 0,
-            full: 1,
-            condition: Condition::Fit,
-            snapshot_at: Position::START,
-            receiving: SnapshotProgress::NONE,
-        })
-    };
+    let present = |view| empty_beat(view, 1);
     [2, 3].into_iter().for_each(|id| _ = hears(&mut head, id, present(3)));
     let outputs = head.step(SETTLED, Input::Asked(7, envelope(1).ask().unwrap()));
     sync(&mut head, &outputs);
--- a/crates/control-chain/tests/learning.rs
+++ b/crates/control-chain/tests/learning.rs
@@ -1,12 +1,13 @@
 //! When a replica counts as holding all, what a snapshot may hold, and under which fence an assignment changes
 //! hands: each is one condition that others elsewhere would often make up for.
+mod direct;
+
 use control_chain::command::{Command, Envelope, Node};
 use control_chain::core::{BEAT, Core, Found, Input, Output, Record, SETTLE};
-use control_chain::log::Position;
-use control_chain::message::{Ack, Beat, Chain, Condition, Sent};
-use control_chain::snapshots::SnapshotProgress;
+use control_chain::message::{Ack, Chain, Sent};
 use control_chain::state::State;
 use control_chain::view::{CoreAt, Member, Meta, View};
+use direct::empty_beat;
 use std::time::Duration;
 
 const NOW: Duration = Duration::from_secs(3);
@@ -22,15 +23,7 @@
 }
 
 fn beat(full: u8) -> Chain {
-    Chain::Beat(Beat {
-        view: 1,
-        synced: Position::START,
-        committed: 0,
-        full,
-        condition: Condition::Fit,
-        snapshot_at: Position::START,
-        receiving: SnapshotProgress::NONE,
-    })
+    empty_beat(1, full)
 }
 
 fn hears(core: &mut Core, now: Duration, from: u32, message: Chain) -> Vec<Output> {
--- a/crates/control-chain/tests/restarts.rs
+++ b/crates/control-chain/tests/restarts.rs
@@ -1,10 +1,11 @@
 //! What a replica said before it was restarted counts for its next process only as far as that may rely on it:
 //! clocks begin anew with each process, and what was not synced is forgotten.
+mod direct;
+
 use control_chain::core::{BEAT, Core, Found, Input, Output, Record, SETTLE, TAIL_LEASE};
-use control_chain::log::Position;
-use control_chain::message::{Beat, Chain, Condition, Lease, Prepare, Sent};
-use control_chain::snapshots::SnapshotProgress;
+use control_chain::message::{Chain, Lease, Prepare, Sent};
 use control_chain::view::{CoreAt, Member, Meta, View};
+use direct::empty_beat;
 use fleet_common::ask::{Answer, Ask};
 use std::time::Duration;
 
@@ -28,18 +29,7 @@
 }
 
 fn beat(from: u32) -> Input {
-    said(
-        from,
-        Chain::Beat(Beat {
-            view: 1,
-            synced: Position::START,
-            committed: 0,
-            full: 1,
-            condition: Condition::Fit,
-            snapshot_at: Position::START,
-            receiving: SnapshotProgress::NONE,
-        }),
-    )
+    said(from, empty_beat(1, 1))
 }
 
 /// Whether the replica answers a query, as only a tail under its lease does.
--- a/crates/control-core/tests/silent_majority.rs
+++ b/crates/control-core/tests/silent_majority.rs
@@ -1,15 +1,17 @@
 //! A control replica that cannot reach a majority, or whose head fell silent, says so soon: an operator who
 //! hears nothing for a second goes elsewhere, and must not be confirmed or refused by one that was cut off.
+#[path = "../../control-chain/tests/direct/mod.rs"]
+mod direct;
+
 use control_chain::command::{Command, Envelope};
 use control_chain::core::{Core, Found};
-use control_chain::log::Position;
-use control_chain::message::{Beat, Chain, Condition, Sent};
-use control_chain::snapshots::SnapshotProgress;
+use control_chain::message::Sent;
 use control_chain::view::{CoreAt, Member, View};
 use control_core::disk::LogStore;
 use control_core::drive::{Driver, start};
 use control_core::files::Folder;
 use control_core::keeping::Disk;
+use direct::empty_beat;
 use fleet_common::ask::{Answer, Ask};
 use std::net::TcpListener;
 use std::path::PathBuf;
@@ -92,16 +94,7 @@
     let alone = one_of_three("silent", 3, [&at, "127.0.0.1:1", "127.0.0.1:1"]);
     // The chain is heard well, so that the call is passed on to its head.
     for from in [1, 2] {
-        let beat = Beat {
-            view: 1,
-            synced: Position::START,
-            committed: 0,
-            full: 1,
-            condition: Condition::Fit,
-            snapshot_at: Position::START,
-            receiving: SnapshotProgress::NONE,
-        };
-        alone.driver.heard(Sent { from, incarnation: 1, message: Chain::Beat(beat) });
+        alone.driver.heard(Sent { from, incarnation: 1, message: empty_beat(1, 1) });
     }
     let wait = took(|| {
         let answer = alone.driver.ask_fleet(command(), OPERATOR_PATIENCE);
