Sight: when weights were named is told by the control replicas; checks, counts and roll-outs in logs

Change, none of it in the logic: control replicas keep when they applied a naming (naming_clock, naming_times), tell each other and, with each pull, the nodes; ages travel, never times. A router counts first events that came on older weights after what operators are promised (weights_violations, with the log written out), tries on older weights and those cut because they had not begun. An index node notes how long a roll-out took and tells its stages (roll_out).

Ruled out by reading: nothing yet.

--- a/crates/control-chain/src/catch_up.rs
+++ b/crates/control-chain/src/catch_up.rs
@@ -176,7 +176,7 @@
         let Some(state) = State::unpack(snapshot.state.as_slice()) else {
             return self.note(format!("the snapshot at {} cannot be read", snapshot.at.seq));
         };
-        self.state = state;
+        self.replace_state(state);
         self.nodes.lapses_known = self.now;
         self.snapshots.prepared = None;
         self.committed = self.committed.max(snapshot.at.seq);
--- a/crates/control-chain/src/core.rs
+++ b/crates/control-chain/src/core.rs
@@ -7,6 +7,7 @@
 use crate::lease::LeaseState;
 use crate::log::{Position, ReplicationLog};
 use crate::message::{Chain, Sent};
+use crate::naming_clock::NamingClock;
 use crate::node_status::NodeStatuses;
 use crate::recovery;
 pub use crate::recovery::StartError;
@@ -65,6 +66,9 @@
     pub(crate) begun: Duration,
     pub(crate) discovery: Discovery,
     pub(crate) background: BackgroundWork,
+    pub(crate) namings: NamingClock,
+    /// When the ages of namings were last told to the other replicas.
+    pub(crate) namings_told: Option<Duration>,
     pub(crate) out: Vec<Output>,
 }
 
@@ -87,7 +91,7 @@
             proposed: 0,
         };
         let meta = found.meta.unwrap_or(outside);
-        Ok(Core {
+        let mut core = Core {
             me,
             now,
             full_is_synced: meta.full == 1,
@@ -113,8 +117,12 @@
             begun: now,
             discovery: Discovery::knowing(cores),
             background: BackgroundWork::default(),
+            namings: NamingClock::default(),
+            namings_told: None,
             out: Vec::new(),
-        })
+        };
+        core.begin_naming_clock();
+        Ok(core)
     }
 
     /// As this process of the replica, told from its earlier ones by a number of its own.
--- a/crates/control-chain/src/fleet.rs
+++ b/crates/control-chain/src/fleet.rs
@@ -2,10 +2,11 @@
 use crate::blueprint::Blueprint;
 use crate::command::{Node, Replica};
 use crate::configuration::Configuration;
+use crate::naming_clock::NamingClock;
 use crate::state::{Duty, Key};
-use crate::weights::WeightsHistory;
+use crate::weights::{OlderWeights, WeightsHistory};
 use fleet_common::ask::{
-    BLUEPRINT, CONFIGURATION, CORES, DUTIES, KEYS, MEMBERS, REPLICAS, SOURCES, Vector, Versioned, WEIGHTS,
+    BLUEPRINT, CONFIGURATION, CORES, DUTIES, KEYS, MEMBERS, Pulled, REPLICAS, SOURCES, Vector, Versioned, WEIGHTS,
 };
 use fleet_common::node::Identity;
 use fleet_common::{hash, ring};
@@ -20,6 +21,8 @@
 
 /// Further changes of the control machines within this time belong to the same trouble.
 const CORE_SETTLING: Duration = Duration::from_secs(5);
+/// Trouble at the core is that much older than its change of machines, at the most.
+const CORE_TROUBLE_AGE: Duration = Duration::from_millis(1500);
 
 /// A node's knowledge of the fleet.
 #[derive(Clone, Default)]
@@ -28,6 +31,8 @@
     pub blueprint: Option<Blueprint>,
     /// Which weights of each model this node saw named, and when.
     pub weights_history: WeightsHistory,
+    /// When the control replicas took the namings, by this node's clock.
+    pub namings: NamingClock,
     /// Since when the control machines were last in trouble, as far as this node saw their list change.
     pub core_trouble: Option<Duration>,
     /// The control machines, and when their list or view last changed.
@@ -111,6 +116,44 @@
         news.iter().all(|one| self.vector.get(one.source as usize).is_some_and(|held| *held >= one.version))
     }
 
+    /// Takes an answer to a pull that was asked for at `asked`: when weights were named, and the news. `false` when
+    /// any news could not be put to use.
+    /// ```
+    /// use control_chain::fleet::Fleet;
+    /// use fleet_common::ask::Pulled;
+    /// let pulled = Pulled { member: 1, age_ms: 0, changed: vec![].into(), namings: Default::default(), held_ms: 0 };
+    /// assert!(Fleet::default().take_pulled(Default::default(), Default::default(), &pulled));
+    /// ```
+    pub fn take_pulled(&mut self, asked: Duration, now: Duration, pulled: &Pulled) -> bool {
+        self.namings.merge(asked + Duration::from_millis(pulled.held_ms), &pulled.namings);
+        let news = pulled.changed.items();
+        news.is_empty() || self.take_all(now, news)
+    }
+
+    /// Whether `take_pulled` would change anything.
+    /// ```
+    /// use control_chain::fleet::Fleet;
+    /// use fleet_common::ask::Pulled;
+    /// let pulled = Pulled { member: 1, age_ms: 0, changed: vec![].into(), namings: Default::default(), held_ms: 0 };
+    /// assert!(!Fleet::default().learns(Default::default(), &pulled));
+    /// ```
+    pub fn learns(&self, asked: Duration, pulled: &Pulled) -> bool {
+        let told = asked + Duration::from_millis(pulled.held_ms);
+        !pulled.changed.items().is_empty() || self.namings.learns(told, &pulled.namings)
+    }
+
+    /// Until when requests may begin on these older weights of a model; none where they are the newest.
+    /// ```
+    /// use control_chain::{fleet::Fleet, weights::OlderWeights};
+    /// let bounds = OlderWeights { after_naming: Default::default(), after_start: Default::default() };
+    /// assert_eq!(Fleet::default().older_weights_until("m", "1", bounds), None);
+    /// ```
+    pub fn older_weights_until(&self, model: &str, weights: &str, bounds: OlderWeights) -> Option<Duration> {
+        let own = self.weights_history.serves_until(model, weights, bounds)?;
+        let core_trouble = self.core_trouble.map(|at| at.saturating_sub(CORE_TROUBLE_AGE) + bounds.after_naming);
+        Some(core_trouble.map_or(own, |until| until.max(own)))
+    }
+
     /// A change of the control machines tells of trouble among them, unless it belongs to what began shortly
     /// before, or only drops a machine that has been away for long.
     fn take_cores(&mut self, now: Duration, cores: Vec<String>) {
--- a/crates/control-chain/src/heartbeat.rs
+++ b/crates/control-chain/src/heartbeat.rs
@@ -19,6 +19,7 @@
         if self.last_beat.is_none_or(|at| self.now.saturating_sub(at) >= BEAT) {
             self.last_beat = Some(self.now);
             self.beat_all();
+            self.tell_naming_ages();
         }
         if !self.waiting.is_empty() && !self.hears_majority() {
             self.give_up_waiting();
@@ -99,6 +100,7 @@
             Chain::LeaseAsk(lease) => self.on_lease_ask(from, lease),
             Chain::LeaseGrant(lease) => self.on_lease_grant(from, incarnation, lease),
             Chain::LeaseEnd(lease) => self.on_lease_end(from, lease),
+            Chain::NamingAges(ages) => self.namings.merge(self.now, &ages),
             Chain::Command(bytes) => {
                 if let (true, Some(envelope)) =
                     (self.is_head() && !self.sick && !self.overfull(), Envelope::unpack(bytes.as_slice()))
--- a/crates/control-chain/src/message.rs
+++ b/crates/control-chain/src/message.rs
@@ -3,6 +3,7 @@
 use crate::log::{Entry, Position};
 use crate::snapshots::{SnapshotPart, SnapshotProgress};
 use crate::view::{Accepted, CoreAt, View};
+use fleet_common::ask::NamingAges;
 use fleet_common::{Bytes, List};
 
 fleet_common::messages! {
@@ -64,6 +65,8 @@
         13 = Announce(CoreAt),
         /// The tail gives its lease back: voters need not wait for its end.
         14 = LeaseEnd(Lease),
+        /// When weights were named, as far as the sender knows.
+        15 = NamingAges(NamingAges),
     }
 
     /// A message with its sender's id and incarnation.
--- a/crates/control-chain/src/node_status.rs
+++ b/crates/control-chain/src/node_status.rs
@@ -8,6 +8,7 @@
 pub(crate) struct Parked {
     pub token: u64,
     pub pull: Pull,
+    pub since: Duration,
     pub until: Duration,
 }
 
--- a/crates/control-chain/src/relay.rs
+++ b/crates/control-chain/src/relay.rs
@@ -1,5 +1,6 @@
 //! What an agent holds for its router: whole versions, and when the last confirmed pull was sent. The
 //! router's term is the agent's to pass on, never to lengthen.
+use crate::naming_clock::NamingClock;
 use fleet_common::ask::{CORES, LEASE, Pulled, SOURCES, Vector, Versioned};
 use std::time::Duration;
 
@@ -22,6 +23,7 @@
     confirmed_at: Option<Duration>,
     router_has: Vector,
     router_fed: Option<Duration>,
+    namings: NamingClock,
 }
 
 impl Relay {
@@ -102,13 +104,14 @@
     /// use control_chain::relay::Relay;
     /// use fleet_common::ask::Pulled;
     /// let mut relay = Relay::default();
-    /// relay.pulled(std::time::Duration::ZERO, false, Pulled { member: 1, age_ms: 0, changed: vec![].into() });
+    /// relay.pulled(std::time::Duration::ZERO, false, Pulled { member: 1, age_ms: 0, changed: vec![].into(), namings: Default::default(), held_ms: 0 });
     /// assert_eq!(relay.age(std::time::Duration::ZERO), None);
     /// ```
     pub fn pulled(&mut self, sent: Duration, holding: bool, pulled: Pulled) {
         if pulled.member == 0 {
             return;
         }
+        self.namings.merge(sent + Duration::from_millis(pulled.held_ms), &pulled.namings);
         for news in pulled.changed.into_items() {
             if let Some(slot) = self.sources.get_mut(news.source as usize)
                 && slot.as_ref().is_none_or(|held| held.version < news.version)
@@ -141,19 +144,22 @@
         (0..SOURCES.len()).any(|at| have[at] < holds[at])
     }
 
-    /// The answer to the router: what it lacks, and how old the confirmation is that comes with it.
+    /// The answer to the router, which asked at `asked`: what it lacks, and how old the confirmation is that comes
+    /// with it.
     /// ```
     /// let mut relay = control_chain::relay::Relay::default();
-    /// assert_eq!(relay.answer(std::time::Duration::ZERO, [0; 8]).member, 0);
+    /// assert_eq!(relay.answer(Default::default(), Default::default(), [0; 8]).member, 0);
     /// ```
-    pub fn answer(&mut self, now: Duration, have: Vector) -> Pulled {
+    pub fn answer(&mut self, asked: Duration, now: Duration, have: Vector) -> Pulled {
         let newer = self.sources.iter().flatten().filter(|v| have[v.source as usize] < v.version);
         let changed: Vec<Versioned> = newer.cloned().collect();
+        let (changed, namings) = (changed.into(), self.namings.ages(now));
+        let held_ms = u64::try_from(now.saturating_sub(asked).as_millis()).unwrap_or(u64::MAX);
         match self.age(now) {
-            None => Pulled { member: 0, age_ms: 0, changed: changed.into() },
+            None => Pulled { member: 0, age_ms: 0, changed, namings, held_ms },
             Some(age) => {
                 self.router_fed = Some(now);
-                Pulled { member: 1, age_ms: age.as_millis() as u64 + 1, changed: changed.into() }
+                Pulled { member: 1, age_ms: age.as_millis() as u64 + 1, changed, namings, held_ms }
             }
         }
     }
--- a/crates/control-chain/src/replication.rs
+++ b/crates/control-chain/src/replication.rs
@@ -55,7 +55,9 @@
         if let Command::Lapse { node, .. } = &envelope.command {
             self.nodes.lapses.insert(node.clone(), self.now);
         }
-        self.state.apply(envelope)
+        let outcome = self.state.apply(envelope);
+        self.note_namings(&envelope.command);
+        outcome
     }
 
     /// The head takes a command: applies it, keeps it, and answers once the whole chain has it. A refusal is
@@ -136,7 +138,7 @@
     /// The state anew from the snapshot and the synced entries after it.
     fn rebuild_state(&mut self) {
         match State::unpack(self.log.snapshot().state.as_slice()) {
-            Some(state) => self.state = state,
+            Some(state) => self.replace_state(state),
             None => return self.on_damage("the snapshot in memory cannot be read"),
         }
         self.apply_up_to(self.synced.seq);
--- a/crates/control-chain/src/requests.rs
+++ b/crates/control-chain/src/requests.rs
@@ -6,7 +6,7 @@
 use crate::node_status::{Parked, Seen};
 use crate::view::CoreAt;
 use fleet_common::Bytes;
-use fleet_common::ask::{Answer, Ask, CORES, CoresWish, LEASE, Pull, Pulled, SOURCES, Versioned};
+use fleet_common::ask::{Answer, Ask, CORES, CoresWish, LEASE, NamingAges, Pull, Pulled, SOURCES, Versioned};
 use fleet_common::node::vector;
 use std::time::Duration;
 
@@ -14,6 +14,16 @@
 pub const LAPSE_MARGIN: Duration = Duration::from_millis(400);
 const PARK_MAX: Duration = Duration::from_millis(1000);
 
+/// Whole milliseconds, rounded down.
+fn millis_down(length: Duration) -> u64 {
+    u64::try_from(length.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// The answer to a node that the control state does not list yet.
+fn not_yet_a_member() -> Pulled {
+    Pulled { member: 0, age_ms: 0, changed: vec![].into(), namings: NamingAges::default(), held_ms: 0 }
+}
+
 impl Core {
     pub(crate) fn answer(&mut self, token: u64, answer: Answer) {
         self.out.push(Output::Answer(token, answer));
@@ -131,12 +141,12 @@
                 self.tell_head(Command::Join { node: name.clone(), member });
             }
             self.nodes.seen.insert(name, seen);
-            return self.answer(token, Answer::Pulled(Pulled { member: 0, age_ms: 0, changed: vec![].into() }));
+            return self.answer(token, Answer::Pulled(not_yet_a_member()));
         }
         seen.join_asked = None;
         self.nodes.seen.insert(name, seen);
         let until = self.now + Duration::from_millis(pull.wait_ms.into()).min(PARK_MAX);
-        self.nodes.parked.push(Parked { token, pull, until });
+        self.nodes.parked.push(Parked { token, pull, since: self.now, until });
         self.wake_parked();
     }
 
@@ -163,6 +173,7 @@
         let (due, parked): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.nodes.parked).into_iter().partition(|p| p.until <= now || lacks(&p.pull));
         self.nodes.parked = parked;
+        let namings = self.namings.ages(now);
         let mut values: [Option<Bytes>; SOURCES.len()] = Default::default();
         for parked in due {
             // From here on the node may hold a term, whatever it said when it asked.
@@ -176,7 +187,10 @@
                 .filter(|at| have[*at] < holds[*at])
                 .map(|at| Versioned { source: at as u8, version: holds[at], value: value(at) })
                 .collect();
-            self.answer(parked.token, Answer::Pulled(Pulled { member: 1, age_ms: 0, changed: changed.into() }));
+            let namings = namings.clone();
+            let held_ms = millis_down(now.saturating_sub(parked.since));
+            let pulled = Pulled { member: 1, age_ms: 0, changed: changed.into(), namings, held_ms };
+            self.answer(parked.token, Answer::Pulled(pulled));
         }
     }
 
--- a/crates/control-chain/src/state.rs
+++ b/crates/control-chain/src/state.rs
@@ -164,6 +164,16 @@
         text.unwrap_or_else(|_| "null".into())
     }
 
+    /// The weights that are named for each model; those of a configuration of routes where there is one.
+    pub(crate) fn named_weights(&self) -> BTreeMap<String, String> {
+        let models = match (&self.configuration, &self.blueprint) {
+            (Some(configuration), _) => configuration.blueprint(&self.weights).models,
+            (None, Some(blueprint)) => blueprint.models.clone(),
+            (None, None) => BTreeMap::new(),
+        };
+        models.into_iter().map(|(name, model)| (name, model.weights)).collect()
+    }
+
     /// Writes the state as a snapshot.
     /// ```
     /// use control_chain::state::State;
--- a/crates/control-chain/tests/sim/edges.rs
+++ b/crates/control-chain/tests/sim/edges.rs
@@ -145,7 +145,7 @@
             && self.coming.is_none()
             && (self.relay.lacks(have) || now - asked >= ms(300))
         {
-            let pulled = self.relay.answer(now, have);
+            let pulled = self.relay.answer(asked, now, have);
             self.coming = Some((now + ms(1 + world.rng.next(4)), asked, pulled));
         }
     }
@@ -155,8 +155,7 @@
         if let Some((due, asked, pulled)) = self.coming.take_if(|(due, ..)| *due <= now) {
             debug_assert!(due <= now);
             self.router_asks = None;
-            let news = pulled.changed.items();
-            let taken = news.is_empty() || self.fleet.take_all(now, news);
+            let taken = self.fleet.take_pulled(asked, now, &pulled);
             if pulled.member != 0 && taken {
                 let asked = if self.off == Off::FromAnswer { now } else { asked };
                 self.fresh.confirm(self.begun + asked, Duration::from_millis(pulled.age_ms));
--- a/crates/fleet-common/src/ask.rs
+++ b/crates/fleet-common/src/ask.rs
@@ -29,8 +29,19 @@
         pub have: List<u64>, pub confirmed: List<u64>, pub holding: u8, pub wait_ms: u32,
     }
 
-    /// The answer: the whole versions lacked. It confirms the term unless `member` is 0.
-    pub struct Pulled { pub member: u8, pub age_ms: u64, pub changed: List<Versioned> }
+    /// Weights that were named for a model by this entry of the log, and how long ago.
+    pub struct NamedWeights { pub model: Text, pub weights: Text, pub seq: u64, pub age_ms: u64 }
+
+    /// The newest namings of each model, oldest first, and how long ago a control process last started
+    /// (`u64::MAX` where none is known). Ages are those of the telling, in milliseconds, rounded up.
+    pub struct NamingAges { pub named: List<NamedWeights>, pub control_restart_age_ms: u64 }
+
+    /// The answer: the whole versions lacked, and when weights were named. It confirms the term unless `member` is 0.
+    pub struct Pulled {
+        pub member: u8, pub age_ms: u64, pub changed: List<Versioned>, pub namings: NamingAges,
+        /// How long the pull was held before this was told, in milliseconds, rounded down.
+        pub held_ms: u64,
+    }
 
     /// A replica's bit filter with what it stands for.
     pub struct Filter {
@@ -94,6 +105,12 @@
     }
 }
 
+impl Default for NamingAges {
+    fn default() -> Self {
+        NamingAges { named: Vec::new().into(), control_restart_age_ms: u64::MAX }
+    }
+}
+
 /// The audit's verdicts on a hand-over try.
 pub mod audit {
     pub const HELD: u8 = 0;
--- a/crates/fleet-common/src/peer_error.rs
+++ b/crates/fleet-common/src/peer_error.rs
@@ -18,6 +18,8 @@
     Handover,
     Command,
     Query,
+    /// A check of what must always hold.
+    Check,
 }
 
 impl fmt::Display for Step {
--- a/crates/prefix-index/src/pages.rs
+++ b/crates/prefix-index/src/pages.rs
@@ -3,6 +3,7 @@
 use fleet_common::json::quote;
 use prefix_index::Shared;
 use prefix_table::keeper::Kept;
+use prefix_table::roll_out::Counts;
 
 pub fn page(shared: &Shared, incoming: Incoming) {
     match incoming.path.as_str() {
@@ -49,6 +50,14 @@
 fn metrics(shared: &Shared) -> String {
     let keeper = shared.keeper();
     let mut text = format!("coursebend_index_halted_roll_outs {}\n", keeper.halted().len());
+    for (model, roll_out) in &keeper.roll_outs {
+        let Counts { serving, loading, failed, waiting, away } = roll_out.counts;
+        let stages =
+            [("serving", serving), ("loading", loading), ("failed", failed), ("waiting", waiting), ("away", away)];
+        for (stage, count) in stages {
+            text += &format!("coursebend_index_roll_out{{model=\"{model}\",stage=\"{stage}\"}} {count}\n");
+        }
+    }
     for (replica, kept) in &keeper.kept {
         text += &format!("coursebend_index_blocks{{replica=\"{replica}\"}} {}\n", kept.table.items());
         text += &format!("coursebend_index_filter_pushes{{replica=\"{replica}\"}} {}\n", kept.pushes);
--- a/crates/prefix-table/src/keeper.rs
+++ b/crates/prefix-table/src/keeper.rs
@@ -4,6 +4,7 @@
 use crate::event::Report;
 pub use crate::kept::{Kept, Order, Told};
 use crate::news::Audience;
+use crate::roll_out::RollOut;
 use crate::seats::News;
 use crate::table::Shape;
 use control_chain::command::Command;
@@ -79,6 +80,8 @@
     pub(crate) told_at: Option<Duration>,
     pub(crate) audience: Audience,
     pub(crate) halted: BTreeMap<String, String>,
+    /// The latest roll-out of each model.
+    pub roll_outs: BTreeMap<String, RollOut>,
     /// What was said of the latest hand-over tries, by request.
     pub(crate) audited: VecDeque<(String, String)>,
     pub(crate) round_at: Duration,
@@ -120,6 +123,7 @@
             told_at: None,
             audience: Audience::default(),
             halted: BTreeMap::new(),
+            roll_outs: BTreeMap::new(),
             audited: VecDeque::new(),
             round_at: Duration::ZERO,
             taken_over: BTreeSet::new(),
--- a/crates/prefix-table/src/lib.rs
+++ b/crates/prefix-table/src/lib.rs
@@ -14,6 +14,7 @@
 mod ordering;
 mod parts;
 mod pulling;
+pub mod roll_out;
 pub mod rolling;
 pub mod seats;
 pub mod sizing;
--- a/crates/prefix-table/src/ordering.rs
+++ b/crates/prefix-table/src/ordering.rs
@@ -2,6 +2,7 @@
 //! fence, and a replica refuses an older one.
 use crate::keeper::{Keeper, Ordered, Output};
 use crate::kept::{Kept, Order};
+use crate::roll_out::{Counts, RollOut};
 use crate::rolling::{LOAD_BOUND, Row, Turn, turn};
 use control_chain::fleet::{APP, STORE};
 use fleet_common::ask::{LEASE, stage};
@@ -65,6 +66,7 @@
         let models: Vec<(String, String)> = models.map(|(m, facts)| (m.clone(), facts.weights.clone())).collect();
         for (model, wanted) in &models {
             let rows = self.rows(model, wanted);
+            self.follow_roll_out(model, wanted, &rows);
             let at = |id: &str| self.fleet.replicas.iter().find(|row| row.id == id).map(|row| row.at.clone());
             let held: Vec<(String, String, u64)> =
                 rows.iter().filter_map(|row| Some((row.id.clone(), at(&row.id)?, self.holds(&row.id)?))).collect();
@@ -89,6 +91,17 @@
         }
     }
 
+    fn follow_roll_out(&mut self, model: &str, wanted: &str, rows: &[Row]) {
+        let now = self.now;
+        let roll_out = self.roll_outs.entry(model.to_string()).or_insert_with(|| RollOut::begin(wanted, now));
+        if roll_out.weights != wanted {
+            *roll_out = RollOut::begin(wanted, now);
+        }
+        if let Some(line) = roll_out.update(model, Counts::of(rows, wanted), now) {
+            self.note(line);
+        }
+    }
+
     fn order(&mut self, replica: &str, at: String, fence: u64, model: &str, weights: &str) {
         // A former holder may have given an order just before it gave the duty up or lost it, or may have
         // been given a term after its lapse was on its way: two holders' orders keep a term apart.
--- /dev/null
+++ b/crates/prefix-table/src/roll_out.rs
@@ -0,0 +1,87 @@
+//! How far the roll-out of a model's weights is, as an index node sees it: for its log, its pages and its metrics.
+use crate::rolling::Row;
+use fleet_common::ask::stage;
+use serde::Serialize;
+use std::time::Duration;
+
+/// How many replicas of a model are how far with the weights that are named for it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Counts {
+    pub serving: usize,
+    pub loading: usize,
+    /// Did not load them in time, or did not take the order.
+    pub failed: usize,
+    /// Up, on other weights, and not ordered yet.
+    pub waiting: usize,
+    /// Not to be reached, or leaving.
+    pub away: usize,
+}
+
+impl Counts {
+    /// Counts a model's replicas.
+    /// ```
+    /// assert_eq!(prefix_table::roll_out::Counts::of(&[], "2").serving, 0);
+    /// ```
+    pub fn of(rows: &[Row], wanted: &str) -> Self {
+        let mut counts = Counts::default();
+        for row in rows {
+            let count = match row.stage {
+                _ if row.down || row.leaving => &mut counts.away,
+                _ if row.weights == wanted => &mut counts.serving,
+                stage::LOADING => &mut counts.loading,
+                stage::FAILED => &mut counts.failed,
+                _ => &mut counts.waiting,
+            };
+            *count += 1;
+        }
+        counts
+    }
+
+    /// Whether no replica that is up lacks the weights.
+    /// ```
+    /// assert!(prefix_table::roll_out::Counts::default().complete());
+    /// ```
+    pub fn complete(&self) -> bool {
+        self.loading + self.failed + self.waiting == 0
+    }
+}
+
+/// The roll-out of one model's weights.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RollOut {
+    pub weights: String,
+    /// When this node learnt of them.
+    pub since: Duration,
+    /// How long it took until no replica lacked them, once that was so.
+    pub took: Option<Duration>,
+    pub counts: Counts,
+}
+
+impl RollOut {
+    /// One that begins now.
+    /// ```
+    /// use prefix_table::roll_out::RollOut;
+    /// assert_eq!(RollOut::begin("2", std::time::Duration::ZERO).took, None);
+    /// ```
+    pub fn begin(weights: &str, now: Duration) -> Self {
+        RollOut { weights: weights.to_string(), since: now, took: None, counts: Counts::default() }
+    }
+
+    /// Takes the present counts; the line for the log where that completes it.
+    /// ```
+    /// use prefix_table::roll_out::{Counts, RollOut};
+    /// let mut roll_out = RollOut::begin("2", std::time::Duration::ZERO);
+    /// let counts = Counts { serving: 3, ..Counts::default() };
+    /// assert!(roll_out.update("m", counts, std::time::Duration::from_secs(2)).is_some());
+    /// assert!(roll_out.update("m", counts, std::time::Duration::from_secs(3)).is_none());
+    /// ```
+    pub fn update(&mut self, model: &str, counts: Counts, now: Duration) -> Option<String> {
+        self.counts = counts;
+        if !counts.complete() || self.took.is_some() {
+            return None;
+        }
+        let took = now.saturating_sub(self.since);
+        self.took = Some(took);
+        Some(format!("roll-out of {model} to {} took {took:?}: {counts:?}", self.weights))
+    }
+}
--- a/crates/prefix-table/tests/nodes/mod.rs
+++ b/crates/prefix-table/tests/nodes/mod.rs
@@ -86,7 +86,7 @@
             source(MEMBERS, self.version, &self.members),
             source(DUTIES, self.version, &self.duties),
         ];
-        Pulled { member: 1, age_ms: 0, changed: changed.into() }
+        Pulled { member: 1, age_ms: 0, changed: changed.into(), namings: Default::default(), held_ms: 0 }
     }
 }
 
--- a/crates/router-agent/src/held.rs
+++ b/crates/router-agent/src/held.rs
@@ -49,13 +49,14 @@
     /// Answers the router; waits for news, but not so long that freshness would suffer.
     pub fn answer(&self, pull: &Pull) -> Answer {
         let have = vector(pull.have.items());
+        let asked = self.now();
         let until = Instant::now() + Duration::from_millis(pull.wait_ms.into()).min(PARK_MAX);
         let mut relay = self.lock();
         relay.asked(self.now(), have);
         loop {
             let wait = until.saturating_duration_since(Instant::now());
             if relay.lacks(have) || wait.is_zero() {
-                return Answer::Pulled(relay.answer(self.now(), have));
+                return Answer::Pulled(relay.answer(asked, self.now(), have));
             }
             relay = self.news.wait_timeout(relay, wait).unwrap_or_else(|held| held.into_inner()).0;
         }
--- a/crates/scale-fleet/src/roles.rs
+++ b/crates/scale-fleet/src/roles.rs
@@ -121,6 +121,7 @@
         at: frames,
         bound: Default::default(),
         old_weights: Duration::from_secs(15),
+        weights_promise: Duration::from_secs(16),
         lease: fleet_common::ask::LEASE,
         patience: stream_router::setup::Patience::default(),
         grace: Duration::ZERO,
--- a/crates/stream-router/src/feed.rs
+++ b/crates/stream-router/src/feed.rs
@@ -31,7 +31,9 @@
     let asked = Instant::now();
     let Answer::Pulled(pulled) = caller.ask(&ask)? else { return Ok(false) };
     let news = pulled.changed.items();
-    let taken = news.is_empty() || shared.fleet.change(|fleet| fleet.take_all(shared.now(), news));
+    let asked_at = shared.now().saturating_sub(asked.elapsed());
+    let learns = shared.fleet.read().learns(asked_at, &pulled);
+    let taken = !learns || shared.fleet.change(|fleet| fleet.take_pulled(asked_at, shared.now(), &pulled));
     if !news.is_empty() {
         let fleet = shared.fleet.read();
         let edges = fleet.members.iter().filter(|(_, m)| m.kind == "edge");
--- a/crates/stream-router/src/forward.rs
+++ b/crates/stream-router/src/forward.rs
@@ -153,6 +153,9 @@
             }
         };
         self.context.progress.sent += 1;
+        if place.begins_by.is_some() {
+            count(&self.shared.counters.older_weights);
+        }
         let id = hash::unique();
         let last = place.parts.len().saturating_sub(1);
         let parts = place.parts[..last].iter().map(|(part, _)| *part).collect();
--- a/crates/stream-router/src/lib.rs
+++ b/crates/stream-router/src/lib.rs
@@ -20,3 +20,4 @@
 pub mod sharing;
 pub mod subsets;
 mod telling;
+mod weights_check;
--- a/crates/stream-router/src/placing.rs
+++ b/crates/stream-router/src/placing.rs
@@ -16,8 +16,6 @@
 pub(crate) const LINK: &str = "link of ";
 /// A router that was just started lets older weights serve for so long, and counts as out of touch meanwhile.
 const STARTED_WITH: Duration = Duration::from_millis(2500);
-/// Trouble at the core is that much older than its change of machines, at the most.
-const CORE_TROUBLE: Duration = Duration::from_millis(1500);
 /// A request begins so long after what waited before it, at the least.
 const BEGINS: Duration = Duration::from_millis(250);
 /// A store whose link is busy for longer gets nothing more.
@@ -92,15 +90,11 @@
     Some(Instant::now() + until.saturating_sub(shared.now()))
 }
 
-/// Until when replicas may begin requests on these older weights: so long after the first newer ones were named,
-/// and after the control machines last changed, which holds roll-outs up. What was named before this router began
-/// may have been so for as long as is borne.
+/// Until when replicas may begin requests on these older weights. What was named before this router began may have
+/// been so for as long as is borne.
 fn old_until(fleet: &Fleet, model: &str, weights: &str, shared: &Shared) -> Option<Duration> {
-    let bound = shared.setup.old_weights;
-    let bounds = OlderWeights { after_naming: bound, after_start: STARTED_WITH };
-    let own = fleet.weights_history.serves_until(model, weights, bounds)?;
-    let core_trouble = fleet.core_trouble.map(|at| at.saturating_sub(CORE_TROUBLE) + bound);
-    Some(core_trouble.map_or(own, |until| until.max(own)))
+    let bounds = OlderWeights { after_naming: shared.setup.old_weights, after_start: STARTED_WITH };
+    fleet.older_weights_until(model, weights, bounds)
 }
 
 /// Finds a place for the next try.
--- a/crates/stream-router/src/response.rs
+++ b/crates/stream-router/src/response.rs
@@ -7,6 +7,7 @@
 use crate::request_context::Flow;
 use crate::shared::count;
 use crate::sharing::{Ended, News};
+use crate::weights_check;
 use http_streams::head::AnswerHead;
 use http_streams::outbound::{Outbound, ResponsePart};
 use std::net::TcpStream;
@@ -31,9 +32,7 @@
             Ok(read) => read,
             Err(ResponsePart::CallerLeft) => return self.left(up),
             Err(ResponsePart::TimedOut) => {
-                up.cut();
-                let over = Instant::now() >= self.context.until;
-                return if over { self.timed_out() } else { Try::Failed(Failure::Unknown, None) };
+                return self.not_in_time(up);
             }
             Err(_) => return Try::Failed(Failure::Unknown, None),
         };
@@ -105,6 +104,16 @@
         Err(ResponsePart::Broken("answers to other requests only".into()))
     }
 
+    /// The answer did not come in time: for the caller, or on older weights to begin while these may be used.
+    fn not_in_time(&mut self, up: Outbound) -> Try {
+        up.cut();
+        if Instant::now() >= self.context.until {
+            return self.timed_out();
+        }
+        count(&self.shared.counters.older_weights_not_begun);
+        Try::Failed(Failure::Unknown, None)
+    }
+
     /// Passes a stream on, event by event.
     fn stream(&mut self, place: &Place, mut up: Outbound, head: AnswerHead, sent: Instant) -> Try {
         let end = self.context.until + LAST_WORD;
@@ -116,9 +125,7 @@
                 ResponsePart::Whole => Vec::new(),
                 ResponsePart::CallerLeft => return self.left(up),
                 ResponsePart::TimedOut => {
-                    up.cut();
-                    let over = Instant::now() >= self.context.until;
-                    return if over { self.timed_out() } else { Try::Failed(Failure::Unknown, None) };
+                    return self.not_in_time(up);
                 }
                 _ => return Try::Failed(Failure::Unknown, None),
             };
@@ -167,6 +174,7 @@
     /// The first event is here: what the try took is told to whoever audits its source.
     fn first(&mut self, place: &Place, sent: Instant) {
         let took = sent.elapsed();
+        weights_check::on_first_event(self.shared, &self.context.info.model, place);
         self.shared.tell(News::Read(Ended { replica: key(&place.id), id: self.id }));
         if place.waiting < CALM && place.work > Duration::from_millis(20) {
             let thought = place.work + BASE;
--- a/crates/stream-router/src/setup.rs
+++ b/crates/stream-router/src/setup.rs
@@ -19,6 +19,8 @@
     pub lease: Duration,
     /// How long after new weights were named replicas may go on with old ones.
     pub old_weights: Duration,
+    /// What operators are promised of that: after so long no request begins on older weights.
+    pub weights_promise: Duration,
     pub patience: Patience,
     /// How long a warned router may finish what it has.
     pub grace: Duration,
