--- a/crates/control-chain/src/naming_times.rs
+++ b/crates/control-chain/src/naming_times.rs
@@ -16,13 +16,27 @@
 const RECENT: Duration = Duration::from_secs(120);
 
 impl Core {
-    /// Begins the record. What the disk holds may have been named at any time: here it counts from this start, until
-    /// another replica tells of an earlier moment.
+    /// Begins the record. The process began when its clock did, however often its disk was opened since. What the disk
+    /// holds may have been named at any time: here it counts from now, until another replica tells of an earlier moment.
     pub(crate) fn begin_naming_clock(&mut self) {
-        self.namings.note_control_restart(Moment::at(self.now));
+        self.namings.note_control_restart(Moment::at(Duration::ZERO));
         self.note_named_weights();
     }
 
+    /// As a replica that starts over in the process of `former`, whose disk was opened again: what that one knew of
+    /// namings is still known.
+    /// ```
+    /// # use control_chain::{core::{Core, Found}, view::Member};
+    /// # let start = || Core::start(Default::default(), Member { id: 1, incarnation: 9 }, vec![], Found::default()).unwrap();
+    /// let (former, core) = (start(), start());
+    /// let _core = core.starting_over(&former);
+    /// ```
+    pub fn starting_over(mut self, former: &Core) -> Self {
+        let told = former.namings.ages(self.now);
+        self.namings.merge(self.now, &told);
+        self
+    }
+
     /// Notes what a command named that was just applied.
     pub(crate) fn note_namings(&mut self, command: &Command) {
         let may_name = matches!(
--- a/crates/control-chain/tests/sim/machines.rs
+++ b/crates/control-chain/tests/sim/machines.rs
@@ -80,8 +80,17 @@
     pub fn start(&mut self, id: u32) {
         let now = self.now;
         let node = self.nodes.get_mut(&id).unwrap();
-        node.boot += 1;
         node.booted = now;
+        node.core = None;
+        self.last_process_start = now;
+        self.start_core(id);
+    }
+
+    /// A core starts from what the disk holds; in a process that runs on, it starts over.
+    fn start_core(&mut self, id: u32) {
+        let now = self.now;
+        let node = self.nodes.get_mut(&id).unwrap();
+        node.boot += 1;
         let found = node.disk.found();
         let incarnation = found.meta.as_ref().map_or(0, |m| m.incarnation);
         let me = Member { id, incarnation };
@@ -90,6 +99,9 @@
         if self.open {
             core = core.makes_itself_known(place(id));
         }
+        if let Some(former) = &node.core {
+            core = core.starting_over(former);
+        }
         node.core = Some(core.snapshot_every(self.snapshot_every).in_process(node.boot));
         let boot = node.boot;
         self.at(now, Event::Tick(id, boot));
@@ -124,7 +136,7 @@
             return self.at(next, Event::Reopen(id, boot));
         }
         node.disk.power_loss(keep);
-        self.start(id);
+        self.start_core(id);
     }
 
     /// Faults end: everything is up, joined and honest again.
--- a/crates/control-chain/tests/sim/mod.rs
+++ b/crates/control-chain/tests/sim/mod.rs
@@ -67,6 +67,8 @@
     /// Every view that any core took on, by its number, and what was wrong with one.
     views: BTreeMap<u64, View>,
     pub torn: Vec<String>,
+    /// When the process of a core last started.
+    pub last_process_start: Duration,
     /// Whether what cores note is printed, to look into a run.
     pub shows_notes: bool,
 }
@@ -111,6 +113,7 @@
             open: false,
             views: BTreeMap::new(),
             torn: Vec::new(),
+            last_process_start: ms(1000),
             shows_notes: std::env::var("SIM_NOTES").is_ok(),
         }
     }
--- a/crates/control-core/src/drive.rs
+++ b/crates/control-core/src/drive.rs
@@ -36,7 +36,12 @@
                 // Whoever asked the core that was is told that nobody can say.
                 self.asking.clear();
                 match (self.make)(self.begun.elapsed(), found) {
-                    Ok(core) => self.core = Some(core),
+                    Ok(core) => {
+                        self.core = Some(match &self.core {
+                            Some(former) => core.starting_over(former),
+                            None => core,
+                        });
+                    }
                     Err(e) => ring::error(&PeerError::at(Step::Disk, "own disk", e)),
                 }
                 Input::Tick
