Older weights end a bound after the control replicas took newer ones, whenever a node learns

Root cause: deadlines promised to operators were counted from what a node itself had seen. Class: a promise in time that is measured by the wrong event, at the wrong place.

Change: Fleet::older_weights_until counts from naming_clock: the earliest moment at which any control replica took the naming, told as an age and set back to when it was asked for, so that a frozen asker takes nothing for younger than it is. Time is given anew only by the start of a control process, which its own clock shows for certain; a disk that is opened again in the running process is none. What nobody told the age of does not serve. WeightsHistory, core_trouble and the 2.5 s of a router just started are gone; request-router goes by the same record.

--- a/crates/control-chain/src/fleet.rs
+++ b/crates/control-chain/src/fleet.rs
@@ -2,11 +2,10 @@
 use crate::blueprint::Blueprint;
 use crate::command::{Node, Replica};
 use crate::configuration::Configuration;
-use crate::naming_clock::NamingClock;
+use crate::naming_clock::{Moment, NamingClock};
 use crate::state::{Duty, Key};
-use crate::weights::{OlderWeights, WeightsHistory};
 use fleet_common::ask::{
-    BLUEPRINT, CONFIGURATION, CORES, DUTIES, KEYS, MEMBERS, Pulled, REPLICAS, SOURCES, Vector, Versioned, WEIGHTS,
+    BLUEPRINT, CONFIGURATION, DUTIES, KEYS, MEMBERS, Pulled, REPLICAS, SOURCES, Vector, Versioned, WEIGHTS,
 };
 use fleet_common::node::Identity;
 use fleet_common::{hash, ring};
@@ -19,31 +18,17 @@
 /// The model name under which the platform lists the app service.
 pub const APP: &str = "@app";
 
-/// Further changes of the control machines within this time belong to the same trouble.
-const CORE_SETTLING: Duration = Duration::from_secs(5);
-/// Trouble at the core is that much older than its change of machines, at the most.
-const CORE_TROUBLE_AGE: Duration = Duration::from_millis(1500);
-
 /// A node's knowledge of the fleet.
 #[derive(Clone, Default)]
 pub struct Fleet {
     pub vector: Vector,
     pub blueprint: Option<Blueprint>,
-    /// Which weights of each model this node saw named, and when.
-    pub weights_history: WeightsHistory,
     /// When the control replicas took the namings, by this node's clock.
     pub namings: NamingClock,
-    /// Since when the control machines were last in trouble, as far as this node saw their list change.
-    pub core_trouble: Option<Duration>,
-    /// The control machines, and when their list or view last changed.
-    cores: Vec<String>,
-    cores_changed: Option<Duration>,
     pub keys: BTreeMap<String, Key>,
     /// As the platform lists them, and the stores that a configuration names.
     pub replicas: Vec<Replica>,
     listed: Vec<Replica>,
-    /// Whether the answer that is being taken is the first: what it tells may have held for long.
-    begins: bool,
     pub members: BTreeMap<String, Node>,
     pub duties: BTreeMap<String, Duty>,
     /// The configuration of routes, where operators sent one: tenants, keys and models are then its.
@@ -72,29 +57,29 @@
     /// use fleet_common::ask::{KEYS, Versioned};
     /// let news = |version, text: &str| Versioned { source: KEYS as u8, version, value: text.as_bytes().to_vec().into() };
     /// let mut fleet = Fleet::default();
-    /// fleet.take(std::time::Duration::ZERO, &news(5, r#"{"p":{"tenant":"t","withdrawn":true}}"#));
-    /// fleet.take(std::time::Duration::ZERO, &news(4, "{}"));
-    /// fleet.take(std::time::Duration::ZERO, &news(6, "{\"p\":"));
+    /// fleet.take(&news(5, r#"{"p":{"tenant":"t","withdrawn":true}}"#));
+    /// fleet.take(&news(4, "{}"));
+    /// fleet.take(&news(6, "{\"p\":"));
     /// assert_eq!((fleet.vector[KEYS], fleet.keys["p"].withdrawn), (5, true));
     /// ```
-    pub fn take(&mut self, now: Duration, news: &Versioned) {
+    pub fn take(&mut self, news: &Versioned) {
         let at = news.source as usize;
         if at >= SOURCES.len() || news.version <= self.vector[at] {
             return;
         }
         let taken = match at {
             BLUEPRINT | KEYS if self.configuration.is_some() => Some(()),
-            BLUEPRINT => parse::<Option<Blueprint>>(news).map(|blueprint| self.take_blueprint(now, blueprint)),
+            BLUEPRINT => parse(news).map(|v| self.blueprint = v),
             KEYS => parse(news).map(|v| self.keys = v),
-            CONFIGURATION => parse::<Option<Configuration>>(news).map(|v| self.take_configuration(now, v)),
-            WEIGHTS => parse(news).map(|v| self.take_weights(now, v)),
+            CONFIGURATION => parse::<Option<Configuration>>(news).map(|v| self.take_configuration(v)),
+            WEIGHTS => parse(news).map(|v| self.take_weights(v)),
             REPLICAS => parse(news).map(|v| {
                 self.listed = v;
                 self.with_stores();
             }),
             MEMBERS => parse(news).map(|v| self.members = v),
             DUTIES => parse(news).map(|v| self.duties = v),
-            _ => parse(news).map(|v| self.take_cores(now, v)),
+            _ => Some(()),
         };
         if taken.is_some() {
             self.vector[at] = news.version;
@@ -107,12 +92,10 @@
     /// use control_chain::fleet::Fleet;
     /// use fleet_common::ask::{KEYS, Versioned};
     /// let broken = Versioned { source: KEYS as u8, version: 1, value: b"{".to_vec().into() };
-    /// assert!(!Fleet::default().take_all(std::time::Duration::ZERO, &[broken]));
+    /// assert!(!Fleet::default().take_all(&[broken]));
     /// ```
-    pub fn take_all(&mut self, now: Duration, news: &[Versioned]) -> bool {
-        self.begins = self.vector == Vector::default();
-        news.iter().for_each(|one| self.take(now, one));
-        self.begins = false;
+    pub fn take_all(&mut self, news: &[Versioned]) -> bool {
+        news.iter().for_each(|one| self.take(one));
         news.iter().all(|one| self.vector.get(one.source as usize).is_some_and(|held| *held >= one.version))
     }
 
@@ -122,12 +105,12 @@
     /// use control_chain::fleet::Fleet;
     /// use fleet_common::ask::Pulled;
     /// let pulled = Pulled { member: 1, age_ms: 0, changed: vec![].into(), namings: Default::default(), held_ms: 0 };
-    /// assert!(Fleet::default().take_pulled(Default::default(), Default::default(), &pulled));
+    /// assert!(Fleet::default().take_pulled(Default::default(), &pulled));
     /// ```
-    pub fn take_pulled(&mut self, asked: Duration, now: Duration, pulled: &Pulled) -> bool {
+    pub fn take_pulled(&mut self, asked: Duration, pulled: &Pulled) -> bool {
         self.namings.merge(asked + Duration::from_millis(pulled.held_ms), &pulled.namings);
         let news = pulled.changed.items();
-        news.is_empty() || self.take_all(now, news)
+        news.is_empty() || self.take_all(news)
     }
 
     /// Whether `take_pulled` would change anything.
@@ -142,37 +125,28 @@
         !pulled.changed.items().is_empty() || self.namings.learns(told, &pulled.namings)
     }
 
-    /// Until when requests may begin on these older weights of a model; none where they are the newest.
+    /// Until when requests may begin on these older weights of a model, where they may do so for `bound`; none where
+    /// they are the newest, or nothing is known of when newer ones were named.
+    ///
+    /// The bound counts from when the control replicas took the first newer ones, whenever this node learnt of it. A
+    /// control process that started since may have held the roll-out up: the bound then counts from its start.
     /// ```
-    /// use control_chain::{fleet::Fleet, weights::OlderWeights};
-    /// let bounds = OlderWeights { after_naming: Default::default(), after_start: Default::default() };
-    /// assert_eq!(Fleet::default().older_weights_until("m", "1", bounds), None);
+    /// use control_chain::fleet::Fleet;
+    /// assert_eq!(Fleet::default().older_weights_until("m", "1", std::time::Duration::from_secs(14)), None);
     /// ```
-    pub fn older_weights_until(&self, model: &str, weights: &str, bounds: OlderWeights) -> Option<Duration> {
-        let own = self.weights_history.serves_until(model, weights, bounds)?;
-        let core_trouble = self.core_trouble.map(|at| at.saturating_sub(CORE_TROUBLE_AGE) + bounds.after_naming);
-        Some(core_trouble.map_or(own, |until| until.max(own)))
-    }
-
-    /// A change of the control machines tells of trouble among them, unless it belongs to what began shortly
-    /// before, or only drops a machine that has been away for long.
-    fn take_cores(&mut self, now: Duration, cores: Vec<String>) {
-        let only_drops = cores.len() < self.cores.len() && cores.iter().all(|core| self.cores.contains(core));
-        let settling = self.cores_changed.is_some_and(|at| now.saturating_sub(at) < CORE_SETTLING);
-        if self.vector[CORES] > 0 && !only_drops && !settling {
-            self.core_trouble = Some(now);
-            self.cores_changed = Some(now);
-        }
-        self.cores = cores;
+    pub fn older_weights_until(&self, model: &str, weights: &str, bound: Duration) -> Option<Moment> {
+        let superseded = self.namings.superseded_at(model, weights)?;
+        let from = self.namings.control_restart().map_or(superseded, |restart| restart.max(superseded));
+        Some(from.plus(bound))
     }
 
-    fn take_configuration(&mut self, now: Duration, configuration: Option<Configuration>) {
+    fn take_configuration(&mut self, configuration: Option<Configuration>) {
         let Some(configuration) = configuration else { return };
         self.keys = configuration.key_table();
         let blueprint = configuration.blueprint(&self.weights);
         self.configuration = Some(Arc::new(configuration));
         self.with_stores();
-        self.take_blueprint(now, Some(blueprint));
+        self.blueprint = Some(blueprint);
     }
 
     /// Stores are on no list: the configuration names them.
@@ -192,18 +166,11 @@
         }
     }
 
-    fn take_weights(&mut self, now: Duration, weights: BTreeMap<String, u64>) {
+    fn take_weights(&mut self, weights: BTreeMap<String, u64>) {
         self.weights = weights;
         if let Some(configuration) = self.configuration.clone() {
-            self.take_blueprint(now, Some(configuration.blueprint(&self.weights)));
-        }
-    }
-
-    fn take_blueprint(&mut self, now: Duration, blueprint: Option<Blueprint>) {
-        for (name, model) in blueprint.iter().flat_map(|b| &b.models) {
-            self.weights_history.note(name, &model.weights, now, self.begins);
+            self.blueprint = Some(configuration.blueprint(&self.weights));
         }
-        self.blueprint = blueprint;
     }
 
     /// Live index nodes for a replica, best first by rendezvous.
--- a/crates/control-chain/src/lib.rs
+++ b/crates/control-chain/src/lib.rs
@@ -19,7 +19,6 @@
 pub mod snapshots;
 pub mod state;
 pub mod view;
-pub mod weights;
 
 mod applied_everywhere;
 mod applying;
--- a/crates/prefix-table/src/pulling.rs
+++ b/crates/prefix-table/src/pulling.rs
@@ -8,7 +8,7 @@
 impl Keeper {
     pub(crate) fn on_pulled(&mut self, sent: Duration, pulled: Pulled) {
         let before: BTreeMap<String, u64> = self.fleet.duties.iter().map(|(r, duty)| (r.clone(), duty.fence)).collect();
-        let taken = self.fleet.take_pulled(sent, self.now, &pulled);
+        let taken = self.fleet.take_pulled(sent, &pulled);
         for (replica, duty) in &self.fleet.duties {
             if self.fleet.fence(replica, &self.me).is_none() || before.get(replica) == Some(&duty.fence) {
                 continue;
--- a/crates/request-router/src/feed.rs
+++ b/crates/request-router/src/feed.rs
@@ -24,7 +24,7 @@
     let Answer::Pulled(pulled) = caller.ask(&ask)? else { return Ok(false) };
     let asked_at = shared.now().saturating_sub(asked.elapsed());
     let learns = shared.fleet.read().learns(asked_at, &pulled);
-    let taken = !learns || shared.fleet.change(|fleet| fleet.take_pulled(asked_at, shared.now(), &pulled));
+    let taken = !learns || shared.fleet.change(|fleet| fleet.take_pulled(asked_at, &pulled));
     if pulled.member != 0 && taken {
         // What came with the confirmation is in use by now, so the freshness may count.
         shared.fresh.confirm(asked, Duration::from_millis(pulled.age_ms));
--- a/crates/stream-router/src/feed.rs
+++ b/crates/stream-router/src/feed.rs
@@ -33,7 +33,7 @@
     let news = pulled.changed.items();
     let asked_at = shared.now().saturating_sub(asked.elapsed());
     let learns = shared.fleet.read().learns(asked_at, &pulled);
-    let taken = !learns || shared.fleet.change(|fleet| fleet.take_pulled(asked_at, shared.now(), &pulled));
+    let taken = !learns || shared.fleet.change(|fleet| fleet.take_pulled(asked_at, &pulled));
     if !news.is_empty() {
         let fleet = shared.fleet.read();
         let edges = fleet.members.iter().filter(|(_, m)| m.kind == "edge");
--- a/crates/stream-router/src/placing.rs
+++ b/crates/stream-router/src/placing.rs
@@ -2,7 +2,7 @@
 use crate::request_context::RequestContext;
 use crate::shared::{Shared, count};
 use control_chain::fleet::{Fleet, STORE};
-use control_chain::weights::OlderWeights;
+use control_chain::naming_clock::Moment;
 use fleet_common::hash;
 use prefix_table::blocks;
 use std::collections::BTreeMap;
@@ -14,8 +14,6 @@
 
 /// Links are told apart from what is read at a replica.
 pub(crate) const LINK: &str = "link of ";
-/// A router that was just started lets older weights serve for so long, and counts as out of touch meanwhile.
-const STARTED_WITH: Duration = Duration::from_millis(2500);
 /// A request begins so long after what waited before it, at the least.
 const BEGINS: Duration = Duration::from_millis(250);
 /// A store whose link is busy for longer gets nothing more.
@@ -59,7 +57,10 @@
     let model = &context.info.model;
     let named = fleet.blueprint.as_ref().and_then(|b| b.models.get(model)).map(|m| m.weights.clone());
     let ledger = shared.ledger();
-    let begins = |seat: &Seat| shared.now() + ledger.waiting(shared.now(), key(&seat.id)).mul_f64(2.0) + BEGINS;
+    let begins = |seat: &Seat| {
+        let waiting = ledger.waiting(shared.now(), key(&seat.id));
+        Moment::at(shared.now() + waiting.mul_f64(2.0) + BEGINS)
+    };
     let old_too = |seat: &Seat| old_until(&fleet, model, &seat.weights, shared).is_some_and(|end| begins(seat) < end);
     let service = |at: usize| fleet.replicas.get(at).is_some_and(|r| r.service == context.service);
     let runs = |seat: &Seat| match &named {
@@ -87,14 +88,12 @@
     let old = named.is_some_and(|named| !seat.weights.is_empty() && seat.weights != named);
     let fleet = shared.fleet.read();
     let until = old_until(&fleet, &context.info.model, &seat.weights, shared).filter(|_| old)?;
-    Some(Instant::now() + until.saturating_sub(shared.now()))
+    Some(Instant::now() + until.remaining(shared.now()))
 }
 
-/// Until when replicas may begin requests on these older weights. What was named before this router began may have
-/// been so for as long as is borne.
-fn old_until(fleet: &Fleet, model: &str, weights: &str, shared: &Shared) -> Option<Duration> {
-    let bounds = OlderWeights { after_naming: shared.setup.old_weights, after_start: STARTED_WITH };
-    fleet.older_weights_until(model, weights, bounds)
+/// Until when replicas may begin requests on these older weights.
+fn old_until(fleet: &Fleet, model: &str, weights: &str, shared: &Shared) -> Option<Moment> {
+    fleet.older_weights_until(model, weights, shared.setup.old_weights)
 }
 
 /// Finds a place for the next try.
--- a/crates/way-choice/src/placing.rs
+++ b/crates/way-choice/src/placing.rs
@@ -4,7 +4,7 @@
 use crate::place::{Reason, Seat, Wish, place};
 use crate::source::{self, Mirrors, Source};
 use control_chain::fleet::Fleet;
-use control_chain::weights::Superseded;
+use control_chain::naming_clock::Moment;
 use prefix_table::blocks;
 use std::time::Duration;
 
@@ -68,9 +68,9 @@
 pub fn find_among(seats: &[Seat], old_weights: Duration, known: &Known, asked: &Asked) -> Option<Found> {
     let blueprint = known.fleet.blueprint.as_ref()?;
     let model = blueprint.models.get(asked.model)?;
-    let may_serve = |older: &str| match known.fleet.weights_history.superseded(asked.model, older) {
-        Some(Superseded::At(at) | Superseded::BeforeStart(at)) => known.now.saturating_sub(at) < old_weights,
-        None => false,
+    let may_serve = |older: &str| {
+        let until = known.fleet.older_weights_until(asked.model, older, old_weights);
+        until.is_some_and(|until| Moment::at(known.now) < until)
     };
     let wish = Wish {
         session: asked.session,
