--- a/crates/prefix-index/src/lib.rs
+++ b/crates/prefix-index/src/lib.rs
@@ -7,10 +7,13 @@
 
 use fleet_common::frame;
 use fleet_common::node::{Identity, Link, Seeds};
+use prefix_table::keeper::Keeper;
+pub use prefix_table::rolling::OLDER_WEIGHTS_BOUND;
 pub use replicas::{Batch, OrderAsk, Ordered, OwnSpeech, PollAsk, Replicas, Report};
 pub use shared::Shared;
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// What an index node is started with.
 pub struct Start {
@@ -19,6 +22,8 @@
     /// Where routers and peers ask; the identity names its address.
     pub frames: TcpListener,
     pub replicas: Arc<dyn Replicas>,
+    /// For how long after newer weights were named routers let older ones serve.
+    pub older_weights_bound: Duration,
 }
 
 /// Serves frames and starts the node's threads; it knows nothing until `follow` pulls.
@@ -29,13 +34,16 @@
 /// let frames = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
 /// let shared = prefix_index::start(Start {
 ///     identity, seeds: Default::default(), frames, replicas: std::sync::Arc::new(OwnSpeech),
+///     older_weights_bound: prefix_index::OLDER_WEIGHTS_BOUND,
 /// });
 /// assert!(!shared.keeper().fresh());
 /// ```
 pub fn start(start: Start) -> Arc<Shared> {
-    let shared = Arc::new(Shared::new(start.identity, start.seeds, start.replicas));
+    let Start { identity, seeds, frames, replicas, older_weights_bound } = start;
+    let keeper = Keeper::new(identity.clone()).with_older_weights_bound(older_weights_bound);
+    let shared = Arc::new(Shared::new(identity, seeds, replicas, keeper));
     let for_frames = shared.clone();
-    frame::serve(start.frames, move |ask| Some(for_frames.answer(ask)));
+    frame::serve(frames, move |ask| Some(for_frames.answer(ask)));
     shared::run(&shared);
     shared
 }
@@ -57,7 +65,8 @@
 /// # let identity = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
 /// # let frames = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
 /// # let replicas = std::sync::Arc::new(prefix_index::OwnSpeech);
-/// # let shared = prefix_index::start(prefix_index::Start { identity, seeds: Default::default(), frames, replicas });
+/// # let shared = prefix_index::start(prefix_index::Start { identity, seeds: Default::default(), frames, replicas,
+/// #     older_weights_bound: prefix_index::OLDER_WEIGHTS_BOUND });
 /// prefix_index::leave(&shared);
 /// ```
 pub fn leave(shared: &Shared) {
--- a/crates/prefix-index/src/main.rs
+++ b/crates/prefix-index/src/main.rs
@@ -5,7 +5,7 @@
 use fleet_common::settings::{EXIT_LISTEN, Settings, listen as listen_on};
 use fleet_common::signals::{self, Word};
 use fleet_common::{Rcu, hash, http_in, ring};
-use prefix_index::{OwnSpeech, Shared, Start};
+use prefix_index::{OLDER_WEIGHTS_BOUND, OwnSpeech, Shared, Start};
 use std::sync::Arc;
 
 mod flags {
@@ -43,7 +43,13 @@
     let (frames, pages) = (bind(listen), bind(http));
     let at = frames.local_addr().map(|a| a.to_string()).unwrap_or_default();
     let identity = Identity { name, kind: "index", incarnation: hash::unique(), at, district };
-    let shared = prefix_index::start(Start { identity, seeds: seeds.clone(), frames, replicas: Arc::new(OwnSpeech) });
+    let shared = prefix_index::start(Start {
+        identity,
+        seeds: seeds.clone(),
+        frames,
+        replicas: Arc::new(OwnSpeech),
+        older_weights_bound: OLDER_WEIGHTS_BOUND,
+    });
     heed(shared.clone(), seeds, flags);
     let for_pages = shared.clone();
     if http_in::serve(pages, http_in::WORKERS, move |incoming| pages::page(&for_pages, incoming)).is_err() {
--- a/crates/prefix-index/src/shared.rs
+++ b/crates/prefix-index/src/shared.rs
@@ -32,11 +32,11 @@
 }
 
 impl Shared {
-    pub(crate) fn new(identity: Identity, seeds: Seeds, replicas: Arc<dyn Replicas>) -> Self {
+    pub(crate) fn new(identity: Identity, seeds: Seeds, replicas: Arc<dyn Replicas>, keeper: Keeper) -> Self {
         Shared {
             begun: Instant::now(),
             link: Mutex::new(Link::new(identity.clone(), seeds.clone())),
-            keeper: Mutex::new(Keeper::new(identity.clone())),
+            keeper: Mutex::new(keeper),
             identity,
             seeds,
             replicas,
@@ -56,7 +56,8 @@
     /// # let identity = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
     /// # let frames = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     /// # let replicas = std::sync::Arc::new(prefix_index::OwnSpeech);
-    /// # let shared = prefix_index::start(prefix_index::Start { identity, seeds: Default::default(), frames, replicas });
+    /// # let shared = prefix_index::start(prefix_index::Start { identity, seeds: Default::default(), frames, replicas,
+    /// #     older_weights_bound: prefix_index::OLDER_WEIGHTS_BOUND });
     /// assert!(shared.keeper().kept.is_empty());
     /// ```
     pub fn keeper(&self) -> MutexGuard<'_, Keeper> {
@@ -71,7 +72,8 @@
     /// # let identity = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
     /// # let frames = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     /// # let replicas = std::sync::Arc::new(prefix_index::OwnSpeech);
-    /// # let shared = prefix_index::start(prefix_index::Start { identity, seeds: Default::default(), frames, replicas });
+    /// # let shared = prefix_index::start(prefix_index::Start { identity, seeds: Default::default(), frames, replicas,
+    /// #     older_weights_bound: prefix_index::OLDER_WEIGHTS_BOUND });
     /// use fleet_common::ask::{Answer, Ask};
     /// assert!(matches!(shared.answer(Ask::FilterPull("r1".into())), Answer::Refused(_)));
     /// ```
--- a/crates/prefix-table/src/keeper.rs
+++ b/crates/prefix-table/src/keeper.rs
@@ -5,10 +5,12 @@
 pub use crate::kept::{Kept, Order, Told};
 use crate::news::Audience;
 use crate::roll_out::RollOut;
+use crate::rolling::OLDER_WEIGHTS_BOUND;
 use crate::seats::News;
 use crate::table::Shape;
 use control_chain::command::Command;
 use control_chain::fleet::Fleet;
+use control_chain::naming_clock::Moment;
 use fleet_common::ask::{Ask, LEASE, Pulled, SeatNews, TableCopy, Vector};
 use fleet_common::node::Identity;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -90,6 +92,7 @@
     pub(crate) member_since: Option<Duration>,
     pub(crate) stirred: bool,
     pub(crate) leaving: bool,
+    older_weights_bound: Duration,
     pub(crate) out: Vec<Output>,
 }
 
@@ -130,10 +133,29 @@
             member_since: None,
             stirred: false,
             leaving: false,
+            older_weights_bound: OLDER_WEIGHTS_BOUND,
             out: Vec::new(),
         }
     }
 
+    /// With another bound on how long older weights may serve: that of the routers.
+    /// ```
+    /// # use fleet_common::node::Identity;
+    /// # let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
+    /// let keeper = prefix_table::keeper::Keeper::new(me).with_older_weights_bound(std::time::Duration::from_secs(11));
+    /// # drop(keeper);
+    /// ```
+    pub fn with_older_weights_bound(mut self, bound: Duration) -> Self {
+        self.older_weights_bound = bound;
+        self
+    }
+
+    /// Whether routers let these weights of a model serve no more.
+    pub(crate) fn expired(&self, model: &str, weights: &str) -> bool {
+        let until = self.fleet.older_weights_until(model, weights, self.older_weights_bound);
+        until.is_some_and(|until| until <= Moment::at(self.now))
+    }
+
     /// Whether this node's term holds.
     /// ```
     /// # use fleet_common::node::Identity;
--- a/crates/prefix-table/src/ordering.rs
+++ b/crates/prefix-table/src/ordering.rs
@@ -53,7 +53,8 @@
                 let stage = if order == wanted { at } else { stage::NONE };
                 // A replica's word that it runs them may come before its report does.
                 let weights = if stage == stage::SERVES { wanted.to_string() } else { weights };
-                Row { id: row.id.clone(), weights, stage, down, leaving: row.leaving, silent }
+                let expired = !weights.is_empty() && self.expired(model, &weights);
+                Row { id: row.id.clone(), weights, stage, down, leaving: row.leaving, silent, expired }
             })
             .collect()
     }
--- a/crates/prefix-table/src/rolling.rs
+++ b/crates/prefix-table/src/rolling.rs
@@ -4,6 +4,8 @@
 use fleet_common::hash::weight;
 use std::time::Duration;
 
+/// For how long after newer weights were named older ones may serve, where nothing else is set.
+pub const OLDER_WEIGHTS_BOUND: Duration = Duration::from_secs(15);
 /// How long a replica may take to load. One that takes longer no longer holds the others up.
 pub const LOAD_BOUND: Duration = Duration::from_secs(6);
 
@@ -19,6 +21,8 @@
     pub leaving: bool,
     /// Whether its holder was not heard lately: nobody orders it now, so it holds no other up.
     pub silent: bool,
+    /// Whether routers use its weights no more, as newer ones were named too long ago: it stands idle.
+    pub expired: bool,
 }
 
 /// What is to be done about one replica.
@@ -49,7 +53,8 @@
 /// Whether it is a replica's turn to load the wanted weights.
 /// ```
 /// use prefix_table::rolling::{Row, Turn, turn};
-/// let row = |id: &str| Row { id: id.into(), weights: "w1".into(), stage: 0, down: false, leaving: false, silent: false };
+/// let row = |id: &str| Row { id: id.into(), weights: "w1".into(), stage: 0, down: false, leaving: false, silent: false,
+///     expired: false };
 /// let rows = [row("r1"), row("r2"), row("r3")];
 /// let now = rows.iter().filter(|r| turn(&rows, &r.id, "w2", 60) == Turn::Now).count();
 /// assert_eq!(now, 1, "one of three may go at a time");
@@ -59,6 +64,10 @@
     if own.weights == wanted {
         return Turn::Serves;
     }
+    // Idle as it is, loading costs nothing; and there is nothing that a halt would keep in service.
+    if own.expired && !own.down && !own.leaving {
+        return Turn::Now;
+    }
     let up: Vec<&Row> = rows.iter().filter(|row| !row.down && !row.leaving).collect();
     let failed = up.iter().filter(|row| row.stage == stage::FAILED).count();
     let loading = [stage::LOADING, stage::FAILED].contains(&own.stage);
--- a/crates/prefix-table/tests/rolling.rs
+++ b/crates/prefix-table/tests/rolling.rs
@@ -30,6 +30,7 @@
             down: false,
             leaving: false,
             silent: false,
+            expired: false,
         };
         let load = (0..n).map(|_| Some(Duration::from_millis(500 + rng.next(5500)))).collect();
         let mut sim = Sim {
@@ -140,6 +141,7 @@
         down: false,
         leaving: false,
         silent,
+        expired: false,
     };
     let first: Vec<Row> = (0..18).map(|at| row(at, false)).collect();
     let go = |rows: &[Row]| -> Vec<String> {
@@ -163,6 +165,7 @@
         down: false,
         leaving: false,
         silent: false,
+        expired: false,
     };
     let rows: Vec<Row> = (0..18).map(row).collect();
     let now = |row: &&Row| turn(&rows, &row.id, "11", 80) == Turn::Now;
@@ -170,3 +173,25 @@
     assert_eq!(chosen.len(), at_once(18, 80));
     assert!(chosen.iter().all(|row| row.weights == "9"), "{chosen:?}");
 }
+
+/// Routers use a replica whose weights have served their time no more: it loads at once, whoever else loads, and also
+/// where the roll-out was halted.
+#[rstest]
+#[case::while_others_load(0)]
+#[case::while_halted(6)]
+fn a_replica_on_expired_weights_loads_at_once(#[case] failed: usize) {
+    let row = |at: usize| Row {
+        id: format!("r{at}"),
+        weights: if at < 12 { "1" } else { "2" }.into(),
+        stage: if at >= 12 && at - 12 < failed { stage::FAILED } else { stage::NONE },
+        down: at == 0,
+        leaving: at == 1,
+        silent: false,
+        expired: at < 12,
+    };
+    let rows: Vec<Row> = (0..18).map(row).collect();
+    let goes = |id: &str| turn(&rows, id, "3", 80) == Turn::Now;
+    assert!((2..12).all(|at| goes(&format!("r{at}"))));
+    assert!(!goes("r0") && !goes("r1"), "nobody orders what is away or leaves");
+    assert!((12 + failed..18).all(|at| !goes(&format!("r{at}"))), "the others can still serve");
+}
--- a/crates/scale-fleet/src/roles.rs
+++ b/crates/scale-fleet/src/roles.rs
@@ -85,7 +85,13 @@
     let own = frames.local_addr().map_err(|e| format!("address of {name}: {e}"))?.to_string();
     let identity = Identity { name, kind: "index", incarnation: 1, at: own, district: "zone-0".into() };
     let replicas = hollow.clone();
-    let shared = prefix_index::start(prefix_index::Start { identity, seeds: seeds(at), frames, replicas });
+    let shared = prefix_index::start(prefix_index::Start {
+        identity,
+        seeds: seeds(at),
+        frames,
+        replicas,
+        older_weights_bound: prefix_index::OLDER_WEIGHTS_BOUND,
+    });
     let following = shared.clone();
     std::thread::spawn(move || prefix_index::follow(&following));
     heed(|_| index_report(&shared, &hollow))
--- a/crates/way-choice/src/placing.rs
+++ b/crates/way-choice/src/placing.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// While a roll-out is younger than this, replicas still on the old weights may serve.
-pub const OLD_WEIGHTS: Duration = Duration::from_secs(15);
+pub const OLD_WEIGHTS: Duration = prefix_table::rolling::OLDER_WEIGHTS_BOUND;
 
 /// What a router knows.
 pub struct Known<'a> {
