--- a/crates/control-chain/src/lib.rs
+++ b/crates/control-chain/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod lister;
 pub mod log;
 pub mod message;
+pub mod moment;
 pub mod naming_clock;
 pub mod outcome;
 pub mod relay;
--- a/crates/control-chain/src/naming_clock.rs
+++ b/crates/control-chain/src/naming_clock.rs
@@ -1,5 +1,6 @@
 //! When weights were named, and when a control process last started, by the monotonic clock of the process that keeps
 //! the record. Processes tell each other ages and never times, as their clocks have nothing in common.
+pub use crate::moment::Moment;
 use fleet_common::ask::{NamedWeights, NamingAges};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -11,69 +12,6 @@
 /// The age that stands for "never" in messages.
 const NEVER: u64 = u64::MAX;
 
-/// A moment by a process's own monotonic clock, which may lie before the start of the process.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Moment {
-    micros: i64,
-}
-
-impl Moment {
-    /// The moment at which the process's clock showed this.
-    /// ```
-    /// use control_chain::naming_clock::Moment;
-    /// use std::time::Duration;
-    /// assert!(Moment::at(Duration::from_secs(1)) < Moment::at(Duration::from_secs(2)));
-    /// ```
-    pub fn at(clock: Duration) -> Self {
-        Moment { micros: i64::try_from(clock.as_micros()).unwrap_or(i64::MAX) }
-    }
-
-    /// The moment that was `age_ms` milliseconds before the clock showed `clock`.
-    /// ```
-    /// use control_chain::naming_clock::Moment;
-    /// use std::time::Duration;
-    /// let moment = Moment::before(Duration::from_secs(1), 3000);
-    /// assert_eq!(moment.age(Duration::from_secs(5)), Duration::from_secs(7));
-    /// ```
-    pub fn before(clock: Duration, age_ms: u64) -> Self {
-        let age_micros = i64::try_from(age_ms).unwrap_or(i64::MAX).saturating_mul(1000);
-        Moment { micros: Self::at(clock).micros.saturating_sub(age_micros) }
-    }
-
-    /// How long ago this was when the clock shows `clock`; zero where it lies ahead.
-    /// ```
-    /// use control_chain::naming_clock::Moment;
-    /// use std::time::Duration;
-    /// assert_eq!(Moment::at(Duration::from_secs(9)).age(Duration::from_secs(2)), Duration::ZERO);
-    /// ```
-    pub fn age(self, clock: Duration) -> Duration {
-        let micros = Self::at(clock).micros.saturating_sub(self.micros);
-        Duration::from_micros(u64::try_from(micros).unwrap_or(0))
-    }
-
-    /// The moment `length` later.
-    /// ```
-    /// use control_chain::naming_clock::Moment;
-    /// use std::time::Duration;
-    /// let moment = Moment::at(Duration::from_secs(1)).plus(Duration::from_secs(2));
-    /// assert_eq!(moment, Moment::at(Duration::from_secs(3)));
-    /// ```
-    pub fn plus(self, length: Duration) -> Self {
-        Moment { micros: self.micros.saturating_add(Self::at(length).micros) }
-    }
-
-    /// How long it is until this moment when the clock shows `clock`; zero where it has passed.
-    /// ```
-    /// use control_chain::naming_clock::Moment;
-    /// use std::time::Duration;
-    /// assert_eq!(Moment::at(Duration::from_secs(9)).remaining(Duration::from_secs(2)), Duration::from_secs(7));
-    /// ```
-    pub fn remaining(self, clock: Duration) -> Duration {
-        let micros = self.micros.saturating_sub(Self::at(clock).micros);
-        Duration::from_micros(u64::try_from(micros).unwrap_or(0))
-    }
-}
-
 /// Weights that were named for a model.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Naming {
@@ -203,6 +141,14 @@
         self.models.values().filter_map(|namings| namings.last()).map(|newest| newest.at.age(clock)).min()
     }
 
+    /// When the newest weights of a model were named.
+    /// ```
+    /// assert_eq!(control_chain::naming_clock::NamingClock::default().newest_at("m"), None);
+    /// ```
+    pub fn newest_at(&self, model: &str) -> Option<Moment> {
+        self.models.get(model)?.last().map(|newest| newest.at)
+    }
+
     /// When newer weights than these were first named; none where these are the newest, or the model is unknown.
     /// Weights that were never noted are older than all that were.
     /// ```
--- a/crates/prefix-index/src/pages.rs
+++ b/crates/prefix-index/src/pages.rs
@@ -50,6 +50,7 @@
 fn metrics(shared: &Shared) -> String {
     let keeper = shared.keeper();
     let mut text = format!("coursebend_index_halted_roll_outs {}\n", keeper.halted().len());
+    text += &format!("coursebend_index_overdue_roll_outs {}\n", keeper.overdue_roll_outs);
     for (model, roll_out) in &keeper.roll_outs {
         let Counts { serving, loading, failed, waiting, away } = roll_out.counts;
         let stages =
--- a/crates/prefix-table/src/keeper.rs
+++ b/crates/prefix-table/src/keeper.rs
@@ -10,7 +10,6 @@
 use crate::table::Shape;
 use control_chain::command::Command;
 use control_chain::fleet::Fleet;
-use control_chain::naming_clock::Moment;
 use fleet_common::ask::{Ask, LEASE, Pulled, SeatNews, TableCopy, Vector};
 use fleet_common::node::Identity;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -92,7 +91,9 @@
     pub(crate) member_since: Option<Duration>,
     pub(crate) stirred: bool,
     pub(crate) leaving: bool,
-    older_weights_bound: Duration,
+    pub(crate) older_weights_bound: Duration,
+    /// How many roll-outs were not complete in time.
+    pub overdue_roll_outs: u64,
     pub(crate) out: Vec<Output>,
 }
 
@@ -134,6 +135,7 @@
             stirred: false,
             leaving: false,
             older_weights_bound: OLDER_WEIGHTS_BOUND,
+            overdue_roll_outs: 0,
             out: Vec::new(),
         }
     }
@@ -150,12 +152,6 @@
         self
     }
 
-    /// Whether routers let these weights of a model serve no more.
-    pub(crate) fn expired(&self, model: &str, weights: &str) -> bool {
-        let until = self.fleet.older_weights_until(model, weights, self.older_weights_bound);
-        until.is_some_and(|until| until <= Moment::at(self.now))
-    }
-
     /// Whether this node's term holds.
     /// ```
     /// # use fleet_common::node::Identity;
--- a/crates/prefix-table/src/ordering.rs
+++ b/crates/prefix-table/src/ordering.rs
@@ -5,6 +5,7 @@
 use crate::roll_out::{Counts, RollOut};
 use crate::rolling::{LOAD_BOUND, Row, Turn, turn};
 use control_chain::fleet::{APP, STORE};
+use control_chain::moment::Moment;
 use fleet_common::ask::{LEASE, stage};
 use std::time::Duration;
 
@@ -92,15 +93,23 @@
         }
     }
 
+    /// Whether routers let these weights of a model serve no more.
+    pub(crate) fn expired(&self, model: &str, weights: &str) -> bool {
+        let until = self.fleet.older_weights_until(model, weights, self.older_weights_bound);
+        until.is_some_and(|until| until <= Moment::at(self.now))
+    }
+
     fn follow_roll_out(&mut self, model: &str, wanted: &str, rows: &[Row]) {
         let now = self.now;
         let roll_out = self.roll_outs.entry(model.to_string()).or_insert_with(|| RollOut::begin(wanted, now));
         if roll_out.weights != wanted {
             *roll_out = RollOut::begin(wanted, now);
         }
-        if let Some(line) = roll_out.update(model, Counts::of(rows, wanted), now) {
-            self.note(line);
-        }
+        let done = roll_out.update(model, Counts::of(rows, wanted), now);
+        let named = self.fleet.namings.newest_at(model).filter(|_| self.fleet.namings.is_newest(model, wanted));
+        let late = named.and_then(|at| roll_out.check(model, at.age(now), self.older_weights_bound));
+        self.overdue_roll_outs += u64::from(late.is_some());
+        done.into_iter().chain(late).for_each(|line| self.note(line));
     }
 
     fn order(&mut self, replica: &str, at: String, fence: u64, model: &str, weights: &str) {
--- a/crates/prefix-table/src/roll_out.rs
+++ b/crates/prefix-table/src/roll_out.rs
@@ -55,6 +55,8 @@
     /// How long it took until no replica lacked them, once that was so.
     pub took: Option<Duration>,
     pub counts: Counts,
+    /// Whether it was still not complete half as long again after the naming as older weights may serve.
+    pub overdue: bool,
 }
 
 impl RollOut {
@@ -64,7 +66,7 @@
     /// assert_eq!(RollOut::begin("2", std::time::Duration::ZERO).took, None);
     /// ```
     pub fn begin(weights: &str, now: Duration) -> Self {
-        RollOut { weights: weights.to_string(), since: now, took: None, counts: Counts::default() }
+        RollOut { weights: weights.to_string(), since: now, took: None, counts: Counts::default(), overdue: false }
     }
 
     /// Takes the present counts; the line for the log where that completes it.
@@ -84,4 +86,24 @@
         self.took = Some(took);
         Some(format!("roll-out of {model} to {} took {took:?}: {counts:?}", self.weights))
     }
+
+    /// Checks that it is complete in time, where the weights were named `age` ago and older ones may serve for
+    /// `bound`; the line for the log when that is broken for the first time.
+    /// ```
+    /// use prefix_table::roll_out::{Counts, RollOut};
+    /// use std::time::Duration;
+    /// let mut roll_out = RollOut::begin("2", Duration::ZERO);
+    /// roll_out.update("m", Counts { serving: 16, waiting: 2, ..Counts::default() }, Duration::ZERO);
+    /// let bound = Duration::from_secs(10);
+    /// assert!(roll_out.check("m", Duration::from_secs(15), bound).is_none());
+    /// assert!(roll_out.check("m", Duration::from_secs(16), bound).is_some() && roll_out.overdue);
+    /// assert!(roll_out.check("m", Duration::from_secs(17), bound).is_none(), "it is told once");
+    /// ```
+    pub fn check(&mut self, model: &str, age: Duration, bound: Duration) -> Option<String> {
+        if self.overdue || self.counts.complete() || age <= bound + bound / 2 {
+            return None;
+        }
+        self.overdue = true;
+        Some(format!("roll-out of {model} to {} is overdue after {age:?}: {:?}", self.weights, self.counts))
+    }
 }
--- a/crates/stream-router/src/forward.rs
+++ b/crates/stream-router/src/forward.rs
@@ -215,8 +215,9 @@
     fn bytes(&self, place: &Place) -> Vec<u8> {
         let context = &self.context;
         let model = !context.info.model.is_empty();
+        let ends_by = place.begins_by.map_or(context.until, |by| by.min(context.until));
         let told = ForwardInfo {
-            left: context.until.saturating_duration_since(Instant::now()).saturating_sub(WAY_BACK),
+            left: ends_by.saturating_duration_since(Instant::now()).saturating_sub(WAY_BACK),
             replica: &place.id,
             tenant: context.tenant.as_deref(),
             salt: model.then_some(place.salt.as_str()),
--- a/crates/stream-router/src/placing.rs
+++ b/crates/stream-router/src/placing.rs
@@ -16,6 +16,8 @@
 pub(crate) const LINK: &str = "link of ";
 /// A request begins so long after what waited before it, at the least.
 const BEGINS: Duration = Duration::from_millis(250);
+/// What a token of an answer takes at a busy replica.
+const TOKEN_TIME: Duration = Duration::from_millis(20);
 /// A store whose link is busy for longer gets nothing more.
 const STORE_BUSY_US: f64 = 150_000.0;
 /// A token's time on a link of which nothing is said, in microseconds.
@@ -42,7 +44,8 @@
     pub waiting: Duration,
     /// The share of its memory that is asked for.
     pub memory: f64,
-    /// By when it must begin, where the replica runs old weights.
+    /// By when it must begin, where the replica runs older weights. The replica is given no more time than that: one
+    /// that does not notice a closed connection would begin it later.
     pub begins_by: Option<Instant>,
 }
 
@@ -57,11 +60,13 @@
     let model = &context.info.model;
     let named = fleet.blueprint.as_ref().and_then(|b| b.models.get(model)).map(|m| m.weights.clone());
     let ledger = shared.ledger();
-    let begins = |seat: &Seat| {
+    let run = TOKEN_TIME.saturating_mul(u32::try_from(context.info.tokens.1).unwrap_or(u32::MAX));
+    let ends = |seat: &Seat| {
         let waiting = ledger.waiting(shared.now(), key(&seat.id));
-        Moment::at(shared.now() + waiting.mul_f64(2.0) + BEGINS)
+        Moment::at(shared.now() + waiting.mul_f64(2.0) + BEGINS).plus(run)
     };
-    let old_too = |seat: &Seat| old_until(&fleet, model, &seat.weights, shared).is_some_and(|end| begins(seat) < end);
+    // A replica on older weights is told to stop when these may be used no more, so it must be done by then.
+    let old_too = |seat: &Seat| old_until(&fleet, model, &seat.weights, shared).is_some_and(|end| ends(seat) < end);
     let service = |at: usize| fleet.replicas.get(at).is_some_and(|r| r.service == context.service);
     let runs = |seat: &Seat| match &named {
         Some(named) => seat.weights.is_empty() || seat.weights == *named || old_too(seat),
