--- a/crates/prefix-table/tests/nodes/world.rs
+++ b/crates/prefix-table/tests/nodes/world.rs
@@ -1,5 +1,6 @@
 //! Several index nodes over 18 replicas and a wire, a millisecond at a time.
 use super::{Core, identity, replica, report};
+use control_chain::naming_clock::{Moment, NamingClock};
 use prefix_table::keeper::{Input, Keeper, Ordered, Output};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -38,6 +39,8 @@
     pub announced: BTreeMap<(String, String), Duration>,
     /// A node that reaches nobody any more.
     pub cut: Option<usize>,
+    /// When weights were named, as the control replicas tell it.
+    pub namings: NamingClock,
 }
 
 impl World {
@@ -62,8 +65,18 @@
         let keepers = NODES.iter().map(|name| Keeper::new(identity(name))).collect();
         let rows = ids.into_iter().map(|id| (id.clone(), row(&id))).collect();
         let (wire, now) = (BTreeMap::new(), Duration::ZERO);
-        let mut world =
-            World { core, keepers, rows, wire, sent: 0, now, most: 0, announced: BTreeMap::new(), cut: None };
+        let mut world = World {
+            core,
+            keepers,
+            rows,
+            wire,
+            sent: 0,
+            now,
+            most: 0,
+            announced: BTreeMap::new(),
+            cut: None,
+            namings: NamingClock::default(),
+        };
         // A first pull without duties, then each is given to whom it belongs to.
         world.pull_all();
         world.take_free();
@@ -84,7 +97,8 @@
     }
 
     pub fn pull_all(&mut self) {
-        let pulled = self.core.pulled();
+        let mut pulled = self.core.pulled();
+        pulled.namings = self.namings.ages(self.now);
         for (at, name) in NODES.iter().enumerate() {
             if self.core.members.contains_key(*name) && self.cut != Some(at) {
                 self.keep(at, Input::Pulled(self.now, pulled.clone()));
@@ -92,7 +106,16 @@
         }
     }
 
+    /// Older weights may serve for so long; until now "w1" was the newest.
+    pub fn bound_older_weights(&mut self, bound: Duration) {
+        self.namings.note("m", "w1", 1, Moment::at(Duration::ZERO));
+        for keeper in std::mem::take(&mut self.keepers) {
+            self.keepers.push(keeper.with_older_weights_bound(bound));
+        }
+    }
+
     pub fn name(&mut self, weights: &str) {
+        self.namings.note("m", weights, self.sent + 2, Moment::at(self.now));
         self.core.blueprint.models.get_mut("m").unwrap().weights = weights.into();
         self.pull_all();
     }
--- a/crates/prefix-table/tests/orders.rs
+++ b/crates/prefix-table/tests/orders.rs
@@ -88,3 +88,29 @@
         println!("{} gone, given up {given_up}: {took:?}, {pairs} times two holders", name);
     }
 }
+
+/// Four of six rounds' time is all that older weights may serve: what has not loaded by then stands idle, and loads at once.
+#[test]
+fn what_is_left_when_older_weights_expire_loads_at_once() {
+    let bound = Duration::from_secs(7);
+    let mut world = World::new(83);
+    world.bound_older_weights(bound);
+    world.name("w2");
+    let took = world.until_all_run("w2");
+    println!("18 replicas, 3 at once until {bound:?}, 1.8 s a load: {took:?}, {} at once at the most", world.most);
+    assert!(world.most > 3 && world.orders() == 18, "{} at once, {} orders", world.most, world.orders());
+    assert!(took < bound + Duration::from_millis(2500), "{took:?}");
+    assert!(world.keepers.iter().all(|keeper| keeper.overdue_roll_outs == 0), "no roll-out is overdue");
+}
+
+/// A roll-out that does not come to its end in time is counted once at each node, whatever holds it up.
+#[test]
+fn a_roll_out_that_is_overdue_is_counted() {
+    let mut world = World::new(83);
+    world.bound_older_weights(Duration::from_secs(2));
+    world.rows.get_mut("r4").unwrap().says = std::iter::repeat_n(None, 100).collect();
+    world.name("w2");
+    (0..8000).for_each(|_| world.step());
+    let overdue: Vec<u64> = world.keepers.iter().map(|keeper| keeper.overdue_roll_outs).collect();
+    assert_eq!(overdue, [1; 6]);
+}
