Review of the mend: namings count once committed, keep their moments, and end what waits

A request placed before a naming was never given up at the bound, as the limit was fixed at placement: it began 11.3 s after a naming of 10 s. The limit is looked up anew each 0.5 s until the answer begins. 2. A naming that a head took and lost counted for good, everywhere, and expired all older replicas at the next one. Only committed namings are told, and dropped entries are forgotten. 3. note() forgot earlier moments when entries were applied late or a state was built anew. It merges by entry now. 4. The start of a control process came out later with each telling (40 ms a second). Each replica tells its own alone, and of one process the earliest moment counts. 5. Weights with a higher number than a node knows counted as older. They serve, and are not ordered back. 6. A second naming during a mass load sent all on at once. A replica that loads what followed its weights is not expired. The time to load counts from when the order was taken.

Also: weights named before a configuration lists their model are dated; namings beyond sixteen carry their moment on. Ruled out by the review: A-B-A namings, held answers, agents or routers restarted alone, disks opened again, spacing of orders.

--- a/crates/control-chain/src/core.rs
+++ b/crates/control-chain/src/core.rs
@@ -7,7 +7,7 @@
 use crate::lease::LeaseState;
 use crate::log::{Position, ReplicationLog};
 use crate::message::{Chain, Sent};
-use crate::naming_clock::NamingClock;
+use crate::naming_times::NamingRecord;
 use crate::node_status::NodeStatuses;
 use crate::recovery;
 pub use crate::recovery::StartError;
@@ -66,9 +66,7 @@
     pub(crate) begun: Duration,
     pub(crate) discovery: Discovery,
     pub(crate) background: BackgroundWork,
-    pub(crate) namings: NamingClock,
-    /// When the ages of namings were last told to the other replicas.
-    pub(crate) namings_told: Option<Duration>,
+    pub(crate) namings: NamingRecord,
     pub(crate) out: Vec<Output>,
 }
 
@@ -117,8 +115,7 @@
             begun: now,
             discovery: Discovery::knowing(cores),
             background: BackgroundWork::default(),
-            namings: NamingClock::default(),
-            namings_told: None,
+            namings: NamingRecord::default(),
             out: Vec::new(),
         };
         core.begin_naming_clock();
--- a/crates/control-chain/src/fleet.rs
+++ b/crates/control-chain/src/fleet.rs
@@ -125,6 +125,14 @@
         !pulled.changed.items().is_empty() || self.namings.learns(told, &pulled.namings)
     }
 
+    /// The weights that are named for a model.
+    /// ```
+    /// assert_eq!(control_chain::fleet::Fleet::default().named_weights("m"), None);
+    /// ```
+    pub fn named_weights(&self, model: &str) -> Option<&str> {
+        Some(&self.blueprint.as_ref()?.models.get(model)?.weights)
+    }
+
     /// Until when requests may begin on these older weights of a model, where they may do so for `bound`; none where
     /// they are the newest, or nothing is known of when newer ones were named.
     ///
--- a/crates/control-chain/src/heartbeat.rs
+++ b/crates/control-chain/src/heartbeat.rs
@@ -100,7 +100,7 @@
             Chain::LeaseAsk(lease) => self.on_lease_ask(from, lease),
             Chain::LeaseGrant(lease) => self.on_lease_grant(from, incarnation, lease),
             Chain::LeaseEnd(lease) => self.on_lease_end(from, lease),
-            Chain::NamingAges(ages) => self.namings.merge(self.now, &ages),
+            Chain::NamingAges(told) => self.on_naming_ages(from, &told),
             Chain::Command(bytes) => {
                 if let (true, Some(envelope)) =
                     (self.is_head() && !self.sick && !self.overfull(), Envelope::unpack(bytes.as_slice()))
--- a/crates/control-chain/src/message.rs
+++ b/crates/control-chain/src/message.rs
@@ -48,6 +48,9 @@
     /// asked for by an earlier process of the same replica counts for nothing.
     pub struct Lease { pub view: u64, pub process: u64, pub sent_us: u64 }
 
+    /// How long ago weights were named, and this process of the sender started.
+    pub struct ToldAges { pub process: u64, pub ages: NamingAges }
+
     pub enum Chain {
         1 = Beat(Beat),
         2 = ViewIs(View),
@@ -66,7 +69,7 @@
         /// The tail gives its lease back: voters need not wait for its end.
         14 = LeaseEnd(Lease),
         /// When weights were named, as far as the sender knows.
-        15 = NamingAges(NamingAges),
+        15 = NamingAges(ToldAges),
     }
 
     /// A message with its sender's id and incarnation.
--- a/crates/control-chain/src/naming_clock.rs
+++ b/crates/control-chain/src/naming_clock.rs
@@ -43,12 +43,23 @@
     pub fn note(&mut self, model: &str, weights: &str, seq: u64, at: Moment) {
         let namings = self.models.entry(model.to_string()).or_default();
         if namings.last().is_none_or(|newest| newest.weights != weights) {
-            namings.retain(|naming| naming.weights != weights);
-            namings.push(Naming { weights: weights.to_string(), seq, at });
-            trim(namings);
+            merge_naming(namings, Naming { weights: weights.to_string(), seq, at });
         }
     }
 
+    /// Forgets the namings of entries after `seq`: these were dropped from the log.
+    /// ```
+    /// use control_chain::naming_clock::{Moment, NamingClock};
+    /// let mut clock = NamingClock::default();
+    /// clock.note("m", "1", 4, Moment::default());
+    /// clock.note("m", "2", 9, Moment::default());
+    /// clock.forget_after(8);
+    /// assert_eq!(clock.superseded_at("m", "1"), None);
+    /// ```
+    pub fn forget_after(&mut self, seq: u64) {
+        self.models.values_mut().for_each(|namings| namings.retain(|naming| naming.seq <= seq));
+    }
+
     /// Whether these weights are the newest that are noted for the model.
     /// ```
     /// assert!(!control_chain::naming_clock::NamingClock::default().is_newest("m", "1"));
@@ -57,7 +68,8 @@
         self.models.get(model).and_then(|namings| namings.last()).is_some_and(|newest| newest.weights == weights)
     }
 
-    /// Notes that a control process started then, unless a later start is known.
+    /// Notes that a control process started then, unless a later start is known, or the same one as precisely as
+    /// telling allows: what is told again and again must not come out later each time.
     /// ```
     /// use control_chain::naming_clock::{Moment, NamingClock};
     /// let mut clock = NamingClock::default();
@@ -65,7 +77,10 @@
     /// assert_eq!(clock.control_restart(), Some(Moment::default()));
     /// ```
     pub fn note_control_restart(&mut self, at: Moment) {
-        self.control_restart = self.control_restart.max(Some(at));
+        let slack = Duration::from_millis(NEWS_MS);
+        if self.control_restart.is_none_or(|known| known.plus(slack) < at) {
+            self.control_restart = Some(at);
+        }
     }
 
     /// The latest start of a control process that is known.
@@ -117,9 +132,20 @@
     /// assert!(NamingClock::default().ages(Default::default()).named.items().is_empty());
     /// ```
     pub fn ages(&self, clock: Duration) -> NamingAges {
+        self.ages_up_to(u64::MAX, clock)
+    }
+
+    /// What is noted of entries up to `seq`, as ages.
+    /// ```
+    /// use control_chain::naming_clock::{Moment, NamingClock};
+    /// let mut clock = NamingClock::default();
+    /// clock.note("m", "2", 9, Moment::default());
+    /// assert!(clock.ages_up_to(8, Default::default()).named.items().is_empty());
+    /// ```
+    pub fn ages_up_to(&self, seq: u64, clock: Duration) -> NamingAges {
         let mut named = Vec::new();
         for (model, namings) in &self.models {
-            for naming in namings {
+            for naming in namings.iter().filter(|naming| naming.seq <= seq) {
                 named.push(NamedWeights {
                     model: model.as_str().into(),
                     weights: naming.weights.as_str().into(),
@@ -128,7 +154,6 @@
                 });
             }
         }
-        // Rounded the other way than a naming's: a start may be taken for earlier than it was, never for later.
         let restart = self.control_restart.map_or(NEVER, |at| millis_up(at.age(clock)));
         NamingAges { named: named.into(), control_restart_age_ms: restart }
     }
@@ -150,13 +175,16 @@
     }
 
     /// When newer weights than these were first named; none where these are the newest, or the model is unknown.
-    /// Weights that were never noted are older than all that were.
+    /// Weights that were never noted are older than all that were, unless they bear a higher number.
     /// ```
     /// use control_chain::naming_clock::NamingClock;
     /// assert_eq!(NamingClock::default().superseded_at("m", "1"), None);
     /// ```
     pub fn superseded_at(&self, model: &str, weights: &str) -> Option<Moment> {
         let namings = self.models.get(model)?;
+        if namings.iter().all(|naming| is_newer(weights, &naming.weights)) {
+            return None;
+        }
         let next = namings.iter().position(|naming| naming.weights == weights).map_or(0, |own| own + 1);
         // A later naming may be known from earlier than one before it: what follows it follows these as well.
         namings.get(next..)?.iter().map(|naming| naming.at).min()
@@ -170,9 +198,25 @@
     before.len() != now.len() || !before.iter().zip(now).all(|(one, other)| same(one, other))
 }
 
+/// Drops the oldest namings. What they superseded is still superseded since then.
 fn trim(namings: &mut Vec<Naming>) {
     let surplus = namings.len().saturating_sub(NAMINGS_MAX);
-    namings.drain(..surplus);
+    let dropped = namings.drain(..surplus).map(|naming| naming.at).min();
+    if let (Some(at), Some(oldest)) = (dropped, namings.first_mut()) {
+        oldest.at = oldest.at.min(at);
+    }
+}
+
+/// Whether weights bear a higher number than others. Those without numbers are never newer.
+/// ```
+/// use control_chain::naming_clock::is_newer;
+/// assert!(is_newer("10", "9") && !is_newer("9", "9") && !is_newer("w2", "w1"));
+/// ```
+pub fn is_newer(weights: &str, than: &str) -> bool {
+    match (weights.parse::<u64>(), than.parse::<u64>()) {
+        (Ok(weights), Ok(than)) => weights > than,
+        _ => false,
+    }
 }
 
 /// Puts a naming in its place. One of weights that are noted already is the same naming, unless others were named in
--- a/crates/control-chain/src/naming_times.rs
+++ b/crates/control-chain/src/naming_times.rs
@@ -2,24 +2,37 @@
 //! and, with each pull, to the nodes.
 //!
 //! A replica applies a naming before the operator's call is acknowledged, so its moment is never later than the
-//! acknowledgement. One that was away learns the moment from the others.
+//! acknowledgement. One that was away learns the moment from the others. Only what is committed is told: a naming that a
+//! head took and lost has superseded nothing.
 use crate::command::Command;
 use crate::core::Core;
-use crate::message::Chain;
-use crate::naming_clock::Moment;
+use crate::message::{Chain, ToldAges};
+use crate::moment::Moment;
+use crate::naming_clock::NamingClock;
 use crate::state::State;
+use fleet_common::ask::NamingAges;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// The other replicas are told this often, while a naming is recent.
 const TELL_EVERY: Duration = Duration::from_millis(600);
-/// A naming older than this is of no interest to anybody.
+/// Once no naming is younger than this, they are told seldom: for a replica that was away for longer.
 const RECENT: Duration = Duration::from_secs(120);
+const TELL_SELDOM: Duration = Duration::from_secs(5);
+
+/// What a replica knows of namings and of the other replicas' processes.
+#[derive(Clone, Default)]
+pub(crate) struct NamingRecord {
+    pub clock: NamingClock,
+    /// Of the other replicas, which process of theirs started when.
+    control_starts: BTreeMap<u32, (u64, Moment)>,
+    /// When the others were last told.
+    told: Option<Duration>,
+}
 
 impl Core {
-    /// Begins the record. The process began when its clock did, however often its disk was opened since. What the disk
-    /// holds may have been named at any time: here it counts from now, until another replica tells of an earlier moment.
+    /// Begins the record. What the disk holds may have been named at any time: here it counts from now, until another replica tells of an earlier moment.
     pub(crate) fn begin_naming_clock(&mut self) {
-        self.namings.note_control_restart(Moment::at(Duration::ZERO));
         self.note_named_weights();
     }
 
@@ -32,8 +45,9 @@
     /// let _core = core.starting_over(&former);
     /// ```
     pub fn starting_over(mut self, former: &Core) -> Self {
-        let told = former.namings.ages(self.now);
-        self.namings.merge(self.now, &told);
+        let told = former.namings.clock.ages_up_to(former.committed, self.now);
+        self.namings.clock.merge(self.now, &told);
+        self.namings.control_starts.clone_from(&former.namings.control_starts);
         self
     }
 
@@ -61,21 +75,49 @@
     fn note_named_weights(&mut self) {
         let (seq, at) = (self.state.seq, Moment::at(self.now));
         for (model, weights) in self.state.named_weights() {
-            self.namings.note(&model, &weights, seq, at);
+            self.namings.clock.note(&model, &weights, seq, at);
         }
     }
 
-    /// Tells the other replicas how long ago weights were named.
+    /// What nodes are told with each pull.
+    pub(crate) fn naming_ages(&self) -> NamingAges {
+        // The process began when its clock did, however often its disk was opened since.
+        let own_start = Moment::at(Duration::ZERO);
+        let latest_start = self.namings.control_starts.values().map(|(_, start)| *start).fold(own_start, Moment::max);
+        self.ages_since(latest_start)
+    }
+
+    fn ages_since(&self, control_start: Moment) -> NamingAges {
+        let mut clock = self.namings.clock.clone();
+        clock.note_control_restart(control_start);
+        clock.ages_up_to(self.committed, self.now)
+    }
+
+    /// Tells the other replicas how long ago weights were named and this process started.
     pub(crate) fn tell_naming_ages(&mut self) {
-        let recent = self.namings.newest_age(self.now).is_some_and(|age| age < RECENT);
-        let due = self.namings_told.is_none_or(|at| self.now.saturating_sub(at) >= TELL_EVERY);
-        if !recent || !due {
+        let Some(newest) = self.namings.clock.newest_age(self.now) else { return };
+        let every = if newest < RECENT { TELL_EVERY } else { TELL_SELDOM };
+        if self.namings.told.is_some_and(|at| self.now.saturating_sub(at) < every) {
             return;
         }
-        self.namings_told = Some(self.now);
-        let ages = self.namings.ages(self.now);
+        self.namings.told = Some(self.now);
+        let ages = self.ages_since(Moment::at(Duration::ZERO));
+        let told = ToldAges { process: self.lease.process, ages };
         for to in self.known() {
-            self.send(to, Chain::NamingAges(ages.clone()));
+            self.send(to, Chain::NamingAges(told.clone()));
+        }
+    }
+
+    /// Takes what another replica told. Of one start of its process the earliest moment counts: a later one is what a
+    /// message took.
+    pub(crate) fn on_naming_ages(&mut self, from: u32, told: &ToldAges) {
+        let named = NamingAges { named: told.ages.named.clone(), ..NamingAges::default() };
+        self.namings.clock.merge(self.now, &named);
+        let start = Moment::before(self.now, told.ages.control_restart_age_ms);
+        let known = self.namings.control_starts.entry(from).or_insert((told.process, start));
+        if known.0 != told.process {
+            *known = (told.process, start);
         }
+        known.1 = known.1.min(start);
     }
 }
--- a/crates/control-chain/src/replication.rs
+++ b/crates/control-chain/src/replication.rs
@@ -123,6 +123,7 @@
             return false;
         }
         records.push(Record::Truncate(seq));
+        self.namings.clock.forget_after(seq);
         if self.synced.seq > seq {
             self.synced = self.log.last();
         }
--- a/crates/control-chain/src/requests.rs
+++ b/crates/control-chain/src/requests.rs
@@ -173,7 +173,7 @@
         let (due, parked): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.nodes.parked).into_iter().partition(|p| p.until <= now || lacks(&p.pull));
         self.nodes.parked = parked;
-        let namings = self.namings.ages(now);
+        let namings = self.naming_ages();
         let mut values: [Option<Bytes>; SOURCES.len()] = Default::default();
         for parked in due {
             // From here on the node may hold a term, whatever it said when it asked.
--- a/crates/control-chain/src/state.rs
+++ b/crates/control-chain/src/state.rs
@@ -171,7 +171,10 @@
             (None, Some(blueprint)) => blueprint.models.clone(),
             (None, None) => BTreeMap::new(),
         };
-        models.into_iter().map(|(name, model)| (name, model.weights)).collect()
+        let mut named: BTreeMap<String, String> =
+            self.weights.iter().map(|(name, number)| (name.clone(), number.to_string())).collect();
+        named.extend(models.into_iter().map(|(name, model)| (name, model.weights)));
+        named
     }
 
     /// Writes the state as a snapshot.
--- a/crates/control-chain/tests/naming_clock_review.rs
+++ b/crates/control-chain/tests/naming_clock_review.rs
@@ -96,8 +96,11 @@
         for second in [1, 10, 20, 30, 60, 100] {
             let wait = ms(second * 1000 + 2000).saturating_sub(run.world.now);
             run.pass(wait);
-            println!("seed {seed} after {:?}: told start at {} ms", run.world.now,
-                millis(run.edge.fleet.namings.control_restart().unwrap()));
+            println!(
+                "seed {seed} after {:?}: told start at {} ms",
+                run.world.now,
+                millis(run.edge.fleet.namings.control_restart().unwrap())
+            );
         }
         let told = run.edge.fleet.namings.control_restart().unwrap();
         assert!(told <= started.plus(ms(100)), "seed {seed}: crept to {} ms from 1000", millis(told));
--- a/crates/prefix-table/src/kept.rs
+++ b/crates/prefix-table/src/kept.rs
@@ -21,6 +21,8 @@
     pub first: Duration,
     pub next: Duration,
     pub refused: u32,
+    /// Whether the replica took it: the time that loading may take counts from then.
+    pub taken: bool,
     pub done: bool,
 }
 
--- a/crates/prefix-table/src/ordering.rs
+++ b/crates/prefix-table/src/ordering.rs
@@ -54,7 +54,9 @@
                 let stage = if order == wanted { at } else { stage::NONE };
                 // A replica's word that it runs them may come before its report does.
                 let weights = if stage == stage::SERVES { wanted.to_string() } else { weights };
-                let expired = !weights.is_empty() && self.expired(model, &weights);
+                // One that loads what followed its weights is not sent on before it has served that.
+                let loads_other = at == stage::LOADING && order != wanted;
+                let expired = !weights.is_empty() && !loads_other && self.expired(model, &weights);
                 Row { id: row.id.clone(), weights, stage, down, leaving: row.leaving, silent, expired }
             })
             .collect()
@@ -129,7 +131,8 @@
             None => {
                 // Routers hear of it first, so that nothing is on its way there when the order comes.
                 let next = now + ANNOUNCED;
-                kept.order = Some(Order { weights: weights.into(), first: now, next, refused: 0, done: false });
+                kept.order =
+                    Some(Order { weights: weights.into(), first: now, next, refused: 0, taken: false, done: false });
                 return;
             }
         }
@@ -143,6 +146,9 @@
         let Some(order) = order.filter(|order| order.weights == weights) else { return };
         let what = match taken {
             Ok(Ordered::Taken) => {
+                if !std::mem::replace(&mut order.taken, true) {
+                    order.first = now;
+                }
                 (order.refused, order.next) = (0, now + LOAD_BOUND);
                 format!("{replica} was ordered to load {weights}")
             }
--- a/crates/prefix-table/src/rolling.rs
+++ b/crates/prefix-table/src/rolling.rs
@@ -1,5 +1,6 @@
 //! Rolling new weights out over a model's replicas: in the order of their ranks, so many at a time that
 //! a stated share keeps serving, on as soon as one serves, and no further once too many failed.
+use control_chain::naming_clock::is_newer;
 use fleet_common::ask::stage;
 use fleet_common::hash::weight;
 use std::time::Duration;
@@ -64,6 +65,10 @@
     if own.weights == wanted {
         return Turn::Serves;
     }
+    // It knows of a naming that this node has not heard of yet.
+    if is_newer(&own.weights, wanted) {
+        return Turn::Wait;
+    }
     // Idle as it is, loading costs nothing; and there is nothing that a halt would keep in service.
     if own.expired && !own.down && !own.leaving {
         return Turn::Now;
--- a/crates/prefix-table/tests/orders.rs
+++ b/crates/prefix-table/tests/orders.rs
@@ -114,3 +114,19 @@
     let overdue: Vec<u64> = world.keepers.iter().map(|keeper| keeper.overdue_roll_outs).collect();
     assert_eq!(overdue, [1; 6]);
 }
+
+/// Weights are named again while most replicas load what was named before, as theirs had expired: none of them is sent
+/// on before it has served that.
+#[test]
+fn a_second_naming_does_not_send_all_away_at_once() {
+    let mut world = World::new(83);
+    world.bound_older_weights(Duration::from_secs(2));
+    world.name("w2");
+    (0..2600).for_each(|_| world.step());
+    assert_eq!((world.orders(), world.most), (18, 15), "the last fifteen load at once");
+    world.name("w3");
+    (0..400).for_each(|_| world.step());
+    assert!(world.orders() <= 18 + 3, "{} orders", world.orders());
+    let took = world.until_all_run("w3");
+    assert!(took < Duration::from_secs(12), "{took:?}");
+}
--- a/crates/prefix-table/tests/rolling.rs
+++ b/crates/prefix-table/tests/rolling.rs
@@ -195,3 +195,19 @@
     assert!(!goes("r0") && !goes("r1"), "nobody orders what is away or leaves");
     assert!((12 + failed..18).all(|at| !goes(&format!("r{at}"))), "the others can still serve");
 }
+
+/// A replica that runs newer weights than this node has heard of is not sent back.
+#[test]
+fn a_replica_on_newer_weights_is_not_sent_back() {
+    let row = |at: usize| Row {
+        id: format!("r{at}"),
+        weights: "3".into(),
+        stage: stage::NONE,
+        down: false,
+        leaving: false,
+        silent: false,
+        expired: at.is_multiple_of(2),
+    };
+    let rows: Vec<Row> = (0..10).map(row).collect();
+    assert!(rows.iter().all(|row| turn(&rows, &row.id, "2", 70) == Turn::Wait));
+}
--- a/crates/stream-router/src/placing.rs
+++ b/crates/stream-router/src/placing.rs
@@ -2,7 +2,7 @@
 use crate::request_context::RequestContext;
 use crate::shared::{Shared, count};
 use control_chain::fleet::{Fleet, STORE};
-use control_chain::naming_clock::Moment;
+use control_chain::naming_clock::{Moment, is_newer};
 use fleet_common::hash;
 use prefix_table::blocks;
 use std::collections::BTreeMap;
@@ -58,7 +58,7 @@
 fn fit(shared: &Shared, context: &RequestContext, seats: &[Seat]) -> Vec<usize> {
     let fleet = shared.fleet.read();
     let model = &context.info.model;
-    let named = fleet.blueprint.as_ref().and_then(|b| b.models.get(model)).map(|m| m.weights.clone());
+    let named = fleet.named_weights(model);
     let ledger = shared.ledger();
     let run = TOKEN_TIME.saturating_mul(u32::try_from(context.info.tokens.1).unwrap_or(u32::MAX));
     let ends = |seat: &Seat| {
@@ -68,8 +68,11 @@
     // A replica on older weights is told to stop when these may be used no more, so it must be done by then.
     let old_too = |seat: &Seat| old_until(&fleet, model, &seat.weights, shared).is_some_and(|end| ends(seat) < end);
     let service = |at: usize| fleet.replicas.get(at).is_some_and(|r| r.service == context.service);
-    let runs = |seat: &Seat| match &named {
-        Some(named) => seat.weights.is_empty() || seat.weights == *named || old_too(seat),
+    let runs = |seat: &Seat| match named {
+        Some(named) => {
+            let newest = seat.weights.is_empty() || seat.weights == named || is_newer(&seat.weights, named);
+            newest || old_too(seat)
+        }
         None => true,
     };
     let open = |at: &usize| {
@@ -88,11 +91,18 @@
     if up.is_empty() { all } else { up }
 }
 
-/// By when a request must begin at a replica that runs other weights than are named.
-fn begins_by(shared: &Shared, context: &RequestContext, seat: &Seat, named: Option<&str>) -> Option<Instant> {
-    let old = named.is_some_and(|named| !seat.weights.is_empty() && seat.weights != named);
+/// By when a request must begin on these weights, as far as is known now: they may be superseded at any time.
+/// ```no_run
+/// # fn show(shared: &stream_router::shared::Shared) {
+/// assert_eq!(stream_router::placing::begins_by(shared, "m", "1"), None);
+/// # }
+/// ```
+pub fn begins_by(shared: &Shared, model: &str, weights: &str) -> Option<Instant> {
     let fleet = shared.fleet.read();
-    let until = old_until(&fleet, &context.info.model, &seat.weights, shared).filter(|_| old)?;
+    if fleet.named_weights(model).is_none_or(|named| weights.is_empty() || named == weights) {
+        return None;
+    }
+    let until = old_until(&fleet, model, weights, shared)?;
     Some(Instant::now() + until.remaining(shared.now()))
 }
 
@@ -111,9 +121,9 @@
     let seats = shared.seats();
     let fit = fit(shared, context, &seats);
     let fleet = shared.fleet.read();
-    let named = fleet.blueprint.as_ref().and_then(|b| b.models.get(&context.info.model)).map(|m| m.weights.clone());
+    let named = fleet.named_weights(&context.info.model);
     let weights_of = |seat: &Seat| match seat.weights.is_empty() {
-        true => named.clone().unwrap_or_default(),
+        true => named.unwrap_or_default().to_string(),
         false => seat.weights.clone(),
     };
     let salted = |weights: String| {
@@ -203,7 +213,7 @@
         work: Duration::from_micros(choice.work_us as u64),
         waiting: Duration::from_micros(candidate.waiting_us as u64),
         memory: candidate.memory,
-        begins_by: begins_by(shared, context, candidate.seat, named.as_deref()),
+        begins_by: begins_by(shared, &context.info.model, &candidate.seat.weights),
     })
 }
 
--- a/crates/stream-router/src/response.rs
+++ b/crates/stream-router/src/response.rs
@@ -2,7 +2,7 @@
 use crate::auditing::Tried;
 use crate::dialect::ResponseInfo;
 use crate::forward::{Run, Try, Whole};
-use crate::placing::Place;
+use crate::placing::{self, Place};
 use crate::progress::Failure;
 use crate::request_context::Flow;
 use crate::shared::count;
@@ -21,6 +21,8 @@
 /// A replica whose backlog is below this tells of its pace, and what an answer takes besides reading.
 const CALM: Duration = Duration::from_millis(5);
 const BASE: Duration = Duration::from_millis(45);
+/// Whether newer weights were named is looked at so often while an answer has not begun.
+const LOOK_AGAIN: Duration = Duration::from_millis(500);
 /// Answers to other requests that are passed over on one connection.
 const LATE_MOST: usize = 3;
 
@@ -80,10 +82,8 @@
     /// this request's only where none but its own can come: as the first one of a new connection.
     fn own_head(&mut self, place: &Place, up: &mut Outbound) -> Result<(AnswerHead, ResponseInfo), ResponsePart> {
         let until = self.context.until + LAST_WORD;
-        // On old weights it begins in time or not at all.
-        let until = place.begins_by.map_or(until, |by| by.min(until));
         for passed in 0..LATE_MOST {
-            let head = match up.head(Some(self.inbound.socket()), until) {
+            let head = match self.before_it_begins(place, up, until, Outbound::head) {
                 ResponsePart::Head(head) => head,
                 other => return Err(other),
             };
@@ -104,6 +104,26 @@
         Err(ResponsePart::Broken("answers to other requests only".into()))
     }
 
+    /// Reads on of an answer that has not begun. On older weights it begins in time or not at all, also where newer ones
+    /// are named while it waits: it times out when these may be used no more.
+    fn before_it_begins(
+        &self,
+        place: &Place,
+        up: &mut Outbound,
+        end: Instant,
+        read: fn(&mut Outbound, Option<&TcpStream>, Instant) -> ResponsePart,
+    ) -> ResponsePart {
+        loop {
+            let begins_by = placing::begins_by(self.shared, &self.context.info.model, &place.weights);
+            let last = begins_by.map_or(end, |by| by.min(end));
+            let until = last.min(Instant::now() + LOOK_AGAIN);
+            match read(up, Some(self.inbound.socket()), until) {
+                ResponsePart::TimedOut if until < last => {}
+                other => return other,
+            }
+        }
+    }
+
     /// The answer did not come in time: for the caller, or on older weights to begin while these may be used.
     fn not_in_time(&mut self, up: Outbound) -> Try {
         up.cut();
@@ -118,9 +138,11 @@
     fn stream(&mut self, place: &Place, mut up: Outbound, head: AnswerHead, sent: Instant) -> Try {
         let end = self.context.until + LAST_WORD;
         loop {
-            // On old weights its first event comes in time or not at all.
-            let until = place.begins_by.filter(|_| !self.first).map_or(end, |by| by.min(end));
-            let bytes = match up.body(Some(self.inbound.socket()), until) {
+            let read = match self.first {
+                true => up.body(Some(self.inbound.socket()), end),
+                false => self.before_it_begins(place, &mut up, end, Outbound::body),
+            };
+            let bytes = match read {
                 ResponsePart::Body(bytes) => bytes,
                 ResponsePart::Whole => Vec::new(),
                 ResponsePart::CallerLeft => return self.left(up),
--- a/crates/stream-router/src/weights_check.rs
+++ b/crates/stream-router/src/weights_check.rs
@@ -8,6 +8,9 @@
 /// Checks a try whose first event has just come.
 pub(crate) fn on_first_event(shared: &Shared, model: &str, place: &Place) {
     let (fleet, now) = (shared.fleet.read(), shared.now());
+    if fleet.named_weights(model) == Some(&place.weights) {
+        return;
+    }
     let promise = shared.setup.weights_promise;
     let Some(until) = fleet.older_weights_until(model, &place.weights, promise) else { return };
     if Moment::at(now) <= until {
