Stopping routers: a state machine that closes in time and finishes what it took

Cause: a router that was told to stop (SIGTERM) went on accepting for as long as anything ran. Under steady traffic something always runs, so it took requests up to the end of its grace and cut them. They came so late because of kept connections: only an answer that was begun after the warning said that its connection ends. A connection that was idle, or whose answer had been begun before, was not told, stayed open, and brought one more request each, at any time. Ruled out: a lagging list alone (the platform takes a router out within two to three seconds; the requests came 5.5 to 7.6 s after the warning) and wrong close headers (answers begun after the warning did carry them).

Change: `way_choice::shutdown` says without I/O who is taken and when the router may end: serving, draining, closed, done. Its times follow from the grace, from the platform's probes of readiness (closed once it has answered "not ready" as often as the platform needs, and what was on its way has arrived), from the request's own bound and from the longest run of late on its route. `stream_router::stopping` does it: idle kept connections end at once, others after their answer, then the listener closes, and what still comes is refused with Retry-After.

--- a/crates/http-streams/src/inbound.rs
+++ b/crates/http-streams/src/inbound.rs
@@ -46,6 +46,11 @@
         &self.stream
     }
 
+    /// Whether bytes of a further request have been read already.
+    pub(crate) fn is_read_ahead(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
     /// Reads what is there, waiting until then at the most: `false` when nothing more comes.
     fn fill(&mut self, until: Instant) -> bool {
         if wait(&self.stream, None, until) != WaitOutcome::Readable {
--- /dev/null
+++ b/crates/http-streams/src/latch.rs
@@ -0,0 +1,69 @@
+//! A signal that is given once, for which any number of threads may wait beside their sockets.
+use crate::inbound::{Inbound, Limits, ReadOutcome};
+use crate::wait::{WaitOutcome, wait_unless};
+use fleet_common::ring;
+use std::io::{PipeReader, PipeWriter, pipe};
+use std::os::fd::{AsFd, BorrowedFd};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::time::Instant;
+
+/// A latch: a pipe whose reading end shows a hang-up once the latch is released. Where no pipe could be had the latch
+/// still holds, but wakes nobody.
+pub struct Latch {
+    released: AtomicBool,
+    reader: Option<PipeReader>,
+    writer: Mutex<Option<PipeWriter>>,
+}
+
+impl Default for Latch {
+    fn default() -> Self {
+        let pipe = pipe().inspect_err(|error| ring::note(&format!("no pipe for a latch: {error}"))).ok();
+        let (reader, writer) = pipe.unzip();
+        Latch { released: false.into(), reader, writer: Mutex::new(writer) }
+    }
+}
+
+impl Latch {
+    /// Releases the latch, and wakes all who wait for it.
+    /// ```
+    /// let latch = http_streams::latch::Latch::default();
+    /// latch.release();
+    /// assert!(latch.is_released());
+    /// ```
+    pub fn release(&self) {
+        self.released.store(true, Ordering::Release);
+        *self.writer.lock().unwrap_or_else(PoisonError::into_inner) = None;
+    }
+
+    /// Whether it is released.
+    /// ```
+    /// assert!(!http_streams::latch::Latch::default().is_released());
+    /// ```
+    pub fn is_released(&self) -> bool {
+        self.released.load(Ordering::Acquire)
+    }
+
+    /// What shows a hang-up once the latch is released.
+    pub(crate) fn descriptor(&self) -> Option<BorrowedFd<'_>> {
+        self.reader.as_ref().map(|reader| reader.as_fd())
+    }
+
+    /// The next request on a connection, whole. Ended if the latch is released before the first byte of one has come.
+    /// ```
+    /// use http_streams::{inbound::{Inbound, Limits, ReadOutcome}, latch::Latch};
+    /// let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    /// let _caller = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    /// let mut inbound = Inbound::new(listener.accept().unwrap().0);
+    /// let latch = Latch::default();
+    /// latch.release();
+    /// assert_eq!(latch.next_request(&mut inbound, &Limits::default()), ReadOutcome::Ended);
+    /// ```
+    pub fn next_request(&self, inbound: &mut Inbound, limits: &Limits) -> ReadOutcome {
+        let until = Instant::now() + limits.idle;
+        if !inbound.is_read_ahead() && wait_unless(inbound.socket(), self, until) != WaitOutcome::Readable {
+            return ReadOutcome::Ended;
+        }
+        inbound.next(limits)
+    }
+}
--- a/crates/http-streams/src/lib.rs
+++ b/crates/http-streams/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod framing;
 pub mod head;
 pub mod inbound;
+pub mod latch;
 pub mod limits;
 pub mod outbound;
 mod outcome;
--- a/crates/http-streams/src/serve.rs
+++ b/crates/http-streams/src/serve.rs
@@ -2,8 +2,9 @@
 use crate::inbound::{Inbound, Limits, ReadOutcome};
 use fleet_common::threads::{self, SMALL_STACK};
 use std::net::{TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 /// Idle workers beyond so many end.
@@ -15,8 +16,30 @@
 /// When a caller that is turned away may come back, in seconds.
 const SHED_RETRY_AFTER: &str = "0.20";
 
+/// A listener that is served, until it is closed.
+pub struct Server {
+    pool: Arc<Pool>,
+}
+
+impl Server {
+    /// Takes no further connections: from here on they are refused by the system. Those that were accepted go on.
+    /// ```
+    /// let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    /// let at = listener.local_addr().unwrap();
+    /// let server = http_streams::serve::serve(listener, 4, drop);
+    /// server.close();
+    /// assert!(std::net::TcpStream::connect(at).is_err());
+    /// ```
+    pub fn close(&self) {
+        self.pool.closed.store(true, Ordering::Release);
+        // Wakes the workers that wait for a connection.
+        unsafe { libc::shutdown(self.pool.listener.as_raw_fd(), libc::SHUT_RDWR) };
+    }
+}
+
 struct Pool {
     listener: TcpListener,
+    closed: AtomicBool,
     most: usize,
     all: AtomicUsize,
     idle: AtomicUsize,
@@ -34,10 +57,11 @@
 /// std::net::TcpStream::connect(at).unwrap().read_to_string(&mut text).unwrap();
 /// assert_eq!(text, "hi");
 /// ```
-pub fn serve(listener: TcpListener, most: usize, handle: impl Fn(TcpStream) + Send + Sync + 'static) {
-    let pool = Pool { listener, most, all: 0.into(), idle: 0.into(), handle: Box::new(handle) };
-    let pool = Arc::new(pool);
+pub fn serve(listener: TcpListener, most: usize, handle: impl Fn(TcpStream) + Send + Sync + 'static) -> Server {
+    let (closed, all, idle) = (false.into(), 0.into(), 0.into());
+    let pool = Arc::new(Pool { listener, closed, most, all, idle, handle: Box::new(handle) });
     start_first(&pool);
+    Server { pool }
 }
 
 /// The first worker: without it nobody would ever be heard.
@@ -76,6 +100,9 @@
 fn work(pool: &Arc<Pool>) {
     loop {
         let accepted = pool.listener.accept();
+        if accepted.is_err() && pool.closed.load(Ordering::Acquire) {
+            return;
+        }
         // Somebody must always be there to accept.
         let last = pool.idle.fetch_sub(1, Ordering::AcqRel) == 1;
         let alone = last && hire(pool) == Hired::Refused;
--- a/crates/http-streams/src/wait.rs
+++ b/crates/http-streams/src/wait.rs
@@ -1,6 +1,7 @@
 //! Waiting on two sockets at once, without looking again and again.
+use crate::latch::Latch;
 use std::net::TcpStream;
-use std::os::fd::AsRawFd;
+use std::os::fd::{AsFd, AsRawFd, BorrowedFd};
 use std::time::{Duration, Instant};
 
 /// What came first.
@@ -8,7 +9,7 @@
 pub enum WaitOutcome {
     /// Something can be read, an end included.
     Readable,
-    /// The other side of the watched connection has gone.
+    /// The other side of the watched connection has gone, or the latch is released.
     Left,
     TimedOut,
 }
@@ -22,10 +23,28 @@
 /// drop(listener);
 /// ```
 pub fn wait(from: &TcpStream, watched: Option<&TcpStream>, until: Instant) -> WaitOutcome {
+    poll(from, watched.map(|watched| (watched.as_fd(), libc::POLLRDHUP)), until)
+}
+
+/// Waits until `from` can be read, the latch is released (`Left`), or the time is over. What can be read goes first.
+/// ```
+/// use http_streams::{latch::Latch, wait::{WaitOutcome, wait_unless}};
+/// let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+/// let from = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+/// let latch = Latch::default();
+/// latch.release();
+/// let until = std::time::Instant::now() + std::time::Duration::from_secs(30);
+/// assert_eq!(wait_unless(&from, &latch, until), WaitOutcome::Left);
+/// ```
+pub fn wait_unless(from: &TcpStream, latch: &Latch, until: Instant) -> WaitOutcome {
+    poll(from, latch.descriptor().map(|descriptor| (descriptor, 0)), until)
+}
+
+fn poll(from: &TcpStream, watched: Option<(BorrowedFd<'_>, libc::c_short)>, until: Instant) -> WaitOutcome {
     let row = |fd, events| libc::pollfd { fd, events, revents: 0 };
     let mut rows = [row(from.as_raw_fd(), libc::POLLIN), row(-1, 0)];
-    if let Some(watched) = watched {
-        rows[1] = row(watched.as_raw_fd(), libc::POLLRDHUP);
+    if let Some((watched, events)) = watched {
+        rows[1] = row(watched.as_raw_fd(), events);
     }
     loop {
         let left = until.saturating_duration_since(Instant::now());
--- a/crates/scale-fleet/src/roles.rs
+++ b/crates/scale-fleet/src/roles.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 use stream_router::dialect::{Dialect, ForwardInfo, RequestInfo, ResponseInfo};
 use stream_router::run::Listeners;
-use stream_router::shared::Setup;
+use stream_router::setup::{Setup, ShutdownLimits};
 
 /// A child's role with all it is to know.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -123,14 +123,19 @@
         old_weights: Duration::from_secs(15),
         lease: fleet_common::ask::LEASE,
         patience: stream_router::setup::Patience::default(),
-        grace: Duration::ZERO,
+        shutdown: ShutdownLimits {
+            grace: Duration::ZERO,
+            withdrawal: Duration::ZERO,
+            not_ready_answers: 0,
+            transit: Duration::ZERO,
+        },
     };
     let listeners = Listeners {
         callers: listen("127.0.0.1:0")?,
         ready: listen("127.0.0.1:0")?,
         frames: listen(&frames.to_string())?,
     };
-    let shared = stream_router::run::start(setup, Box::new(Mute), listeners);
+    let shared = stream_router::run::start(setup, Box::new(Mute), listeners).shared;
     let following = shared.clone();
     std::thread::spawn(move || stream_router::feed::follow(&following));
     heed(|_| Report { members: shared.is_ready().into(), ..Report::default() })
--- a/crates/stream-router/src/chain.rs
+++ b/crates/stream-router/src/chain.rs
@@ -8,11 +8,12 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+use way_choice::shutdown::Admission;
 
 type Filter = fn(&Arc<Shared>, &mut RequestContext, &mut Inbound) -> Flow;
 
-const FILTERS: &[Filter] = &[fresh, parse, route, key, aim, forward::forward];
+const FILTERS: &[Filter] = &[fresh, parse, route, key, aim, admit, forward::forward];
 const SOON: Duration = Duration::from_millis(50);
 
 /// Counts a request as running for as long as it is held, whatever ends it.
@@ -39,9 +40,10 @@
 /// ```
 pub fn connection(shared: &Arc<Shared>, stream: TcpStream) {
     let mut inbound = Inbound::new(stream);
+    let mut connection = shared.stopping.connection();
     loop {
         let limits = shared.limits();
-        match inbound.next(&limits) {
+        match connection.next_request(&mut inbound, &limits) {
             ReadOutcome::Ended => return,
             ReadOutcome::Bad(status, what) => {
                 let reply = Reply::new(status, what);
@@ -62,22 +64,33 @@
 /// Takes a request through the chain; whether the connection may carry another.
 fn request(shared: &Arc<Shared>, inbound: &mut Inbound, mut context: RequestContext) -> bool {
     count(&shared.counters.requests);
-    context.close |= shared.draining.load(Ordering::Relaxed);
     for filter in FILTERS {
         match filter(shared, &mut context, inbound) {
             Flow::Next => continue,
-            Flow::Answered => return !context.close,
+            Flow::Answered => {
+                ran(shared, &context);
+                return !context.closes(&shared.stopping);
+            }
             Flow::Reply(reply) => {
                 count(&shared.counters.refused);
+                ran(shared, &context);
                 let (headers, body) = reply.parts();
-                let sent = inbound.whole(reply.status, reply.reason(), &headers, body.as_bytes(), context.close);
-                return sent.is_ok() && !context.close;
+                let close = context.closes(&shared.stopping);
+                let sent = inbound.whole(reply.status, reply.reason(), &headers, body.as_bytes(), close);
+                return sent.is_ok() && !close;
             }
         }
     }
     false
 }
 
+/// How long a replica had the request, and so may have others of its route.
+fn ran(shared: &Shared, context: &RequestContext) {
+    if context.progress.sent > 0 {
+        shared.stopping.ran(context.route_key(), context.begun.elapsed());
+    }
+}
+
 fn fresh(shared: &Arc<Shared>, _: &mut RequestContext, _: &mut Inbound) -> Flow {
     if !shared.is_fresh() {
         count(&shared.counters.not_fresh);
@@ -162,6 +175,15 @@
     Flow::Next
 }
 
+/// A router that stops takes what it can finish in time.
+fn admit(shared: &Arc<Shared>, context: &mut RequestContext, _: &mut Inbound) -> Flow {
+    let most = context.until.saturating_duration_since(Instant::now());
+    match shared.stopping.admit(context.route_key(), most) {
+        Admission::Take => Flow::Next,
+        Admission::Refuse { retry_after } => Flow::Reply(Reply::later("this node is stopping", retry_after)),
+    }
+}
+
 /// Whether the request may be sent at this moment: under a lease, with a key that still holds.
 /// ```no_run
 /// # fn show(shared: &stream_router::shared::Shared, context: &stream_router::request_context::RequestContext) {
--- a/crates/stream-router/src/forward.rs
+++ b/crates/stream-router/src/forward.rs
@@ -235,7 +235,7 @@
         }
         count(&self.shared.counters.passed_on);
         let headers: Vec<_> = whole.head.headers.end_to_end().cloned().collect();
-        let (status, close) = (whole.head.status, self.context.close);
+        let (status, close) = (whole.head.status, self.context.closes(&self.shared.stopping));
         self.context.close |= self.inbound.whole(status, &whole.head.reason, &headers, &whole.body, close).is_err();
         Flow::Answered
     }
--- a/crates/stream-router/src/lib.rs
+++ b/crates/stream-router/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod setup;
 pub mod shared;
 pub mod sharing;
+pub mod stopping;
 pub mod subsets;
 mod telling;
--- a/crates/stream-router/src/request_context.rs
+++ b/crates/stream-router/src/request_context.rs
@@ -1,7 +1,9 @@
 //! A request on its way through the filters.
 use crate::dialect::RequestInfo;
 use crate::progress::Progress;
+use crate::stopping::Stopping;
 use control_chain::configuration::Route;
+use fleet_common::hash;
 use http_streams::head::RequestHead;
 use std::time::{Duration, Instant};
 
@@ -51,6 +53,27 @@
             close,
         }
     }
+
+    /// A number that tells its route from others.
+    /// ```
+    /// let context = stream_router::request_context::RequestContext::new(Default::default(), Vec::new());
+    /// assert_eq!(context.route_key(), context.route_key());
+    /// ```
+    pub fn route_key(&self) -> u64 {
+        hash::bytes(hash::bytes(0, self.route.host.as_bytes()), self.route.prefix.as_bytes())
+    }
+
+    /// Whether the caller's connection ends with the answer that is written now: from when the router drains on, for
+    /// requests taken before too.
+    /// ```no_run
+    /// # fn show(context: &mut stream_router::request_context::RequestContext, stopping: &stream_router::stopping::Stopping) {
+    /// assert!(!context.closes(stopping));
+    /// # }
+    /// ```
+    pub fn closes(&mut self, stopping: &Stopping) -> bool {
+        self.close |= stopping.is_draining();
+        self.close
+    }
 }
 
 /// An answer of the router's own.
--- a/crates/stream-router/src/response.rs
+++ b/crates/stream-router/src/response.rs
@@ -150,7 +150,7 @@
         let begun = std::mem::replace(&mut self.context.progress.answered, true);
         if !begun && (!whole.is_empty() || over) {
             let headers: Vec<_> = head.headers.end_to_end().cloned().collect();
-            let close = self.context.close;
+            let close = self.context.closes(&self.shared.stopping);
             let began = self.inbound.begin(head.status, &head.reason, &headers, whole, close);
             return began.is_ok() && (!over || self.inbound.end(b"").is_ok());
         }
--- a/crates/stream-router/src/setup.rs
+++ b/crates/stream-router/src/setup.rs
@@ -3,6 +3,7 @@
 use control_chain::configuration::Route;
 use std::net::SocketAddr;
 use std::time::Duration;
+pub use way_choice::shutdown::ShutdownLimits;
 
 /// How a router is set.
 #[derive(Clone, Debug)]
@@ -20,8 +21,8 @@
     /// How long after new weights were named replicas may go on with old ones.
     pub old_weights: Duration,
     pub patience: Patience,
-    /// How long a warned router may finish what it has.
-    pub grace: Duration,
+    /// How a router that is told to stop leaves.
+    pub shutdown: ShutdownLimits,
 }
 
 /// How long callers wait for the next event of a stream: the longest of a time, so many aims, so many pauses.
--- a/crates/stream-router/src/shared.rs
+++ b/crates/stream-router/src/shared.rs
@@ -6,6 +6,7 @@
 use crate::dialect::Dialect;
 pub use crate::setup::{Patience, Setup};
 use crate::sharing::Sharing;
+use crate::stopping::Stopping;
 use crate::subsets::Subsets;
 use control_chain::fleet::Fleet;
 use crossbeam::channel::{Receiver, Sender, bounded};
@@ -13,7 +14,7 @@
 use http_streams::inbound::Limits;
 use http_streams::pool::{Pool, SURE_IDLE};
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::AtomicU64;
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use way_choice::backlog::Backlogs;
@@ -49,7 +50,7 @@
     pub fresh: Fresh,
     pub pool: Pool,
     pub counters: Counters,
-    pub draining: AtomicBool,
+    pub stopping: Stopping,
     pub running: AtomicU64,
     budget: Mutex<Budget>,
     recent: Mutex<Recent>,
@@ -77,7 +78,6 @@
     pub fn new(setup: Setup, dialect: Box<dyn Dialect>) -> Self {
         let (bound, sharing) = (setup.bound, Sharing::bind(setup.at));
         Shared {
-            setup,
             dialect,
             start: hash::unique(),
             begun: Instant::now(),
@@ -89,7 +89,8 @@
             fresh: Fresh::default(),
             pool: Pool::new(SURE_IDLE),
             counters: Counters::default(),
-            draining: false.into(),
+            stopping: Stopping::new(setup.shutdown),
+            setup,
             running: 0.into(),
             budget: Mutex::new(Budget::new(bound)),
             recent: Mutex::default(),
@@ -130,7 +131,7 @@
     /// # }
     /// ```
     pub fn is_ready(&self) -> bool {
-        !self.draining.load(Ordering::Relaxed) && self.is_fresh() && self.fleet.read().configuration.is_some()
+        !self.stopping.is_draining() && self.is_fresh() && self.fleet.read().configuration.is_some()
     }
 
     /// The budget of further tries.
--- /dev/null
+++ b/crates/way-choice/src/shutdown.rs
@@ -0,0 +1,232 @@
+//! Graceful shutdown of a router, as a state machine without I/O: who is still taken, when nobody is any more, and
+//! when the process may end.
+//!
+//! A router that is told to stop first drains: callers are still sent to it until they have noticed that it is not
+//! ready, so it takes them, as long as what it takes can be finished in time. Then it is closed: what still comes is
+//! refused at once. It is done when no connection is open, or when its grace is over.
+use crate::run_times::RunTimes;
+use std::time::Duration;
+
+/// When a refused caller may come back: at once, as other routers serve it. Not none at all, so that a caller that is
+/// refused again and again does not spin.
+pub const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
+
+/// The times of a shutdown, which follow from the settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ShutdownLimits {
+    /// From the warning until the process must have ended.
+    pub grace: Duration,
+    /// How long callers may be sent here after the router began to say that it is not ready.
+    pub withdrawal: Duration,
+    /// After so many answers that it is not ready nobody is sent here any more; 0 if that is not known.
+    pub not_ready_answers: u32,
+    /// What was sent here before the last of these answers arrives within this time.
+    pub transit: Duration,
+}
+
+/// The state of a shutdown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Not told to stop.
+    Serving,
+    /// Says that it is not ready, and takes who comes all the same. Connections end with their next answer.
+    Draining,
+    /// Takes nothing new, and finishes what it has.
+    Closed,
+    /// May end: nothing is left, or no time is.
+    Done,
+}
+
+/// What becomes of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    Take,
+    Refuse { retry_after: Duration },
+}
+
+/// A shutdown. All times are of one monotonic clock.
+#[derive(Clone, Debug)]
+pub struct Shutdown {
+    limits: ShutdownLimits,
+    phase: Phase,
+    warned_at: Duration,
+    closes_at: Duration,
+    not_ready_answers: u32,
+    run_times: RunTimes,
+}
+
+impl Shutdown {
+    /// A router that serves.
+    /// ```
+    /// use std::time::Duration;
+    /// use way_choice::shutdown::{Phase, Shutdown, ShutdownLimits};
+    /// let second = Duration::from_secs(1);
+    /// let limits = ShutdownLimits { grace: second * 8, withdrawal: second * 3, not_ready_answers: 2, transit: second };
+    /// assert_eq!(Shutdown::new(limits).phase(), Phase::Serving);
+    /// ```
+    pub fn new(limits: ShutdownLimits) -> Self {
+        Shutdown {
+            limits,
+            phase: Phase::Serving,
+            warned_at: Duration::ZERO,
+            closes_at: Duration::ZERO,
+            not_ready_answers: 0,
+            run_times: RunTimes::new(limits.grace),
+        }
+    }
+
+    /// The present phase.
+    /// ```
+    /// # use std::time::Duration;
+    /// # use way_choice::shutdown::{Phase, Shutdown, ShutdownLimits};
+    /// # let second = Duration::from_secs(1);
+    /// # let limits = ShutdownLimits { grace: second * 8, withdrawal: second * 3, not_ready_answers: 2, transit: second };
+    /// let mut shutdown = Shutdown::new(limits);
+    /// shutdown.warn(second);
+    /// assert_eq!(shutdown.phase(), Phase::Draining);
+    /// ```
+    pub fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    /// Changed limits, before or during a shutdown. A closed router does not open again.
+    /// ```
+    /// # use std::time::Duration;
+    /// # use way_choice::shutdown::{Phase, Shutdown, ShutdownLimits};
+    /// # let second = Duration::from_secs(1);
+    /// # let limits = ShutdownLimits { grace: second * 8, withdrawal: second * 3, not_ready_answers: 2, transit: second };
+    /// let mut shutdown = Shutdown::new(limits);
+    /// shutdown.set_limits(ShutdownLimits { grace: second * 4, ..limits });
+    /// shutdown.warn(second);
+    /// assert_eq!(shutdown.advance(second * 5, 1), Phase::Done);
+    /// ```
+    pub fn set_limits(&mut self, limits: ShutdownLimits) {
+        self.limits = limits;
+    }
+
+    /// The router is told to stop. Only the first time counts.
+    /// ```
+    /// # use std::time::Duration;
+    /// # use way_choice::shutdown::{Phase, Shutdown, ShutdownLimits};
+    /// # let second = Duration::from_secs(1);
+    /// # let limits = ShutdownLimits { grace: second * 8, withdrawal: second * 3, not_ready_answers: 2, transit: second };
+    /// let mut shutdown = Shutdown::new(limits);
+    /// shutdown.warn(second);
+    /// shutdown.warn(second * 3);
+    /// assert_eq!(shutdown.advance(second * 4, 1), Phase::Closed);
+    /// ```
+    pub fn warn(&mut self, now: Duration) {
+        if self.phase == Phase::Serving {
+            self.phase = Phase::Draining;
+            self.warned_at = now;
+            self.closes_at = now + self.limits.withdrawal;
+        }
+    }
+
+    /// Whoever sends callers here was answered that the router is not ready.
+    /// ```
+    /// # use std::time::Duration;
+    /// # use way_choice::shutdown::{Phase, Shutdown, ShutdownLimits};
+    /// # let second = Duration::from_secs(1);
+    /// # let limits = ShutdownLimits { grace: second * 8, withdrawal: second * 3, not_ready_answers: 1, transit: second };
+    /// let mut shutdown = Shutdown::new(limits);
+    /// shutdown.warn(second);
+    /// shutdown.answered_not_ready(second);
+    /// assert_eq!(shutdown.advance(second * 2, 1), Phase::Closed);
+    /// ```
+    pub fn answered_not_ready(&mut self, now: Duration) {
+        if self.phase != Phase::Draining {
+            return;
+        }
+        self.not_ready_answers += 1;
+        if self.not_ready_answers == self.limits.not_ready_answers {
+            self.closes_at = self.closes_at.min(now + self.limits.transit);
+        }
+    }
+
+    /// A request has run for so long on a route.
+    /// ```
+    /// # use std::time::Duration;
+    /// # use way_choice::shutdown::{Admission, Shutdown, ShutdownLimits};
+    /// # let second = Duration::from_secs(1);
+    /// # let limits = ShutdownLimits { grace: second * 8, withdrawal: second * 3, not_ready_answers: 2, transit: second };
+    /// let mut shutdown = Shutdown::new(limits);
+    /// const CHAT: u64 = 1;
+    /// shutdown.ran(second, CHAT, second * 7);
+    /// shutdown.warn(second);
+    /// assert_eq!(shutdown.admit(second, CHAT, second * 30), Admission::Take);
+    /// assert_ne!(shutdown.admit(second * 3, CHAT, second * 30), Admission::Take);
+    /// ```
+    pub fn ran(&mut self, now: Duration, route: u64, took: Duration) {
+        self.run_times.add(now, route, took);
+    }
+
+    /// Whether a request is taken that may run no longer than `most`. While draining it must be one that ends in time,
+    /// by its bound or by the longest run of late on its route.
+    /// ```
+    /// # use std::time::Duration;
+    /// # use way_choice::shutdown::{Admission, Shutdown, ShutdownLimits};
+    /// # let second = Duration::from_secs(1);
+    /// # let limits = ShutdownLimits { grace: second * 8, withdrawal: second * 3, not_ready_answers: 2, transit: second };
+    /// assert_eq!(Shutdown::new(limits).admit(second, 1, second * 30), Admission::Take);
+    /// ```
+    pub fn admit(&mut self, now: Duration, route: u64, most: Duration) -> Admission {
+        let refuse = Admission::Refuse { retry_after: RETRY_ELSEWHERE };
+        match self.phase {
+            Phase::Serving => Admission::Take,
+            Phase::Draining if now < self.closes_at => {
+                let longest = self.run_times.longest(route).min(most);
+                if now + longest <= self.ends_at() { Admission::Take } else { refuse }
+            }
+            _ => refuse,
+        }
+    }
+
+    /// Moves on as time passes and connections end; gives the phase.
+    /// ```
+    /// # use std::time::Duration;
+    /// # use way_choice::shutdown::{Phase, Shutdown, ShutdownLimits};
+    /// # let second = Duration::from_secs(1);
+    /// # let limits = ShutdownLimits { grace: second * 8, withdrawal: second * 3, not_ready_answers: 2, transit: second };
+    /// let mut shutdown = Shutdown::new(limits);
+    /// shutdown.warn(second);
+    /// assert_eq!(shutdown.advance(second * 2, 0), Phase::Draining);
+    /// assert_eq!(shutdown.advance(second * 4, 1), Phase::Closed);
+    /// assert_eq!(shutdown.advance(second * 4, 0), Phase::Done);
+    /// ```
+    pub fn advance(&mut self, now: Duration, open_connections: usize) -> Phase {
+        if self.phase == Phase::Closed && open_connections == 0 {
+            self.phase = Phase::Done;
+        }
+        if self.phase == Phase::Draining && now >= self.closes_at {
+            self.phase = Phase::Closed;
+        }
+        if self.phase > Phase::Serving && now >= self.ends_at() {
+            self.phase = Phase::Done;
+        }
+        self.phase
+    }
+
+    /// How long until time alone changes the phase.
+    /// ```
+    /// # use std::time::Duration;
+    /// # use way_choice::shutdown::{Phase, Shutdown, ShutdownLimits};
+    /// # let second = Duration::from_secs(1);
+    /// # let limits = ShutdownLimits { grace: second * 8, withdrawal: second * 3, not_ready_answers: 2, transit: second };
+    /// let mut shutdown = Shutdown::new(limits);
+    /// shutdown.warn(second);
+    /// assert_eq!(shutdown.time_left(second), Some(second * 3));
+    /// ```
+    pub fn time_left(&self, now: Duration) -> Option<Duration> {
+        let next = match self.phase {
+            Phase::Serving | Phase::Done => return None,
+            Phase::Draining => self.closes_at.min(self.ends_at()),
+            Phase::Closed => self.ends_at(),
+        };
+        Some(next.saturating_sub(now))
+    }
+
+    fn ends_at(&self) -> Duration {
+        self.warned_at + self.limits.grace
+    }
+}
