Both router programs stop by one state machine; agents end with their routers

request-router: had its own way of stopping, a flag and a bound. It now asks `way_choice::shutdown` too: callers are taken for `healthLagMs` after the warning (0 as before), while what they ask for can be finished within `drainMs`, then refused at once with Retry-After; connections end with the answer; it ends when no request is being answered, refusals included (before, a refusal that was being written could be cut by the end of the process).

A router that is done now says good-bye (a pull that holds no term), under its own life's number, and only if nothing is open; its agent ends within a tenth of a second and takes leave of the core.

Tests: goodbye (agent), leaving (a_warned_edge_serves_who_still_comes_and_then_refuses); those of control-chain, simulate-fleet, run-fleet's leaving, losses and faults passed.

--- a/crates/control-chain/src/relay.rs
+++ b/crates/control-chain/src/relay.rs
@@ -22,6 +22,9 @@
     confirmed_at: Option<Duration>,
     router_has: Vector,
     router_fed: Option<Duration>,
+    /// The router's life that asked last, and the one that said good-bye.
+    router: Option<u64>,
+    router_left: Option<u64>,
 }
 
 impl Relay {
@@ -132,6 +135,41 @@
         self.router_fed = Some(now);
     }
 
+    /// Which life of the router asks from now on.
+    /// ```
+    /// let mut relay = control_chain::relay::Relay::default();
+    /// relay.is_asked_by(2);
+    /// relay.asked(std::time::Duration::ZERO, [0; 8]);
+    /// relay.said_goodbye(1);
+    /// assert!(relay.router_may_hold(std::time::Duration::ZERO), "a former life speaks for itself alone");
+    /// ```
+    pub fn is_asked_by(&mut self, router: u64) {
+        self.router = Some(router);
+    }
+
+    /// A life of the router said good-bye: it sends nothing any more, so it holds no term. It is fed no more either.
+    /// ```
+    /// let mut relay = control_chain::relay::Relay::default();
+    /// relay.is_asked_by(1);
+    /// relay.asked(std::time::Duration::ZERO, [0; 8]);
+    /// relay.said_goodbye(1);
+    /// assert!(!relay.router_may_hold(std::time::Duration::ZERO) && relay.has_left(1));
+    /// ```
+    pub fn said_goodbye(&mut self, router: u64) {
+        self.router_left = Some(router);
+        if self.router == Some(router) {
+            self.router_fed = None;
+        }
+    }
+
+    /// Whether a life of the router said good-bye.
+    /// ```
+    /// assert!(!control_chain::relay::Relay::default().has_left(1));
+    /// ```
+    pub fn has_left(&self, router: u64) -> bool {
+        self.router_left == Some(router)
+    }
+
     /// Whether something newer than `have` is held.
     /// ```
     /// assert!(!control_chain::relay::Relay::default().lacks([0; 8]));
--- a/crates/fleet-common/src/http_in.rs
+++ b/crates/fleet-common/src/http_in.rs
@@ -19,6 +19,8 @@
     pub query: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
+    /// Whether the caller's connection ends with the answer.
+    pub closes: bool,
     request: tiny_http::Request,
     caller: Option<SocketAddr>,
     old: bool,
@@ -29,6 +31,7 @@
     writer: Box<dyn Write + Send>,
     caller: Option<SocketAddr>,
     ended: bool,
+    closes: bool,
 }
 
 /// Names and values of an answer's headers.
@@ -88,7 +91,10 @@
                 answer.add_header(header);
             }
         }
-        let _ = self.request.respond(answer);
+        let (caller, closes) = (self.caller, self.closes);
+        if self.request.respond(answer).is_ok() && closes {
+            shut(caller);
+        }
     }
 
     /// Whether the caller has gone away, seen without reading anything.
@@ -110,16 +116,16 @@
     /// # Ok(()) }
     /// ```
     pub fn pieces(self, status: u16, extra: Extra) -> std::io::Result<Pieces> {
-        let caller = self.caller;
+        let (caller, closes) = (self.caller, self.closes);
         let mut writer = self.request.into_writer();
         let mut head = format!("HTTP/1.1 {status} OK\r\nTransfer-Encoding: chunked\r\n");
         for (name, value) in extra {
             head.push_str(&format!("{name}: {}\r\n", value.replace(['\r', '\n'], " ")));
         }
-        head.push_str("\r\n");
+        head.push_str(if closes { "Connection: close\r\n\r\n" } else { "\r\n" });
         writer.write_all(head.as_bytes())?;
         writer.flush()?;
-        Ok(Pieces { writer, caller, ended: false })
+        Ok(Pieces { writer, caller, ended: false, closes })
     }
 }
 
@@ -167,12 +173,17 @@
 
 impl Drop for Pieces {
     fn drop(&mut self) {
-        if !self.ended {
-            with_stream(self.caller, |fd| unsafe { libc::shutdown(fd, libc::SHUT_RDWR) == 0 });
+        if !self.ended || self.closes {
+            shut(self.caller);
         }
     }
 }
 
+/// Ends a caller's stream, after what was written.
+fn shut(caller: Option<SocketAddr>) {
+    with_stream(caller, |fd| unsafe { libc::shutdown(fd, libc::SHUT_RDWR) == 0 });
+}
+
 /// Serves a listener with a pool of workers; oversized requests are refused before `answer` sees them.
 /// ```
 /// use fleet_common::{http_in, http_out};
@@ -229,5 +240,6 @@
     };
     let caller = request.remote_addr().copied();
     let old = *request.http_version() < tiny_http::HTTPVersion(1, 1);
-    Some(Incoming { method: request.method().to_string(), path, query, headers, body, request, caller, old })
+    let method = request.method().to_string();
+    Some(Incoming { method, path, query, headers, body, closes: false, request, caller, old })
 }
--- a/crates/request-router/src/feed.rs
+++ b/crates/request-router/src/feed.rs
@@ -6,10 +6,13 @@
 use std::time::{Duration, Instant};
 
 const PARK_MS: u32 = 300;
+/// The agent is on the same machine; without its answer its router's term ends by itself.
+const GOODBYE_WAIT: Duration = Duration::from_millis(100);
 
-fn pull(shared: &Shared, caller: &mut Caller) -> Result<bool, PeerError> {
+/// A pull of this life of the router; one that holds no term any more is its good-bye.
+fn own_pull(shared: &Shared, holding: u8) -> Ask {
     let have = shared.fleet.read().vector.to_vec();
-    let ask = Ask::Pull(Pull {
+    Ask::Pull(Pull {
         node: shared.name.as_str().into(),
         kind: "edge".into(),
         incarnation: shared.start,
@@ -17,9 +20,13 @@
         district: shared.district.as_str().into(),
         have: have.clone().into(),
         confirmed: have.into(),
-        holding: 1,
+        holding,
         wait_ms: PARK_MS,
-    });
+    })
+}
+
+fn pull(shared: &Shared, caller: &mut Caller) -> Result<bool, PeerError> {
+    let ask = own_pull(shared, 1);
     let asked = Instant::now();
     let Answer::Pulled(pulled) = caller.ask(&ask)? else { return Ok(false) };
     let news = pulled.changed.items();
@@ -31,6 +38,14 @@
     Ok(pulled.member != 0 && taken)
 }
 
+/// Tells the agent that this life of the router sends nothing any more, so that nobody waits for its term to end.
+pub fn say_goodbye(shared: &Shared) {
+    let told = Caller::new(shared.agent, GOODBYE_WAIT).ask::<Ask, Answer>(&own_pull(shared, 0));
+    if let Err(error) = told {
+        ring::note(&error.to_string());
+    }
+}
+
 pub fn follow(shared: &Shared) -> ! {
     let mut caller = Caller::new(shared.agent, Duration::from_millis(1500));
     loop {
--- a/crates/request-router/src/filters.rs
+++ b/crates/request-router/src/filters.rs
@@ -2,6 +2,7 @@
 use crate::explain::Explain;
 use crate::passage::{Flow, Passage, Reply, Wanted};
 use crate::shared::{Shared, count};
+use crate::stopping::{self, Answering};
 use crate::{claims, ferry};
 use control_chain::rules::Facts;
 use fleet_common::hash;
@@ -21,14 +22,17 @@
     ("way", way),
     ("parse", parse),
     ("rules", rules),
+    ("admit", stopping::admit),
     ("let in", let_in),
     ("claim", claims::claim),
     ("ferry", ferry::ferry),
 ];
 
 /// Takes a request through the chain.
-pub fn run(shared: &Arc<Shared>, incoming: Incoming) {
+pub fn run(shared: &Arc<Shared>, mut incoming: Incoming) {
+    let _answering = Answering::one(shared);
     count(&shared.counters.requests);
+    incoming.closes = shared.is_draining();
     let number = shared.numbers.fetch_add(1, Ordering::Relaxed);
     let id = format!("{}-{:08x}-{number}", shared.name, shared.start as u32);
     let text = |name: &str| incoming.header(name).unwrap_or_default().to_string();
@@ -71,6 +75,8 @@
     }
     if passage.let_in {
         shared.in_flight().let_out(&passage.tenant);
+        let (now, key) = (shared.now(), passage.kind_key());
+        shared.shutdown().ran(now, key, passage.explain.begun.elapsed());
     }
     passage.explain.tenant = passage.tenant;
     passage.explain.kind = passage.kind;
@@ -79,9 +85,6 @@
 }
 
 fn fresh(shared: &Arc<Shared>, _: &mut Passage) -> Flow {
-    if shared.draining.load(Ordering::Relaxed) {
-        return Flow::Reply(Reply::later(503, "this edge is draining"));
-    }
     if !shared.is_fresh() {
         count(&shared.counters.not_fresh);
         return Flow::Reply(Reply::later(503, "this edge holds no fresh term"));
--- a/crates/request-router/src/main.rs
+++ b/crates/request-router/src/main.rs
@@ -10,6 +10,7 @@
 mod placing;
 mod reporting;
 mod shared;
+mod stopping;
 mod telling;
 mod upstream;
 
@@ -18,8 +19,6 @@
 use fleet_common::{frame, http_in, ring};
 use shared::Shared;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
 
 mod flags {
     use std::path::PathBuf;
@@ -41,7 +40,7 @@
 /// Requests that can be worked on at once by default; a few of them only refuse.
 const WORKERS: u64 = 256;
 const SPARE: u64 = 4;
-const NAMES: &[&str] = &["name", "district", "listen", "http", "frames", "agent", "drainMs", "workers"];
+const NAMES: &[&str] = &["name", "district", "listen", "http", "frames", "agent", "drainMs", "healthLagMs", "workers"];
 
 fn main() {
     let flags = flags::RequestRouter::from_env_or_exit();
@@ -54,13 +53,12 @@
     let district = settings.text("district");
     let (listen, http, frames) = (settings.address("listen"), settings.address("http"), settings.address("frames"));
     let agent = settings.address("agent");
-    let drain_ms = settings.number("drainMs", 8000, 0, 600_000);
+    let shutdown = stopping::limits(&mut settings);
     let workers = settings.number("workers", WORKERS, 8, 4096);
     settings.or_exit(flags.check);
     let bind = |at| listen_on("request-router", at);
     let (callers, pages_at, pushes) = (bind(listen), bind(http), bind(frames));
-    let shared = Arc::new(Shared::new(name, district, agent, workers - SPARE));
-    shared.drain_ms.store(drain_ms, Ordering::Relaxed);
+    let shared = Arc::new(Shared::new(name, district, agent, workers - SPARE, shutdown));
     heed(shared.clone(), flags);
     let for_pushes = shared.clone();
     frame::serve(pushes, move |ask| Some(mirrors::answer(&for_pushes, ask)));
@@ -77,23 +75,17 @@
     feed::follow(&shared)
 }
 
-/// On a warning: take nothing new, let streams finish, cut what is left at the bound. On changed
-/// settings: that bound.
+/// On a warning: stop in order. On changed settings: the bounds of that.
 fn heed(shared: Arc<Shared>, flags: flags::RequestRouter) {
     signals::heed(move |word| match word {
         Word::Warning => {
-            shared.draining.store(true, Ordering::Relaxed);
-            ring::note("warned: draining");
-            let until = Instant::now() + Duration::from_millis(shared.drain_ms.load(Ordering::Relaxed));
-            while (shared.in_flight().total() > 0 || !shared.settling().is_empty()) && Instant::now() < until {
-                std::thread::sleep(Duration::from_millis(20));
-            }
+            stopping::stop(&shared);
             std::process::exit(0);
         }
         Word::Settings => {
             let mut settings = Settings::read(flags.settings.as_deref(), &flags.set, NAMES);
-            let drain_ms = settings.number("drainMs", 8000, 0, 600_000);
-            settings.put_to_use(|| shared.drain_ms.store(drain_ms, Ordering::Relaxed));
+            let limits = stopping::limits(&mut settings);
+            settings.put_to_use(|| shared.shutdown().set_limits(limits));
         }
     });
 }
--- a/crates/request-router/src/pages.rs
+++ b/crates/request-router/src/pages.rs
@@ -2,14 +2,13 @@
 use crate::shared::Shared;
 use fleet_common::http_in::Incoming;
 use fleet_common::json::quote;
-use std::sync::atomic::Ordering;
 use way_choice::desk::NO_FLOOR;
 
 pub fn answer(shared: &Shared, incoming: Incoming) {
     let path = incoming.path.clone();
     match path.as_str() {
         "/health" => {
-            let fresh = shared.is_fresh() && !shared.draining.load(Ordering::Relaxed);
+            let fresh = shared.is_fresh() && !shared.is_draining();
             let body = format!("{{\"up\":true,\"takesRequests\":{fresh}}}");
             incoming.json(if fresh { 200 } else { 503 }, &body, vec![]);
         }
--- a/crates/request-router/src/passage.rs
+++ b/crates/request-router/src/passage.rs
@@ -37,6 +37,13 @@
     pub explain: Explain,
 }
 
+impl Passage {
+    /// A number that tells its kind from others.
+    pub fn kind_key(&self) -> u64 {
+        fleet_common::hash::bytes(0, self.kind.as_bytes())
+    }
+}
+
 /// An answer given without ferrying.
 pub struct Reply {
     pub status: u16,
--- a/crates/request-router/src/shared.rs
+++ b/crates/request-router/src/shared.rs
@@ -9,7 +9,7 @@
 use fleet_common::frame::Caller;
 use fleet_common::hash;
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, AtomicUsize};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use way_choice::desk::{Down, News, seats};
@@ -18,6 +18,7 @@
 use way_choice::links::Learnt;
 use way_choice::place::Seat;
 use way_choice::settling::Settling;
+use way_choice::shutdown::{Phase, Shutdown, ShutdownLimits};
 use way_choice::source::Mirrors;
 use way_choice::tokens::Tokens;
 
@@ -46,8 +47,9 @@
     pub down: Rcu<Down>,
     pub fresh: Fresh,
     pub counters: Counters,
-    pub draining: std::sync::atomic::AtomicBool,
-    pub drain_ms: AtomicU64,
+    shutdown: Mutex<Shutdown>,
+    /// Requests that are being answered, those that are refused among them.
+    pub answering: AtomicUsize,
     in_flight: Mutex<InFlight>,
     tokens: Mutex<Tokens>,
     explains: Mutex<Explains>,
@@ -62,7 +64,7 @@
 }
 
 impl Shared {
-    pub fn new(name: String, district: String, agent: SocketAddr, places: u64) -> Self {
+    pub fn new(name: String, district: String, agent: SocketAddr, places: u64, shutdown: ShutdownLimits) -> Self {
         Shared {
             name,
             district,
@@ -78,8 +80,8 @@
             down: Rcu::new(Down::new()),
             fresh: Fresh::default(),
             counters: Counters::default(),
-            draining: false.into(),
-            drain_ms: AtomicU64::new(8000),
+            shutdown: Mutex::new(Shutdown::new(shutdown)),
+            answering: 0.into(),
             in_flight: Mutex::default(),
             tokens: Mutex::new(Tokens::starting(1, 10)),
             explains: Mutex::default(),
@@ -136,6 +138,16 @@
         self.fresh.holds(Instant::now())
     }
 
+    /// The state machine that says who is taken while this router stops.
+    pub fn shutdown(&self) -> MutexGuard<'_, Shutdown> {
+        held(&self.shutdown)
+    }
+
+    /// Whether this router was told to stop.
+    pub fn is_draining(&self) -> bool {
+        self.shutdown().phase() > Phase::Serving
+    }
+
     /// The rules of the blueprint that holds, compiled once a version.
     pub fn rules(&self, fleet: &Fleet) -> Arc<(u64, Judge)> {
         let version = fleet.vector[fleet_common::ask::BLUEPRINT];
--- a/crates/router-agent/src/held.rs
+++ b/crates/router-agent/src/held.rs
@@ -51,8 +51,18 @@
         let have = vector(pull.have.items());
         let until = Instant::now() + Duration::from_millis(pull.wait_ms.into()).min(PARK_MAX);
         let mut relay = self.lock();
-        relay.asked(self.now(), have);
+        if pull.holding == 0 {
+            relay.said_goodbye(pull.incarnation);
+            self.news.notify_all();
+        }
+        if !relay.has_left(pull.incarnation) {
+            relay.is_asked_by(pull.incarnation);
+            relay.asked(self.now(), have);
+        }
         loop {
+            if relay.has_left(pull.incarnation) {
+                return Answer::Refused("this router said good-bye".into());
+            }
             let wait = until.saturating_duration_since(Instant::now());
             if relay.lacks(have) || wait.is_zero() {
                 return Answer::Pulled(relay.answer(self.now(), have));
--- a/crates/run-fleet/tests/leaving.rs
+++ b/crates/run-fleet/tests/leaving.rs
@@ -4,7 +4,7 @@
 use run_fleet::child::{Process, programs};
 use run_fleet::fleet::Fleet;
 use sonic_rs::JsonValueTrait;
-use stand_in::checks::call;
+use stand_in::checks::{Result, call};
 use std::process::Command;
 use world::*;
 
@@ -44,6 +44,28 @@
     assert!(Fleet::until(LONG, || held(&fleet) == before), "duties did not come back");
 }
 
+/// Callers notice a lag later, on the health page, that the edge stops. Until then they are served; then they are
+/// refused at once, with a time to come back; and what was taken is finished.
+#[test]
+fn a_warned_edge_serves_who_still_comes_and_then_refuses() {
+    let mut fleet = fleet("lag");
+    fleet.process("edge-1").kill();
+    fleet.process("edge-1").args.extend(["--set".to_string(), "healthLagMs=2000".to_string()]);
+    fleet.process("edge-1").start();
+    assert!(calls_until(LONG, &job(&fleet, 0, "canal", &text(300), 4), good));
+    let stream = job(&fleet, 0, "canal", &text(300), 600);
+    let stream = std::thread::spawn(move || call(&stream));
+    assert!(Fleet::until(LONG, || fleet.page("edge-1", "/self").contains("\"inFlight\":1")));
+    fleet.process("edge-1").signal(libc::SIGTERM);
+    assert!(Fleet::until(LONG, || fleet.page("edge-1", "/health").is_empty()), "its health page says nothing");
+    assert!(good(&call(&job(&fleet, 0, "canal", &text(300), 4))), "a caller that rightly came was not served");
+    let refused = |result: &Result| result.status == 503 && result.header("retry-after").is_some();
+    assert!(calls_until(LONG, &job(&fleet, 0, "canal", &text(300), 4), refused));
+    let result = stream.join().unwrap();
+    assert!(good(&result), "a stream was not let finish: status {} cut {}", result.status, result.cut);
+    assert_eq!(fleet.process("edge-1").wait(), Some(0));
+}
+
 fn said_holds(fleet: &Fleet) -> String {
     String::from_utf8(fleet.query(&["holds"]).stdout).unwrap()
 }
--- a/crates/stream-router/src/feed.rs
+++ b/crates/stream-router/src/feed.rs
@@ -13,11 +13,14 @@
 use way_choice::source::{self, take_filter};
 
 const PARK_MS: u32 = 400;
+/// The agent is on the same machine; without its answer its router's term ends by itself.
+const GOODBYE_WAIT: Duration = Duration::from_millis(100);
 const PRUNE: Duration = Duration::from_secs(2);
 
-fn pull(shared: &Shared, caller: &mut Caller) -> Result<bool, Error> {
+/// A pull of this life of the router; one that holds no term any more is its good-bye.
+fn own_pull(shared: &Shared, holding: u8) -> Ask {
     let have = shared.fleet.read().vector.to_vec();
-    let ask = Ask::Pull(Pull {
+    Ask::Pull(Pull {
         node: shared.setup.name.as_str().into(),
         kind: "edge".into(),
         incarnation: shared.start,
@@ -25,9 +28,13 @@
         district: shared.setup.zone.as_str().into(),
         have: have.clone().into(),
         confirmed: have.into(),
-        holding: 1,
+        holding,
         wait_ms: PARK_MS,
-    });
+    })
+}
+
+fn pull(shared: &Shared, caller: &mut Caller) -> Result<bool, Error> {
+    let ask = own_pull(shared, 1);
     let asked = Instant::now();
     let Answer::Pulled(pulled) = caller.ask(&ask)? else { return Ok(false) };
     let news = pulled.changed.items();
@@ -48,6 +55,19 @@
     Ok(pulled.member != 0 && taken)
 }
 
+/// Tells the agent that this life of the router sends nothing any more, so that nobody waits for its term to end.
+/// ```no_run
+/// # fn show(shared: &stream_router::shared::Shared) {
+/// stream_router::feed::say_goodbye(shared);
+/// # }
+/// ```
+pub fn say_goodbye(shared: &Shared) {
+    let told = Caller::new(shared.setup.agent, GOODBYE_WAIT).ask::<Ask, Answer>(&own_pull(shared, 0));
+    if let Err(error) = told {
+        ring::note(&error.to_string());
+    }
+}
+
 /// Follows the agent for ever.
 /// ```no_run
 /// # fn show(shared: &stream_router::shared::Shared) {
--- a/crates/stream-router/src/run.rs
+++ b/crates/stream-router/src/run.rs
@@ -74,5 +74,8 @@
     /// ```
     pub fn stop(&self) {
         self.shared.stopping.stop(&self.callers);
+        if self.shared.stopping.open_connections() == 0 {
+            feed::say_goodbye(&self.shared);
+        }
     }
 }
--- a/crates/way-choice/src/shutdown.rs
+++ b/crates/way-choice/src/shutdown.rs
@@ -3,7 +3,7 @@
 //!
 //! A router that is told to stop first drains: callers are still sent to it until they have noticed that it is not
 //! ready, so it takes them, as long as what it takes can be finished in time. Then it is closed: what still comes is
-//! refused at once. It is done when no connection is open, or when its grace is over.
+//! refused at once. It is done when nothing is unfinished, or when its grace is over.
 use crate::run_times::RunTimes;
 use std::time::Duration;
 
@@ -182,7 +182,8 @@
         }
     }
 
-    /// Moves on as time passes and connections end; gives the phase.
+    /// Moves on as time passes and work ends; gives the phase. What is unfinished is whatever must not be cut: open
+    /// connections, or requests that are being answered.
     /// ```
     /// # use std::time::Duration;
     /// # use way_choice::shutdown::{Phase, Shutdown, ShutdownLimits};
@@ -194,8 +195,8 @@
     /// assert_eq!(shutdown.advance(second * 4, 1), Phase::Closed);
     /// assert_eq!(shutdown.advance(second * 4, 0), Phase::Done);
     /// ```
-    pub fn advance(&mut self, now: Duration, open_connections: usize) -> Phase {
-        if self.phase == Phase::Closed && open_connections == 0 {
+    pub fn advance(&mut self, now: Duration, unfinished: usize) -> Phase {
+        if self.phase == Phase::Closed && unfinished == 0 {
             self.phase = Phase::Done;
         }
         if self.phase == Phase::Draining && now >= self.closes_at {
