--- a/crates/stream-router/src/chain.rs
+++ b/crates/stream-router/src/chain.rs
@@ -73,7 +73,6 @@
             }
             Flow::Reply(reply) => {
                 count(&shared.counters.refused);
-                ran(shared, &context);
                 let (headers, body) = reply.parts();
                 let close = context.closes(&shared.stopping);
                 let sent = inbound.whole(reply.status, reply.reason(), &headers, body.as_bytes(), close);
@@ -84,9 +83,9 @@
     false
 }
 
-/// How long a replica had the request, and so may have others of its route.
+/// How long a request took that was answered whole. What runs into its bound would do so elsewhere too.
 fn ran(shared: &Shared, context: &RequestContext) {
-    if context.progress.sent > 0 {
+    if context.whole {
         shared.stopping.ran(context.route_key(), context.begun.elapsed());
     }
 }
--- a/crates/stream-router/src/forward.rs
+++ b/crates/stream-router/src/forward.rs
@@ -234,6 +234,7 @@
             return Flow::Reply(Reply::new(502, format!("the replica answered {}", whole.head.status)));
         }
         count(&self.shared.counters.passed_on);
+        self.context.whole = true;
         let headers: Vec<_> = whole.head.headers.end_to_end().cloned().collect();
         let (status, close) = (whole.head.status, self.context.closes(&self.shared.stopping));
         self.context.close |= self.inbound.whole(status, &whole.head.reason, &headers, &whole.body, close).is_err();
--- a/crates/stream-router/src/request_context.rs
+++ b/crates/stream-router/src/request_context.rs
@@ -25,6 +25,8 @@
     pub progress: Progress,
     /// Whether the caller's connection ends with this answer.
     pub close: bool,
+    /// Whether a replica's answer has been handed on whole.
+    pub whole: bool,
 }
 
 impl RequestContext {
@@ -51,6 +53,7 @@
             tried: Vec::new(),
             progress: Progress::new(false, false, 1),
             close,
+            whole: false,
         }
     }
 
--- a/crates/stream-router/src/response.rs
+++ b/crates/stream-router/src/response.rs
@@ -139,6 +139,7 @@
             }
             if over {
                 count(&self.shared.counters.whole);
+                self.context.whole = true;
                 self.shared.pool.give(place.at, up);
                 return Try::Flow(Flow::Answered);
             }
