--- a/crates/run-fleet/src/child.rs
+++ b/crates/run-fleet/src/child.rs
@@ -2,7 +2,7 @@
 use std::net::SocketAddr;
 use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 
 /// How a process is started, and the process while it runs.
 pub struct Process {
@@ -112,6 +112,17 @@
         }
     }
 
+    /// How it ended, where it did so by itself; it counts as not started from then on.
+    /// ```
+    /// # let mut process = run_fleet::child::Process::new("x", "control-core", vec![], "127.0.0.1:1".parse().unwrap(), "/tmp".into());
+    /// assert_eq!(process.ended(), None);
+    /// ```
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        let status = self.child.as_mut()?.try_wait().ok()??;
+        self.child = None;
+        Some(status)
+    }
+
     /// Waits for it to end by itself; gives its exit code.
     /// ```
     /// # let mut process = run_fleet::child::Process::new("x", "control-core", vec![], "127.0.0.1:1".parse().unwrap(), "/tmp".into());
