--- a/crates/run-fleet/src/lib.rs
+++ b/crates/run-fleet/src/lib.rs
@@ -1,5 +1,5 @@
 //! A fleet on loopback: the project's own programs and stand-ins as processes, for trying out and for
-//! drills. Of all the project's programs only this one starts others.
+//! drills. Of all the project's programs only this one and the platform's soak start others.
 
 pub mod child;
 pub mod fleet;
