--- a/crates/control-chain/src/lister.rs
+++ b/crates/control-chain/src/lister.rs
@@ -2,7 +2,7 @@
 //! to hold back. A fault in a listing changes nothing; a listing that lost most of its rows at once is
 //! taken only when it stays so.
 use crate::command::Replica;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// How often the platform is asked.
@@ -21,7 +21,8 @@
     number: u64,
     asked: Option<(u64, Duration, u64)>,
     last: Option<Duration>,
-    fewer: Option<(BTreeSet<String>, Duration)>,
+    /// Since when each row that is held back has been missing.
+    missing: BTreeMap<String, Duration>,
     fault: Option<String>,
 }
 
@@ -115,18 +116,16 @@
         self.fault = None;
         let gone: BTreeSet<String> =
             held.iter().filter(|h| rows.iter().all(|r| r.id != h.id)).map(|h| h.id.clone()).collect();
+        self.missing.retain(|id, _| gone.contains(id));
         if gone.len() * 2 > held.len() {
-            let since = match &self.fewer {
-                Some((same, since)) if *same == gone => *since,
-                _ => now,
+            gone.iter().for_each(|id| _ = self.missing.entry(id.clone()).or_insert(now));
+            // Marks of those still listed count at once; the others stay as they were.
+            let lately = |row: &&Replica| {
+                self.missing.get(&row.id).is_some_and(|since| now.saturating_sub(*since) < SHRINK_HOLD)
             };
-            self.fewer = Some((gone.clone(), since));
-            if now.saturating_sub(since) < SHRINK_HOLD {
-                // Marks of those still listed count at once; the others stay as they were.
-                rows.extend(held.iter().filter(|h| gone.contains(&h.id)).cloned());
-            }
+            rows.extend(held.iter().filter(lately).cloned());
         } else {
-            self.fewer = None;
+            self.missing.clear();
         }
         rows.sort_by(|a, b| a.id.cmp(&b.id));
         Some(if rows == held { Verdict::Same } else { Verdict::Put(rows, version) })
@@ -137,8 +136,7 @@
     /// assert_eq!(control_chain::lister::Lister::default().status().held_back, 0);
     /// ```
     pub fn status(&self) -> ListingStatus {
-        let held_back = self.fewer.as_ref().map_or(0, |(gone, _)| gone.len());
-        ListingStatus { held_back, fault: self.fault.clone().unwrap_or_default() }
+        ListingStatus { held_back: self.missing.len(), fault: self.fault.clone().unwrap_or_default() }
     }
 }
 
--- a/crates/http-streams/src/inbound.rs
+++ b/crates/http-streams/src/inbound.rs
@@ -1,6 +1,6 @@
 //! A caller's connection: requests read whole within bounds, answers written whole or event by event.
-use crate::framing::{Framing, of_request, write_chunk};
-use crate::head::{self, RequestHead};
+use crate::framing::write_chunk;
+use crate::head;
 pub use crate::limits::Limits;
 pub use crate::outcome::ReadOutcome;
 use crate::wait::{WaitOutcome, bound, reset_on_close, wait};
@@ -8,6 +8,8 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
+mod body;
+
 const WRITE_WAIT: Duration = Duration::from_secs(5);
 const UNHEARD: Duration = Duration::from_secs(5);
 
@@ -18,6 +20,8 @@
     chunks: bool,
     /// Whether the present request asks for a head alone.
     headless: bool,
+    /// When the first bytes of the present request were here.
+    request_began: Instant,
 }
 
 impl Inbound {
@@ -33,7 +37,7 @@
     pub fn new(stream: TcpStream) -> Self {
         bound(&stream, UNHEARD);
         let _ = stream.set_write_timeout(Some(WRITE_WAIT));
-        Inbound { stream, buffer: Vec::new(), chunks: false, headless: false }
+        Inbound { stream, buffer: Vec::new(), chunks: false, headless: false, request_began: Instant::now() }
     }
 
     /// The socket, to watch whether its caller left.
@@ -84,7 +88,8 @@
         if self.buffer.is_empty() && !self.fill(Instant::now() + limits.idle) {
             return ReadOutcome::Ended;
         }
-        let until = Instant::now() + limits.header;
+        self.request_began = Instant::now();
+        let until = self.request_began + limits.header;
         let (length, head) = loop {
             match head::request(&self.buffer) {
                 Err(what) => return ReadOutcome::Bad(400, what),
@@ -114,34 +119,14 @@
         }
     }
 
-    fn body(&mut self, head: &RequestHead, limits: &Limits) -> Result<Option<Vec<u8>>, (u16, String)> {
-        let mut framing = of_request(&head.headers).map_err(|what| (400, what))?;
-        let most = limits.body_bytes as u64;
-        if matches!(framing, Framing::Length(length) if length > most) {
-            return Err((413, "body too large".into()));
-        }
-        let until = Instant::now() + limits.body;
-        let mut body = Vec::new();
-        let mut told = !head.headers.lists("expect", "100-continue");
-        loop {
-            framing.take(&mut self.buffer, &mut body).map_err(|what| (400, what))?;
-            if body.len() as u64 > most {
-                return Err((413, "body too large".into()));
-            }
-            if framing == Framing::Ended {
-                return Ok(Some(body));
-            }
-            if !std::mem::replace(&mut told, true) && self.put(b"HTTP/1.1 100 Continue\r\n\r\n").is_err() {
-                return Ok(None);
-            }
-            if !self.fill(until) {
-                return if Instant::now() >= until {
-                    Err((408, "the body did not come in time".into()))
-                } else {
-                    Ok(None)
-                };
-            }
-        }
+    /// When the first bytes of the request that was read last were here: its caller's patience counts from before then.
+    /// ```no_run
+    /// # fn show(inbound: &http_streams::inbound::Inbound) {
+    /// println!("{:?}", inbound.request_began().elapsed());
+    /// # }
+    /// ```
+    pub fn request_began(&self) -> Instant {
+        self.request_began
     }
 
     fn put(&mut self, bytes: &[u8]) -> io::Result<()> {
--- a/crates/prefix-table/src/keeper.rs
+++ b/crates/prefix-table/src/keeper.rs
@@ -92,6 +92,9 @@
     pub(crate) stirred: bool,
     pub(crate) leaving: bool,
     pub(crate) older_weights_bound: Duration,
+    pub(crate) ticked: Option<Duration>,
+    /// No order is begun before this.
+    pub(crate) orders_resume: Duration,
     /// How many roll-outs were not complete in time.
     pub overdue_roll_outs: u64,
     pub(crate) out: Vec<Output>,
@@ -135,6 +138,8 @@
             stirred: false,
             leaving: false,
             older_weights_bound: OLDER_WEIGHTS_BOUND,
+            ticked: None,
+            orders_resume: Duration::ZERO,
             overdue_roll_outs: 0,
             out: Vec::new(),
         }
@@ -144,8 +149,7 @@
     /// ```
     /// # use fleet_common::node::Identity;
     /// # let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
-    /// let keeper = prefix_table::keeper::Keeper::new(me).with_older_weights_bound(std::time::Duration::from_secs(11));
-    /// # drop(keeper);
+    /// let _keeper = prefix_table::keeper::Keeper::new(me).with_older_weights_bound(std::time::Duration::from_secs(11));
     /// ```
     pub fn with_older_weights_bound(mut self, bound: Duration) -> Self {
         self.older_weights_bound = bound;
@@ -219,6 +223,7 @@
         self.at(now);
         match input {
             Input::Tick if !self.leaving => {
+                self.notice_pause();
                 self.duties_tick();
                 self.watch_tick();
                 self.orders_tick();
--- a/crates/prefix-table/src/kept.rs
+++ b/crates/prefix-table/src/kept.rs
@@ -21,6 +21,8 @@
     pub first: Duration,
     pub next: Duration,
     pub refused: u32,
+    /// Whether it left this node; before that it is only announced.
+    pub given: bool,
     /// Whether the replica took it: the time that loading may take counts from then.
     pub taken: bool,
     pub done: bool,
@@ -145,6 +147,11 @@
                     kept.order = None;
                 }
                 kept.table.take(now, &report);
+                // Once it reports the weights itself its word for them counts no more: it may go back to others.
+                let reported = kept.table.facts().0;
+                if let Some(order) = kept.order.as_mut().filter(|order| order.weights == reported) {
+                    order.done = false;
+                }
                 kept.told = Told::of(&report);
                 kept.heard = true;
                 kept.first_loss = None;
--- a/crates/prefix-table/src/ordering.rs
+++ b/crates/prefix-table/src/ordering.rs
@@ -15,6 +15,10 @@
 const ANNOUNCED: Duration = Duration::from_millis(80);
 /// A holder tells of its replicas every second: one that is silent for so long does not order them now.
 const SILENT: Duration = Duration::from_millis(1800);
+/// A clock that strikes so late means that this node stood still.
+const PAUSE: Duration = Duration::from_millis(500);
+/// What came for it meanwhile is read within so long.
+const CATCHING_UP: Duration = Duration::from_millis(300);
 const BUSY_AGAIN: Duration = Duration::from_millis(300);
 /// Orders not taken so often count as a failure.
 const REFUSALS: u32 = 3;
@@ -62,7 +66,24 @@
             .collect()
     }
 
+    /// After this node stood still, the silence of its peers is its own: their news count as that much younger, and it
+    /// orders nobody before it has read what came meanwhile. What it had announced and not ordered is announced anew.
+    pub(crate) fn notice_pause(&mut self) {
+        let paused = self.ticked.replace(self.now).map_or(Duration::ZERO, |last| self.now.saturating_sub(last));
+        if paused <= PAUSE {
+            return;
+        }
+        self.news.values_mut().for_each(|(_, at)| *at += paused);
+        self.orders_resume = self.now + CATCHING_UP;
+        for kept in self.kept.values_mut() {
+            kept.order.take_if(|order| !order.given);
+        }
+    }
+
     pub(crate) fn orders_tick(&mut self) {
+        if self.now < self.orders_resume {
+            return;
+        }
         let Some(blueprint) = self.fleet.blueprint.as_ref() else { return };
         let keep_serving = blueprint.limits.keep_serving;
         // Stores and the app take no orders.
@@ -115,6 +136,10 @@
     }
 
     fn order(&mut self, replica: &str, at: String, fence: u64, model: &str, weights: &str) {
+        // A duty that is being given up may be another's already, whose term counts from the taking.
+        if self.leaving || self.fleet.order(replica).first().is_none_or(|best| **best != self.me.name) {
+            return;
+        }
         // A former holder may have given an order just before it gave the duty up or lost it, or may have
         // been given a term after its lapse was on its way: two holders' orders keep a term apart.
         let waits = self.taken_over.contains(replica);
@@ -127,12 +152,19 @@
         let next = now + AGAIN;
         match kept.order.as_mut().filter(|order| order.weights == weights) {
             Some(order) if order.done || now < order.next => return,
-            Some(order) => order.next = next,
+            Some(order) => (order.next, order.given) = (next, true),
             None => {
                 // Routers hear of it first, so that nothing is on its way there when the order comes.
                 let next = now + ANNOUNCED;
-                kept.order =
-                    Some(Order { weights: weights.into(), first: now, next, refused: 0, taken: false, done: false });
+                kept.order = Some(Order {
+                    weights: weights.into(),
+                    first: now,
+                    next,
+                    refused: 0,
+                    given: false,
+                    taken: false,
+                    done: false,
+                });
                 return;
             }
         }
--- a/crates/stream-router/src/budget.rs
+++ b/crates/stream-router/src/budget.rs
@@ -56,6 +56,10 @@
     /// assert!(budget.spend() && budget.spend() && !budget.spend());
     /// ```
     pub fn earn(&mut self, now: Duration) {
+        // Who was silent for long was likely out of touch, and the others shared the whole allowance meanwhile.
+        if now.saturating_sub(self.last) > self.bound.window / 3 {
+            self.held = 0.0;
+        }
         let passed = now.saturating_sub(self.last).as_secs_f64() / self.bound.window.as_secs_f64().max(0.001);
         self.last = now;
         self.asked_per_window = self.asked_per_window * (-passed).exp() + 1.0;
--- a/crates/stream-router/src/chain.rs
+++ b/crates/stream-router/src/chain.rs
@@ -53,7 +53,9 @@
             }
             ReadOutcome::Request(head, body) => {
                 let _running = Running::one(shared);
-                if !request(shared, &mut inbound, RequestContext::new(head, body)) {
+                let mut context = RequestContext::new(head, body);
+                context.begun = inbound.request_began();
+                if !request(shared, &mut inbound, context) {
                     return;
                 }
             }
--- a/crates/stream-router/src/placing.rs
+++ b/crates/stream-router/src/placing.rs
@@ -54,7 +54,7 @@
     context.info.parts.iter().map(|(id, tokens)| (blocks::part(salt, model, id), *tokens)).collect()
 }
 
-/// What of a service's replicas may take the request: listed, up, not leaving, of weights that may still serve.
+/// What of a service's replicas may take the request: up, not leaving, of weights that may still serve.
 fn fit(shared: &Shared, context: &RequestContext, seats: &[Seat]) -> Vec<usize> {
     let fleet = shared.fleet.read();
     let model = &context.info.model;
@@ -92,18 +92,15 @@
 }
 
 /// By when a request must begin on these weights, as far as is known now: they may be superseded at any time.
-/// ```no_run
-/// # fn show(shared: &stream_router::shared::Shared) {
-/// assert_eq!(stream_router::placing::begins_by(shared, "m", "1"), None);
-/// # }
-/// ```
-pub fn begins_by(shared: &Shared, model: &str, weights: &str) -> Option<Instant> {
+pub(crate) fn begins_by(shared: &Shared, model: &str, weights: &str) -> Option<Instant> {
     let fleet = shared.fleet.read();
-    if fleet.named_weights(model).is_none_or(|named| weights.is_empty() || named == weights) {
-        return None;
-    }
-    let until = old_until(&fleet, model, weights, shared)?;
-    Some(Instant::now() + until.remaining(shared.now()))
+    let Some(end) = old_until(&fleet, model, weights, shared) else {
+        let named = fleet.named_weights(model).unwrap_or(weights);
+        // Where nobody told when newer ones were named, that may be long ago.
+        let older = !weights.is_empty() && weights != named && !is_newer(weights, named);
+        return older.then(Instant::now);
+    };
+    Some(Instant::now() + end.remaining(shared.now()))
 }
 
 /// Until when replicas may begin requests on these older weights.
