--- a/crates/prefix-index/src/doing.rs
+++ b/crates/prefix-index/src/doing.rs
@@ -7,7 +7,7 @@
 use fleet_common::frame::Caller;
 use fleet_common::ring;
 use fleet_common::threads::{self, SMALL_STACK, STACK, ThreadError};
-use prefix_table::keeper::Input;
+use prefix_table::index_node::Input;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -64,7 +64,7 @@
         }
         Job::Order(ask) => {
             // The process may have stood still since the order was decided.
-            let held = shared.keeper().holds(&ask.replica) == Some(ask.fence);
+            let held = shared.index_node().holds(&ask.replica) == Some(ask.fence);
             let taken = if held { shared.replicas.order(&ask) } else { Err("the duty is held no longer".into()) };
             shared.step(Input::Ordered(ask.replica, ask.weights, taken));
         }
--- a/crates/prefix-index/src/lib.rs
+++ b/crates/prefix-index/src/lib.rs
@@ -7,7 +7,7 @@
 
 use fleet_common::frame;
 use fleet_common::node::{Identity, Link, Seeds};
-use prefix_table::keeper::Keeper;
+use prefix_table::index_node::IndexNode;
 pub use prefix_table::rolling::OLDER_WEIGHTS_BOUND;
 pub use replicas::{Batch, OrderAsk, Ordered, OwnSpeech, PollAsk, Replicas, Report};
 pub use shared::Shared;
@@ -36,12 +36,12 @@
 ///     identity, seeds: Default::default(), frames, replicas: std::sync::Arc::new(OwnSpeech),
 ///     older_weights_bound: prefix_index::OLDER_WEIGHTS_BOUND,
 /// });
-/// assert!(!shared.keeper().fresh());
+/// assert!(!shared.index_node().fresh());
 /// ```
 pub fn start(start: Start) -> Arc<Shared> {
     let Start { identity, seeds, frames, replicas, older_weights_bound } = start;
-    let keeper = Keeper::new(identity.clone()).with_older_weights_bound(older_weights_bound);
-    let shared = Arc::new(Shared::new(identity, seeds, replicas, keeper));
+    let index_node = IndexNode::new(identity.clone()).with_older_weights_bound(older_weights_bound);
+    let shared = Arc::new(Shared::new(identity, seeds, replicas, index_node));
     let for_frames = shared.clone();
     frame::serve(frames, move |ask| Some(for_frames.answer(ask)));
     shared::run(&shared);
--- a/crates/prefix-index/src/pages.rs
+++ b/crates/prefix-index/src/pages.rs
@@ -2,7 +2,7 @@
 use fleet_common::http_in::Incoming;
 use fleet_common::json::quote;
 use prefix_index::Shared;
-use prefix_table::keeper::Kept;
+use prefix_table::index_node::Kept;
 use prefix_table::roll_out::Counts;
 
 pub fn page(shared: &Shared, incoming: Incoming) {
@@ -16,7 +16,7 @@
 }
 
 fn words(shared: &Shared) -> String {
-    let keeper = shared.keeper();
+    let index_node = shared.index_node();
     let row = |(replica, kept): (&String, &Kept)| {
         let (weights, gaps, since) = kept.table.facts();
         let order = kept.order.as_ref().map_or("", |order| &order.weights);
@@ -35,23 +35,24 @@
             kept.audits[2]
         )
     };
-    let tables: Vec<String> = keeper.kept.iter().map(row).collect();
-    let halted: Vec<String> = keeper.halted().iter().map(|(m, why)| format!("{}:{}", quote(m), quote(why))).collect();
+    let tables: Vec<String> = index_node.kept.iter().map(row).collect();
+    let halted: Vec<String> =
+        index_node.halted().iter().map(|(m, why)| format!("{}:{}", quote(m), quote(why))).collect();
     format!(
         "{{\"name\":{},\"fresh\":{},\"versions\":{{{}}},\"halted\":{{{}}},\"tables\":{{{}}}}}",
-        quote(&keeper.me.name),
-        keeper.fresh(),
-        keeper.fleet.versions(),
+        quote(&index_node.me.name),
+        index_node.fresh(),
+        index_node.fleet.versions(),
         halted.join(","),
         tables.join(",")
     )
 }
 
 fn metrics(shared: &Shared) -> String {
-    let keeper = shared.keeper();
-    let mut text = format!("coursebend_index_halted_roll_outs {}\n", keeper.halted().len());
-    text += &format!("coursebend_index_overdue_roll_outs {}\n", keeper.overdue_roll_outs);
-    for (model, roll_out) in &keeper.roll_outs {
+    let index_node = shared.index_node();
+    let mut text = format!("coursebend_index_halted_roll_outs {}\n", index_node.halted().len());
+    text += &format!("coursebend_index_overdue_roll_outs {}\n", index_node.overdue_roll_outs);
+    for (model, roll_out) in &index_node.roll_outs {
         let Counts { serving, loading, failed, waiting, away } = roll_out.counts;
         let stages =
             [("serving", serving), ("loading", loading), ("failed", failed), ("waiting", waiting), ("away", away)];
@@ -59,7 +60,7 @@
             text += &format!("coursebend_index_roll_out{{model=\"{model}\",stage=\"{stage}\"}} {count}\n");
         }
     }
-    for (replica, kept) in &keeper.kept {
+    for (replica, kept) in &index_node.kept {
         text += &format!("coursebend_index_blocks{{replica=\"{replica}\"}} {}\n", kept.table.items());
         text += &format!("coursebend_index_filter_pushes{{replica=\"{replica}\"}} {}\n", kept.pushes);
         text += &format!("coursebend_index_filter_bytes{{replica=\"{replica}\"}} {}\n", kept.pushed_bytes);
--- a/crates/prefix-index/src/replicas.rs
+++ b/crates/prefix-index/src/replicas.rs
@@ -2,7 +2,7 @@
 //! another way, and the speech of this project's own replicas.
 use fleet_common::{http_out, json};
 pub use prefix_table::event::{Batch, Report};
-pub use prefix_table::keeper::Ordered;
+pub use prefix_table::index_node::Ordered;
 use std::time::Duration;
 
 const POLL_MS: u64 = 200;
--- a/crates/prefix-index/src/shared.rs
+++ b/crates/prefix-index/src/shared.rs
@@ -1,6 +1,6 @@
 //! The index node's state machine behind one short lock, and the threads that do what it says: polls of
 //! each replica by a thread of its own, asks of peers and orders by a pool, news by a sender for each peer.
-//! Lock order: the keeper's lock is never held while anything else is waited for or locked.
+//! Lock order: the index_node's lock is never held while anything else is waited for or locked.
 use crate::doing::{self, Job, Watch, Watcher};
 use crate::replicas::{OrderAsk, PollAsk, Replicas};
 use crossbeam::channel::{Receiver, Sender, TrySendError, unbounded};
@@ -8,7 +8,7 @@
 use fleet_common::node::{Identity, Link, Seeds};
 use fleet_common::ring;
 use fleet_common::threads::{self, STACK};
-use prefix_table::keeper::{Input, Keeper, Output};
+use prefix_table::index_node::{IndexNode, Input, Output};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -21,7 +21,7 @@
 /// An index node at work.
 pub struct Shared {
     begun: Instant,
-    keeper: Mutex<Keeper>,
+    index_node: Mutex<IndexNode>,
     pub(crate) identity: Identity,
     pub(crate) seeds: Seeds,
     pub(crate) replicas: Arc<dyn Replicas>,
@@ -32,11 +32,11 @@
 }
 
 impl Shared {
-    pub(crate) fn new(identity: Identity, seeds: Seeds, replicas: Arc<dyn Replicas>, keeper: Keeper) -> Self {
+    pub(crate) fn new(identity: Identity, seeds: Seeds, replicas: Arc<dyn Replicas>, index_node: IndexNode) -> Self {
         Shared {
             begun: Instant::now(),
             link: Mutex::new(Link::new(identity.clone(), seeds.clone())),
-            keeper: Mutex::new(keeper),
+            index_node: Mutex::new(index_node),
             identity,
             seeds,
             replicas,
@@ -58,12 +58,12 @@
     /// # let replicas = std::sync::Arc::new(prefix_index::OwnSpeech);
     /// # let shared = prefix_index::start(prefix_index::Start { identity, seeds: Default::default(), frames, replicas,
     /// #     older_weights_bound: prefix_index::OLDER_WEIGHTS_BOUND });
-    /// assert!(shared.keeper().kept.is_empty());
+    /// assert!(shared.index_node().kept.is_empty());
     /// ```
-    pub fn keeper(&self) -> MutexGuard<'_, Keeper> {
-        let mut keeper = self.keeper.lock().unwrap_or_else(|held| held.into_inner());
-        keeper.at(self.now());
-        keeper
+    pub fn index_node(&self) -> MutexGuard<'_, IndexNode> {
+        let mut index_node = self.index_node.lock().unwrap_or_else(|held| held.into_inner());
+        index_node.at(self.now());
+        index_node
     }
 
     /// Answers a router or a peer.
@@ -79,8 +79,8 @@
     /// ```
     pub fn answer(self: &Arc<Self>, ask: Ask) -> Answer {
         let (answer, stirred) = {
-            let mut keeper = self.keeper();
-            (keeper.answer(self.now(), ask), keeper.stirred())
+            let mut index_node = self.index_node();
+            (index_node.answer(self.now(), ask), index_node.stirred())
         };
         if stirred {
             self.step(Input::Stirred);
@@ -92,12 +92,12 @@
     pub(crate) fn take(self: &Arc<Self>, sent: Instant, pulled: Pulled) -> Vector {
         let sent = sent.saturating_duration_since(self.begun);
         self.step(Input::Pulled(sent, pulled));
-        self.keeper().vector()
+        self.index_node().vector()
     }
 
     /// Steps the machine and has done what it says.
     pub(crate) fn step(self: &Arc<Self>, input: Input) {
-        let outputs = self.keeper().step(self.now(), input);
+        let outputs = self.index_node().step(self.now(), input);
         for output in outputs {
             match output {
                 Output::Note(line) => ring::note(&line),
@@ -156,7 +156,7 @@
 
     /// Does the last commands itself and returns when they are done.
     pub(crate) fn leave(&self) {
-        let outputs = self.keeper().step(self.now(), Input::Leave);
+        let outputs = self.index_node().step(self.now(), Input::Leave);
         for output in outputs {
             match output {
                 Output::Tell(at, ask) => doing::hand_over(&at, &ask),
--- a/crates/prefix-table/src/duties.rs
+++ b/crates/prefix-table/src/duties.rs
@@ -1,6 +1,6 @@
 //! Duties: a replica's table and orders are held by the best live node by rendezvous, and change hands
 //! under a fence from the core. The second best shadows the table.
-use crate::keeper::{Fetching, Keeper, Output, shape};
+use crate::index_node::{Fetching, IndexNode, Output, shape};
 use crate::kept::Kept;
 use crate::table::Table;
 use control_chain::command::Command;
@@ -15,7 +15,7 @@
 /// A fetch or a command without an answer is given up.
 const LOST: Duration = Duration::from_secs(2);
 
-impl Keeper {
+impl IndexNode {
     pub(crate) fn duties_tick(&mut self) {
         if self.now.saturating_sub(self.round_at) < ROUND {
             return;
--- a/crates/prefix-table/src/keeper.rs
+++ b/crates/prefix-table/src/index_node.rs
@@ -65,7 +65,7 @@
 }
 
 /// An index node.
-pub struct Keeper {
+pub struct IndexNode {
     pub me: Identity,
     pub fleet: Fleet,
     pub kept: BTreeMap<String, Kept>,
@@ -102,22 +102,22 @@
 
 /// The shape of tables that the blueprint asks for.
 /// ```
-/// assert_eq!(prefix_table::keeper::shape(&Default::default()).bits, 16_384);
+/// assert_eq!(prefix_table::index_node::shape(&Default::default()).bits, 16_384);
 /// ```
 pub fn shape(fleet: &Fleet) -> Shape {
     let index = fleet.blueprint.as_ref().map(|b| &b.index);
     Shape { bits: index.map_or(16_384, |i| i.bits as u32), hashes: index.map_or(0, |i| i.hashes as u8) }
 }
 
-impl Keeper {
+impl IndexNode {
     /// A node that knows nothing yet.
     /// ```
     /// use fleet_common::node::Identity;
     /// let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
-    /// assert!(!prefix_table::keeper::Keeper::new(me).fresh());
+    /// assert!(!prefix_table::index_node::IndexNode::new(me).fresh());
     /// ```
     pub fn new(me: Identity) -> Self {
-        Keeper {
+        IndexNode {
             me,
             fleet: Fleet::default(),
             kept: BTreeMap::new(),
@@ -149,7 +149,7 @@
     /// ```
     /// # use fleet_common::node::Identity;
     /// # let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
-    /// let _keeper = prefix_table::keeper::Keeper::new(me).with_older_weights_bound(std::time::Duration::from_secs(11));
+    /// let _node = prefix_table::index_node::IndexNode::new(me).with_older_weights_bound(std::time::Duration::from_secs(11));
     /// ```
     pub fn with_older_weights_bound(mut self, bound: Duration) -> Self {
         self.older_weights_bound = bound;
@@ -160,8 +160,8 @@
     /// ```
     /// # use fleet_common::node::Identity;
     /// # let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
-    /// # let keeper = prefix_table::keeper::Keeper::new(me);
-    /// assert!(!keeper.fresh());
+    /// # let index_node = prefix_table::index_node::IndexNode::new(me);
+    /// assert!(!index_node.fresh());
     /// ```
     pub fn fresh(&self) -> bool {
         self.confirmed.is_some_and(|sent| self.now < sent + LEASE)
@@ -171,8 +171,8 @@
     /// ```
     /// # use fleet_common::node::Identity;
     /// # let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
-    /// # let keeper = prefix_table::keeper::Keeper::new(me);
-    /// assert_eq!(keeper.holds("r1"), None);
+    /// # let index_node = prefix_table::index_node::IndexNode::new(me);
+    /// assert_eq!(index_node.holds("r1"), None);
     /// ```
     pub fn holds(&self, replica: &str) -> Option<u64> {
         self.fresh().then(|| self.fleet.fence(replica, &self.me)).flatten()
@@ -182,8 +182,8 @@
     /// ```
     /// # use fleet_common::node::Identity;
     /// # let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
-    /// # let keeper = prefix_table::keeper::Keeper::new(me);
-    /// assert_eq!(keeper.vector(), [0; 8]);
+    /// # let index_node = prefix_table::index_node::IndexNode::new(me);
+    /// assert_eq!(index_node.vector(), [0; 8]);
     /// ```
     pub fn vector(&self) -> Vector {
         self.fleet.vector
@@ -193,8 +193,8 @@
     /// ```
     /// # use fleet_common::node::Identity;
     /// # let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
-    /// # let keeper = prefix_table::keeper::Keeper::new(me);
-    /// assert!(keeper.halted().is_empty());
+    /// # let index_node = prefix_table::index_node::IndexNode::new(me);
+    /// assert!(index_node.halted().is_empty());
     /// ```
     pub fn halted(&self) -> &BTreeMap<String, String> {
         &self.halted
@@ -204,8 +204,8 @@
     /// ```
     /// # use fleet_common::node::Identity;
     /// # let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
-    /// # let mut keeper = prefix_table::keeper::Keeper::new(me);
-    /// keeper.at(std::time::Duration::from_secs(4));
+    /// # let mut index_node = prefix_table::index_node::IndexNode::new(me);
+    /// index_node.at(std::time::Duration::from_secs(4));
     /// ```
     pub fn at(&mut self, now: Duration) {
         self.now = self.now.max(now);
@@ -215,9 +215,9 @@
     /// ```
     /// # use fleet_common::node::Identity;
     /// # let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
-    /// # let mut keeper = prefix_table::keeper::Keeper::new(me);
-    /// use prefix_table::keeper::Input;
-    /// assert!(keeper.step(std::time::Duration::from_secs(1), Input::Tick).is_empty(), "nothing is known yet");
+    /// # let mut index_node = prefix_table::index_node::IndexNode::new(me);
+    /// use prefix_table::index_node::Input;
+    /// assert!(index_node.step(std::time::Duration::from_secs(1), Input::Tick).is_empty(), "nothing is known yet");
     /// ```
     pub fn step(&mut self, now: Duration, input: Input) -> Vec<Output> {
         self.at(now);
--- a/crates/prefix-table/src/kept.rs
+++ b/crates/prefix-table/src/kept.rs
@@ -1,6 +1,6 @@
 //! What an index node keeps for one replica, and how it is fed from the replica's events.
 use crate::event::Report;
-use crate::keeper::{Keeper, Output};
+use crate::index_node::{IndexNode, Output};
 use crate::seats::same_state;
 use crate::table::Table;
 use control_chain::fleet::STORE;
@@ -108,7 +108,7 @@
     }
 }
 
-impl Keeper {
+impl IndexNode {
     /// Whether this node still holds what it keeps a table of, under the fence it took it up with.
     pub(crate) fn held_now(&self, replica: &str) -> Option<u64> {
         let fence = self.fleet.fence(replica, &self.me)?;
--- a/crates/prefix-table/src/lib.rs
+++ b/crates/prefix-table/src/lib.rs
@@ -8,7 +8,7 @@
 mod duties;
 pub mod event;
 pub mod filter;
-pub mod keeper;
+pub mod index_node;
 mod kept;
 mod news;
 mod ordering;
--- a/crates/prefix-table/src/news.rs
+++ b/crates/prefix-table/src/news.rs
@@ -1,6 +1,6 @@
 //! What an index node tells: filters to routers after beta events, the state of its replicas to routers
 //! and peers; and what it answers when it is asked.
-use crate::keeper::{Keeper, Output, shape};
+use crate::index_node::{IndexNode, Output, shape};
 use crate::seats::{self, same_state};
 use crate::table::Table;
 use fleet_common::ask::{Answer, Ask, Filter, Handover, MEMBERS, SeatNews, audit};
@@ -22,13 +22,13 @@
     all: BTreeSet<String>,
 }
 
-impl Keeper {
+impl IndexNode {
     /// Makes the filter of a replica for sending, if its duty is held here.
     /// ```
     /// # use fleet_common::node::Identity;
     /// # let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
-    /// # let mut keeper = prefix_table::keeper::Keeper::new(me);
-    /// assert!(keeper.filter("r1").is_none());
+    /// # let mut index_node = prefix_table::index_node::IndexNode::new(me);
+    /// assert!(index_node.filter("r1").is_none());
     /// ```
     pub fn filter(&mut self, replica: &str) -> Option<Filter> {
         let fence = self.holds(replica)?;
@@ -168,9 +168,9 @@
     /// ```
     /// # use fleet_common::node::Identity;
     /// # let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
-    /// # let mut keeper = prefix_table::keeper::Keeper::new(me);
+    /// # let mut index_node = prefix_table::index_node::IndexNode::new(me);
     /// use fleet_common::ask::{Answer, Ask};
-    /// assert!(matches!(keeper.answer(std::time::Duration::ZERO, Ask::FilterPull("r1".into())), Answer::Refused(_)));
+    /// assert!(matches!(index_node.answer(std::time::Duration::ZERO, Ask::FilterPull("r1".into())), Answer::Refused(_)));
     /// ```
     pub fn answer(&mut self, now: Duration, ask: Ask) -> Answer {
         self.at(now);
--- a/crates/prefix-table/src/ordering.rs
+++ b/crates/prefix-table/src/ordering.rs
@@ -1,6 +1,6 @@
 //! Orders to replicas: load the weights that the blueprint names, when it is their turn. Each carries the
 //! fence, and a replica refuses an older one.
-use crate::keeper::{Keeper, Ordered, Output};
+use crate::index_node::{IndexNode, Ordered, Output};
 use crate::kept::{Kept, Order};
 use crate::roll_out::{Counts, RollOut};
 use crate::rolling::{LOAD_BOUND, Row, Turn, turn};
@@ -25,7 +25,7 @@
 /// So long after a term a former holder's orders have surely come or failed.
 const TAKEN_OVER_WAIT: Duration = Duration::from_millis(400);
 
-impl Keeper {
+impl IndexNode {
     /// Which weights a replica was ordered to load, and how far it is.
     pub(crate) fn stage(&self, replica: &str) -> (String, u8) {
         let Some((kept, order)) = self.kept.get(replica).and_then(|k| Some((k, k.order.as_ref()?))) else {
--- a/crates/prefix-table/src/pulling.rs
+++ b/crates/prefix-table/src/pulling.rs
@@ -1,11 +1,11 @@
 //! What a pull brings: the fleet as it stands, and whose duties were another's before. And going on at
 //! once when a state has changed.
-use crate::keeper::Keeper;
+use crate::index_node::IndexNode;
 use fleet_common::ask::Pulled;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-impl Keeper {
+impl IndexNode {
     pub(crate) fn on_pulled(&mut self, sent: Duration, pulled: Pulled) {
         let before: BTreeMap<String, u64> = self.fleet.duties.iter().map(|(r, duty)| (r.clone(), duty.fence)).collect();
         let taken = self.fleet.take_pulled(sent, &pulled);
@@ -44,7 +44,7 @@
     /// ```
     /// # use fleet_common::node::Identity;
     /// # let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
-    /// assert!(!prefix_table::keeper::Keeper::new(me).stirred());
+    /// assert!(!prefix_table::index_node::IndexNode::new(me).stirred());
     /// ```
     pub fn stirred(&self) -> bool {
         self.stirred
--- a/crates/prefix-table/tests/going_back.rs
+++ b/crates/prefix-table/tests/going_back.rs
@@ -3,7 +3,7 @@
 mod nodes;
 
 use nodes::world::World;
-use prefix_table::keeper::Ordered;
+use prefix_table::index_node::Ordered;
 
 #[test]
 fn a_replica_that_goes_back_to_older_weights_is_ordered_again() {
--- a/crates/prefix-table/tests/nodes/world.rs
+++ b/crates/prefix-table/tests/nodes/world.rs
@@ -1,7 +1,7 @@
 //! Several index nodes over 18 replicas and a wire, a millisecond at a time.
 use super::{Core, identity, replica, report};
 use control_chain::naming_clock::{Moment, NamingClock};
-use prefix_table::keeper::{Input, Keeper, Ordered, Output};
+use prefix_table::index_node::{IndexNode, Input, Ordered, Output};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -29,7 +29,7 @@
 
 pub struct World {
     pub core: Core,
-    pub keepers: Vec<Keeper>,
+    pub index_nodes: Vec<IndexNode>,
     pub rows: BTreeMap<String, Row>,
     pub wire: BTreeMap<(Duration, u64), Wire>,
     pub sent: u64,
@@ -62,12 +62,12 @@
             says: VecDeque::new(),
             orders: Vec::new(),
         };
-        let keepers = NODES.iter().map(|name| Keeper::new(identity(name))).collect();
+        let index_nodes = NODES.iter().map(|name| IndexNode::new(identity(name))).collect();
         let rows = ids.into_iter().map(|id| (id.clone(), row(&id))).collect();
         let (wire, now) = (BTreeMap::new(), Duration::ZERO);
         let mut world = World {
             core,
-            keepers,
+            index_nodes,
             rows,
             wire,
             sent: 0,
@@ -88,7 +88,7 @@
     pub fn take_free(&mut self) {
         for id in self.rows.keys() {
             let best =
-                self.keepers[0].fleet.order(id).into_iter().find(|n| self.core.members.contains_key(*n)).cloned();
+                self.index_nodes[0].fleet.order(id).into_iter().find(|n| self.core.members.contains_key(*n)).cloned();
             let free = self.core.duties.get(id).is_none_or(|duty| !self.core.members.contains_key(&duty.owner));
             if let Some(best) = best.filter(|_| free) {
                 self.core.give(id, &best);
@@ -109,8 +109,8 @@
     /// Older weights may serve for so long; until now "w1" was the newest.
     pub fn bound_older_weights(&mut self, bound: Duration) {
         self.namings.note("m", "w1", 1, Moment::at(Duration::ZERO));
-        for keeper in std::mem::take(&mut self.keepers) {
-            self.keepers.push(keeper.with_older_weights_bound(bound));
+        for index_node in std::mem::take(&mut self.index_nodes) {
+            self.index_nodes.push(index_node.with_older_weights_bound(bound));
         }
     }
 
@@ -126,7 +126,7 @@
     }
 
     pub fn keep(&mut self, at: usize, input: Input) {
-        for output in self.keepers[at].step(self.now, input) {
+        for output in self.index_nodes[at].step(self.now, input) {
             match output {
                 Output::Poll { replica, fence, .. } => self.put(WIRE, Wire::Poll(at, replica, fence)),
                 Output::Order { replica, fence, weights, .. } => {
@@ -173,8 +173,8 @@
                 Wire::To(at, input) => self.keep(at, input),
                 Wire::Tell(at, ask) => {
                     self.note_announced(&ask);
-                    self.keepers[at].answer(self.now, ask);
-                    if self.keepers[at].stirred() {
+                    self.index_nodes[at].answer(self.now, ask);
+                    if self.index_nodes[at].stirred() {
                         self.keep(at, Input::Stirred);
                     }
                 }
--- a/crates/prefix-table/tests/orders.rs
+++ b/crates/prefix-table/tests/orders.rs
@@ -4,7 +4,7 @@
 
 use fleet_common::ask::LEASE;
 use nodes::world::{NODES, World};
-use prefix_table::keeper::{Input, Ordered};
+use prefix_table::index_node::{Input, Ordered};
 use std::time::Duration;
 
 /// So long before an order routers hear of it.
@@ -100,7 +100,7 @@
     println!("18 replicas, 3 at once until {bound:?}, 1.8 s a load: {took:?}, {} at once at the most", world.most);
     assert!(world.most > 3 && world.orders() == 18, "{} at once, {} orders", world.most, world.orders());
     assert!(took < bound + Duration::from_millis(2500), "{took:?}");
-    assert!(world.keepers.iter().all(|keeper| keeper.overdue_roll_outs == 0), "no roll-out is overdue");
+    assert!(world.index_nodes.iter().all(|index_node| index_node.overdue_roll_outs == 0), "no roll-out is overdue");
 }
 
 /// A roll-out that does not come to its end in time is counted once at each node, whatever holds it up.
@@ -111,7 +111,7 @@
     world.rows.get_mut("r4").unwrap().says = std::iter::repeat_n(None, 100).collect();
     world.name("w2");
     (0..8000).for_each(|_| world.step());
-    let overdue: Vec<u64> = world.keepers.iter().map(|keeper| keeper.overdue_roll_outs).collect();
+    let overdue: Vec<u64> = world.index_nodes.iter().map(|index_node| index_node.overdue_roll_outs).collect();
     assert_eq!(overdue, [1; 6]);
 }
 
--- a/crates/prefix-table/tests/telling.rs
+++ b/crates/prefix-table/tests/telling.rs
@@ -6,14 +6,14 @@
 use fleet_common::ask::{Ask, Filter, SeatNews};
 use nodes::{Core, identity, replica, report};
 use prefix_table::event::Event;
-use prefix_table::keeper::{Input, Keeper, Output};
+use prefix_table::index_node::{IndexNode, Input, Output};
 use std::time::Duration;
 
 const STEP: Duration = Duration::from_millis(50);
 
 struct Node {
     core: Core,
-    keeper: Keeper,
+    index_node: IndexNode,
     now: Duration,
     out: Vec<(Duration, Output)>,
 }
@@ -23,7 +23,7 @@
         let rows = vec![replica("r1", "m"), replica("r2", "m"), replica("s", STORE)];
         let mut core = Core::new(&["i1"], &["e1"], rows, 60);
         ["r1", "r2", "s"].iter().for_each(|id| core.give(id, "i1"));
-        let mut node = Node { core, keeper: Keeper::new(identity("i1")), now: Duration::ZERO, out: Vec::new() };
+        let mut node = Node { core, index_node: IndexNode::new(identity("i1")), now: Duration::ZERO, out: Vec::new() };
         node.pull();
         (0..4).for_each(|_| node.tick());
         ["r1", "r2"].iter().for_each(|id| node.hear(id, "w1", 0, 0, vec![]));
@@ -33,7 +33,7 @@
     }
 
     fn step(&mut self, input: Input) {
-        let out = self.keeper.step(self.now, input);
+        let out = self.index_node.step(self.now, input);
         self.out.extend(out.into_iter().map(|one| (self.now, one)));
     }
 
@@ -51,7 +51,7 @@
     }
 
     fn hear(&mut self, id: &str, weights: &str, load: u64, first: u64, events: Vec<Event>) {
-        let fence = self.keeper.holds(id).unwrap();
+        let fence = self.index_node.holds(id).unwrap();
         self.step(Input::Polled(id.into(), fence, Ok(report(weights, load, first, events))));
     }
 
@@ -116,7 +116,7 @@
     node.hear("r1", "w1", 0, 3000, vec![Event::AllBlocksCleared]);
     let (at, last) = node.filters("r1").pop().unwrap();
     assert!(at == node.now && last.items == 0 && last.m == 1024, "{at:?} {last:?}");
-    let kept = &node.keeper.kept["r1"];
+    let kept = &node.index_node.kept["r1"];
     assert!(kept.pushes > 0 && kept.pushed_bytes >= 128 * kept.pushes);
 }
 
--- a/crates/prefix-table/tests/thawed.rs
+++ b/crates/prefix-table/tests/thawed.rs
@@ -4,7 +4,7 @@
 
 use nodes::identity;
 use nodes::world::{NODES, Wire, World};
-use prefix_table::keeper::Keeper;
+use prefix_table::index_node::IndexNode;
 use std::time::Duration;
 
 fn goes_to(message: &Wire, node: usize) -> bool {
@@ -17,7 +17,7 @@
     world.name("w2");
     (0..after_ms).for_each(|_| world.step());
     // What stands in for it meanwhile knows nothing and does nothing; what comes for it waits.
-    let mut away = std::mem::replace(&mut world.keepers[frozen], Keeper::new(identity(NODES[frozen])));
+    let mut away = std::mem::replace(&mut world.index_nodes[frozen], IndexNode::new(identity(NODES[frozen])));
     (world.cut, world.most) = (Some(frozen), 0);
     let mut waiting = Vec::new();
     for _ in 0..2_400 {
@@ -25,10 +25,10 @@
         world.step();
     }
     let meanwhile = std::mem::replace(&mut world.most, 0);
-    std::mem::swap(&mut world.keepers[frozen], &mut away);
+    std::mem::swap(&mut world.index_nodes[frozen], &mut away);
     // Its clock strikes first; all that waited comes in the next milliseconds.
     let now = world.now;
-    world.keep(frozen, prefix_table::keeper::Input::Tick);
+    world.keep(frozen, prefix_table::index_node::Input::Tick);
     assert_eq!(now, world.now);
     waiting.into_iter().for_each(|message| world.put(Duration::from_millis(3), message));
     (0..1_000).for_each(|_| world.step());
--- a/crates/scale-fleet/src/roles.rs
+++ b/crates/scale-fleet/src/roles.rs
@@ -98,9 +98,9 @@
 }
 
 fn index_report(shared: &Shared, hollow: &Hollow) -> Report {
-    let keeper = shared.keeper();
-    let held = keeper.kept.values().filter(|kept| kept.fence.is_some()).count() as u64;
-    let items = keeper.kept.values().map(|kept| kept.table.items() as u64).sum();
+    let index_node = shared.index_node();
+    let held = index_node.kept.values().filter(|kept| kept.fence.is_some()).count() as u64;
+    let items = index_node.kept.values().map(|kept| kept.table.items() as u64).sum();
     let (polls, events) = (hollow.polls.load(Ordering::Relaxed), hollow.events.load(Ordering::Relaxed));
     Report { held, items, polls, events, ..Report::default() }
 }
@@ -126,7 +126,7 @@
         agent,
         at: frames,
         bound: Default::default(),
-        old_weights: Duration::from_secs(15),
+        older_weights_bound: Duration::from_secs(15),
         weights_promise: Duration::from_secs(16),
         lease: fleet_common::ask::LEASE,
         patience: stream_router::setup::Patience::default(),
--- a/crates/simulate-fleet/src/index.rs
+++ b/crates/simulate-fleet/src/index.rs
@@ -1,4 +1,4 @@
-//! A simulated index node: the keeper itself, its pulls, and what it wants done put on the wire.
+//! A simulated index node: the index_node itself, its pulls, and what it wants done put on the wire.
 use crate::calls::Call;
 use crate::cores::ms;
 use crate::shape::{EDGES, Off};
@@ -7,7 +7,7 @@
 use control_chain::command::Envelope;
 use fleet_common::ask::{Answer, Ask, LEASE, Pull};
 use fleet_common::node::Identity;
-use prefix_table::keeper::{Input, Keeper, Ordered, Output};
+use prefix_table::index_node::{IndexNode, Input, Ordered, Output};
 use std::time::Duration;
 
 const TICK: Duration = ms(50);
@@ -19,7 +19,7 @@
     pub frozen: Duration,
     pub cut_until: Duration,
     incarnation: u64,
-    keeper: Keeper,
+    index_node: IndexNode,
     pull: Option<(Call, Duration)>,
     pull_after: Duration,
     held: Duration,
@@ -37,7 +37,7 @@
             frozen: Duration::ZERO,
             cut_until: Duration::ZERO,
             incarnation,
-            keeper: Keeper::new(me),
+            index_node: IndexNode::new(me),
             pull: None,
             pull_after: Duration::ZERO,
             held: Duration::ZERO,
@@ -52,7 +52,7 @@
     }
 
     fn ask(&self, now: Duration) -> Ask {
-        let (me, have) = (&self.keeper.me, self.keeper.vector().to_vec());
+        let (me, have) = (&self.index_node.me, self.index_node.vector().to_vec());
         Ask::Pull(Pull {
             node: me.name.as_str().into(),
             kind: me.kind.into(),
@@ -103,23 +103,23 @@
             inputs.push(Input::Tick);
         }
         for input in inputs {
-            self.keeper_step(at, input);
+            self.index_node_step(at, input);
         }
     }
 
-    fn keeper_step(&mut self, at: usize, input: Input) {
+    fn index_node_step(&mut self, at: usize, input: Input) {
         let now = self.now();
         let index = &mut self.indexes[at];
-        let outputs = index.keeper.step(now, input);
+        let outputs = index.index_node.step(now, input);
         if self.off == Off::Fence {
-            index.keeper.taken_over.clear();
+            index.index_node.taken_over.clear();
         }
         for output in outputs {
-            self.keeper_wants(at, output);
+            self.index_node_wants(at, output);
         }
     }
 
-    fn keeper_wants(&mut self, at: usize, output: Output) {
+    fn index_node_wants(&mut self, at: usize, output: Output) {
         let (now, me) = (self.now(), Place::Index(at));
         let machine = |text: &str| text.parse::<usize>().unwrap_or(0);
         match output {
@@ -163,29 +163,29 @@
         let (now, me) = (self.now(), Place::Index(at));
         match message {
             Message::Polled(replica, fence, polled) => {
-                self.keeper_step(at, Input::Polled(replica, fence, polled.map(Into::into)))
+                self.index_node_step(at, Input::Polled(replica, fence, polled.map(Into::into)))
             }
-            Message::Copied(replica, copy) => self.keeper_step(at, Input::Copied(replica, copy)),
+            Message::Copied(replica, copy) => self.index_node_step(at, Input::Copied(replica, copy)),
             Message::Ordered(replica, taken) => {
-                let order = self.indexes[at].keeper.kept.get(&replica).and_then(|kept| kept.order.as_ref());
+                let order = self.indexes[at].index_node.kept.get(&replica).and_then(|kept| kept.order.as_ref());
                 let weights = order.map(|order| order.weights.clone()).unwrap_or_default();
-                self.keeper_step(at, Input::Ordered(replica, weights, taken.map(|()| Ordered::Taken)))
+                self.index_node_step(at, Input::Ordered(replica, weights, taken.map(|()| Ordered::Taken)))
             }
             Message::Fetch { by, replica } => {
-                let copy = match self.indexes[at].keeper.answer(now, Ask::TablePull(replica.as_str().into())) {
+                let copy = match self.indexes[at].index_node.answer(now, Ask::TablePull(replica.as_str().into())) {
                     Answer::Table(copy) => Some(copy),
                     _ => None,
                 };
                 self.send(me, Place::Index(by), Message::Copied(replica, copy));
             }
             Message::Tell(ask) => {
-                self.indexes[at].keeper.answer(now, ask);
-                if self.indexes[at].keeper.stirred() {
-                    self.keeper_step(at, Input::Stirred);
+                self.indexes[at].index_node.answer(now, ask);
+                if self.indexes[at].index_node.stirred() {
+                    self.index_node_step(at, Input::Stirred);
                 }
             }
             Message::Query { by, ask, replica } => {
-                let answer = self.indexes[at].keeper.answer(now, ask);
+                let answer = self.indexes[at].index_node.answer(now, ask);
                 self.send(me, Place::Router(by), Message::Answered { replica, answer });
             }
             _ => {}
--- a/crates/simulate-fleet/src/serving.rs
+++ b/crates/simulate-fleet/src/serving.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use way_choice::desk;
 use way_choice::links::Seconds;
-use way_choice::placing::{self, Known, OLD_WEIGHTS, find_among};
+use way_choice::placing::{self, Known, OLDER_WEIGHTS_BOUND, find_among};
 use way_choice::tokens::Tokens;
 use way_choice::trip::{Claimed, Do, Heard, Trip};
 
@@ -118,7 +118,7 @@
         if off == Off::Leaving {
             seats.iter_mut().for_each(|seat| seat.leaving = false);
         }
-        let old_weights = if off == Off::Weights { Duration::MAX } else { OLD_WEIGHTS };
+        let older_weights_bound = if off == Off::Weights { Duration::MAX } else { OLDER_WEIGHTS_BOUND };
         let asked = placing::Asked {
             wall: if off == Off::Wall { "" } else { &going.wall },
             model: "m",
@@ -135,7 +135,7 @@
             learnt: &router.learnt,
             now,
         };
-        going.this = find_among(&seats, old_weights, &known, &asked);
+        going.this = find_among(&seats, older_weights_bound, &known, &asked);
         going.this.as_ref().map(|found| found.seat.id.clone())
     }
 
--- a/crates/stream-router/src/placing.rs
+++ b/crates/stream-router/src/placing.rs
@@ -105,7 +105,7 @@
 
 /// Until when replicas may begin requests on these older weights.
 fn old_until(fleet: &Fleet, model: &str, weights: &str, shared: &Shared) -> Option<Moment> {
-    fleet.older_weights_until(model, weights, shared.setup.old_weights)
+    fleet.older_weights_until(model, weights, shared.setup.older_weights_bound)
 }
 
 /// Finds a place for the next try.
--- a/crates/stream-router/src/setup.rs
+++ b/crates/stream-router/src/setup.rs
@@ -19,7 +19,7 @@
     /// withdrawn is out of use after that.
     pub lease: Duration,
     /// How long after new weights were named replicas may go on with old ones.
-    pub old_weights: Duration,
+    pub older_weights_bound: Duration,
     /// What operators are promised of that: after so long no request begins on older weights.
     pub weights_promise: Duration,
     pub patience: Patience,
--- a/crates/way-choice/src/placing.rs
+++ b/crates/way-choice/src/placing.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 /// While a roll-out is younger than this, replicas still on the old weights may serve.
-pub const OLD_WEIGHTS: Duration = prefix_table::rolling::OLDER_WEIGHTS_BOUND;
+pub const OLDER_WEIGHTS_BOUND: Duration = prefix_table::rolling::OLDER_WEIGHTS_BOUND;
 
 /// What a router knows.
 pub struct Known<'a> {
@@ -54,7 +54,7 @@
 /// assert!(find(&known, &asked).is_none(), "no blueprint holds");
 /// ```
 pub fn find(known: &Known, asked: &Asked) -> Option<Found> {
-    find_among(&seats(known.fleet, known.news, known.down, known.now), OLD_WEIGHTS, known, asked)
+    find_among(&seats(known.fleet, known.news, known.down, known.now), OLDER_WEIGHTS_BOUND, known, asked)
 }
 
 /// As `find`, among seats given, with old weights let serve for so long.
@@ -65,11 +65,11 @@
 /// # let asked = Asked { wall: "shared", model: "m", prompt: b"x", session: "s", kept: None, tried: &[] };
 /// assert!(find_among(&[], std::time::Duration::ZERO, &known, &asked).is_none());
 /// ```
-pub fn find_among(seats: &[Seat], old_weights: Duration, known: &Known, asked: &Asked) -> Option<Found> {
+pub fn find_among(seats: &[Seat], older_weights_bound: Duration, known: &Known, asked: &Asked) -> Option<Found> {
     let blueprint = known.fleet.blueprint.as_ref()?;
     let model = blueprint.models.get(asked.model)?;
     let may_serve = |older: &str| {
-        let until = known.fleet.older_weights_until(asked.model, older, old_weights);
+        let until = known.fleet.older_weights_until(asked.model, older, older_weights_bound);
         until.is_some_and(|until| Moment::at(known.now) < until)
     };
     let wish = Wish {
