--- a/crates/stream-router/src/lib.rs
+++ b/crates/stream-router/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod setup;
 pub mod shared;
 pub mod sharing;
+pub mod stopping;
 pub mod subsets;
 mod telling;
 mod weights_check;
