--- a/crates/fleet-common/src/ask.rs
+++ b/crates/fleet-common/src/ask.rs
@@ -129,4 +129,6 @@
     pub const SERVES: u8 = 2;
     /// It did not take the order, or did not run them in time.
     pub const FAILED: u8 = 3;
+    /// It loads by its own word, but for much longer than the others did: it holds none of them up.
+    pub const LATE: u8 = 4;
 }
--- a/crates/prefix-table/src/kept.rs
+++ b/crates/prefix-table/src/kept.rs
@@ -120,7 +120,7 @@
             self.fleet.replicas.iter().map(|row| (row.id.clone(), row.at.clone(), row.model == STORE)).collect();
         for (replica, at, is_store) in rows {
             let (Some(fence), now) = (self.held_now(&replica), self.now) else { continue };
-            let ordered = self.stage(&replica).1 == stage::LOADING;
+            let ordered = [stage::LOADING, stage::LATE].contains(&self.stage(&replica).1);
             let Some(kept) = self.kept.get_mut(&replica) else { continue };
             let waiting = kept.polling.is_some_and(|since| now.saturating_sub(since) < POLL_LOST);
             if waiting || now < kept.poll_after {
--- a/crates/prefix-table/src/ordering.rs
+++ b/crates/prefix-table/src/ordering.rs
@@ -3,7 +3,7 @@
 use crate::index_node::{IndexNode, Ordered, Output};
 use crate::kept::{Kept, Order};
 use crate::roll_out::{Counts, RollOut};
-use crate::rolling::{LOAD_BOUND, Row, Turn, turn};
+use crate::rolling::{LOAD_BOUND, Row, Turn, late_after, turn};
 use control_chain::fleet::{APP, STORE};
 use control_chain::moment::Moment;
 use fleet_common::ask::{LEASE, stage};
@@ -31,15 +31,23 @@
         let Some((kept, order)) = self.kept.get(replica).and_then(|k| Some((k, k.order.as_ref()?))) else {
             return (String::new(), stage::NONE);
         };
-        let late = self.now.saturating_sub(order.first) > LOAD_BOUND;
+        let takes = self.now.saturating_sub(order.first);
+        let says_so = order.taken && kept.told.busy;
         let at = match order.done || kept.table.facts().0 == order.weights {
             true => stage::SERVES,
-            false if late || order.refused >= REFUSALS => stage::FAILED,
+            false if order.refused >= REFUSALS => stage::FAILED,
+            false if says_so && self.late_after(&order.weights).is_some_and(|late| takes > late) => stage::LATE,
+            false if !says_so && takes > LOAD_BOUND => stage::FAILED,
             false => stage::LOADING,
         };
         (order.weights.clone(), at)
     }
 
+    /// How long a load of these weights may take before others need not wait for it.
+    fn late_after(&self, weights: &str) -> Option<Duration> {
+        late_after(self.roll_outs.values().find(|roll_out| roll_out.weights == weights)?.longest_load)
+    }
+
     /// All replicas of a model: those held here as they are, the others as peers told lately.
     fn rows(&self, model: &str, wanted: &str) -> Vec<Row> {
         let of_model = self.fleet.replicas.iter().filter(|row| row.model == model);
@@ -59,7 +67,7 @@
                 // A replica's word that it runs them may come before its report does.
                 let weights = if stage == stage::SERVES { wanted.to_string() } else { weights };
                 // One that loads what followed its weights is not sent on before it has served that.
-                let loads_other = at == stage::LOADING && order != wanted;
+                let loads_other = [stage::LOADING, stage::LATE].contains(&at) && order != wanted;
                 let expired = !weights.is_empty() && !loads_other && self.expired(model, &weights);
                 Row { id: row.id.clone(), weights, stage, down, leaving: row.leaving, silent, expired }
             })
@@ -128,9 +136,10 @@
         if roll_out.weights != wanted {
             *roll_out = RollOut::begin(wanted, now);
         }
+        roll_out.learn(rows, now);
         let done = roll_out.update(model, Counts::of(rows, wanted), now);
         let named = self.fleet.namings.newest_at(model).filter(|_| self.fleet.namings.is_newest(model, wanted));
-        let late = named.and_then(|at| roll_out.check(model, at.age(now), self.older_weights_bound));
+        let late = named.and_then(|at| roll_out.check(model, at.age(now), self.older_weights_bound.stretch));
         self.overdue_roll_outs += u64::from(late.is_some());
         done.into_iter().chain(late).for_each(|line| self.note(line));
     }
@@ -152,6 +161,11 @@
         let next = now + AGAIN;
         match kept.order.as_mut().filter(|order| order.weights == weights) {
             Some(order) if order.done || now < order.next => return,
+            // It is at it, by its own word: another order would be one too many.
+            Some(order) if order.taken && kept.told.busy => {
+                order.next = next;
+                return;
+            }
             Some(order) => (order.next, order.given) = (next, true),
             None => {
                 // Routers hear of it first, so that nothing is on its way there when the order comes.
--- a/crates/prefix-table/src/roll_out.rs
+++ b/crates/prefix-table/src/roll_out.rs
@@ -2,6 +2,7 @@
 use crate::rolling::Row;
 use fleet_common::ask::stage;
 use serde::Serialize;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// How many replicas of a model are how far with the weights that are named for it.
@@ -28,7 +29,7 @@
             let count = match row.stage {
                 _ if row.down || row.leaving => &mut counts.away,
                 _ if row.weights == wanted => &mut counts.serving,
-                stage::LOADING => &mut counts.loading,
+                stage::LOADING | stage::LATE => &mut counts.loading,
                 stage::FAILED => &mut counts.failed,
                 _ => &mut counts.waiting,
             };
@@ -57,6 +58,10 @@
     pub counts: Counts,
     /// Whether it was still not complete half as long again after the naming as older weights may serve.
     pub overdue: bool,
+    /// The longest load of these weights that ended, as seen here.
+    pub longest_load: Option<Duration>,
+    /// Since when each replica that loads them has done so.
+    loading_since: BTreeMap<String, Duration>,
 }
 
 impl RollOut {
@@ -66,7 +71,40 @@
     /// assert_eq!(RollOut::begin("2", std::time::Duration::ZERO).took, None);
     /// ```
     pub fn begin(weights: &str, now: Duration) -> Self {
-        RollOut { weights: weights.to_string(), since: now, took: None, counts: Counts::default(), overdue: false }
+        RollOut {
+            weights: weights.to_string(),
+            since: now,
+            took: None,
+            counts: Counts::default(),
+            overdue: false,
+            longest_load: None,
+            loading_since: BTreeMap::new(),
+        }
+    }
+
+    /// Learns from the present rows how long loads take.
+    /// ```
+    /// use fleet_common::ask::stage;
+    /// use prefix_table::{roll_out::RollOut, rolling::Row};
+    /// use std::time::Duration;
+    /// let row = |weights: &str, stage| Row { id: "r".into(), weights: weights.into(), stage, down: false, leaving: false,
+    ///     silent: false, expired: false };
+    /// let mut roll_out = RollOut::begin("2", Duration::ZERO);
+    /// roll_out.learn(&[row("1", stage::LOADING)], Duration::from_secs(1));
+    /// roll_out.learn(&[row("2", stage::SERVES)], Duration::from_secs(4));
+    /// assert_eq!(roll_out.longest_load, Some(Duration::from_secs(3)));
+    /// ```
+    pub fn learn(&mut self, rows: &[Row], now: Duration) {
+        for row in rows {
+            if row.weights == self.weights {
+                let took = self.loading_since.remove(&row.id).map(|since| now.saturating_sub(since));
+                self.longest_load = self.longest_load.max(took);
+            } else if row.stage == stage::LOADING {
+                self.loading_since.entry(row.id.clone()).or_insert(now);
+            } else if row.stage != stage::LATE {
+                self.loading_since.remove(&row.id);
+            }
+        }
     }
 
     /// Takes the present counts; the line for the log where that completes it.
--- a/crates/prefix-table/src/rolling.rs
+++ b/crates/prefix-table/src/rolling.rs
@@ -7,8 +7,23 @@
 
 /// For how long after newer weights were named older ones may serve, where nothing else is set.
 pub const OLDER_WEIGHTS_BOUND: Duration = Duration::from_secs(15);
-/// How long a replica may take to load. One that takes longer no longer holds the others up.
+/// How long a replica that does not say it is loading may take until its order counts as failed.
 pub const LOAD_BOUND: Duration = Duration::from_secs(6);
+/// A load that takes so many times as long as the longest that ended holds the others up no longer.
+const LATE_TIMES: u32 = 2;
+
+/// How long a load may take before others need not wait for it: by what loads of these weights took so far, and no
+/// bound at all before one has ended.
+/// ```
+/// use prefix_table::rolling::{LOAD_BOUND, late_after};
+/// use std::time::Duration;
+/// assert_eq!(late_after(None), None);
+/// assert_eq!(late_after(Some(Duration::from_secs(1))), Some(LOAD_BOUND));
+/// assert_eq!(late_after(Some(Duration::from_secs(8))), Some(Duration::from_secs(16)));
+/// ```
+pub fn late_after(longest_load: Option<Duration>) -> Option<Duration> {
+    longest_load.map(|longest| (longest * LATE_TIMES).max(LOAD_BOUND))
+}
 
 /// A replica of the model as an index node sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -75,7 +90,7 @@
     }
     let up: Vec<&Row> = rows.iter().filter(|row| !row.down && !row.leaving).collect();
     let failed = up.iter().filter(|row| row.stage == stage::FAILED).count();
-    let loading = [stage::LOADING, stage::FAILED].contains(&own.stage);
+    let loading = [stage::LOADING, stage::LATE, stage::FAILED].contains(&own.stage);
     if failed >= up.len().div_ceil(5).max(2) && !loading && !own.weights.is_empty() {
         return Turn::Halted(failed, up.len());
     }
@@ -83,8 +98,9 @@
     if own.weights.is_empty() || loading {
         return Turn::Now;
     }
+    let given_up = |row: &Row| [stage::FAILED, stage::LATE].contains(&row.stage);
     let mut waiting: Vec<&Row> =
-        up.iter().filter(|row| row.weights != wanted && row.stage != stage::FAILED && !row.silent).copied().collect();
+        up.iter().filter(|row| row.weights != wanted && !given_up(row) && !row.silent).copied().collect();
     // Those that load hold their places; all nodes fill what is left in the same order.
     let order = |row: &&Row| (row.stage != stage::LOADING, version(&row.weights), weight(wanted, &row.id));
     waiting.sort_by(|one, other| order(one).cmp(&order(other)).then_with(|| one.id.cmp(&other.id)));
--- a/crates/prefix-table/tests/nodes/world.rs
+++ b/crates/prefix-table/tests/nodes/world.rs
@@ -1,6 +1,7 @@
 //! Several index nodes over 18 replicas and a wire, a millisecond at a time.
 use super::{Core, identity, replica, report};
 use control_chain::naming_clock::{Moment, NamingClock};
+use prefix_table::event::Report;
 use prefix_table::index_node::{IndexNode, Input, Ordered, Output};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -8,7 +9,9 @@
 const STEP: Duration = Duration::from_millis(1);
 const WIRE: Duration = Duration::from_millis(2);
 const HELD: Duration = Duration::from_millis(200);
+/// What a load takes unless a test says otherwise.
 const LOAD: Duration = Duration::from_millis(1800);
+const NEVER: Duration = Duration::from_secs(1 << 30);
 pub const NODES: [&str; 6] = ["i1", "i2", "i3", "i4", "i5", "i6"];
 
 pub struct Row {
@@ -41,6 +44,10 @@
     pub cut: Option<usize>,
     /// When weights were named, as the control replicas tell it.
     pub namings: NamingClock,
+    /// What a load takes.
+    pub load: Duration,
+    /// Replicas that say they load and never end.
+    pub stuck: Vec<String>,
 }
 
 impl World {
@@ -76,6 +83,8 @@
             announced: BTreeMap::new(),
             cut: None,
             namings: NamingClock::default(),
+            load: LOAD,
+            stuck: Vec::new(),
         };
         // A first pull without duties, then each is given to whom it belongs to.
         world.pull_all();
@@ -158,7 +167,8 @@
         row.orders.push((now, at, fence));
         let said = row.says.pop_front().unwrap_or(Some(Ordered::Taken));
         if said == Some(Ordered::Taken) && row.loading.is_none() && row.weights != weights {
-            row.loading = Some((weights.clone(), now + LOAD));
+            let takes = if self.stuck.contains(&id) { NEVER } else { self.load };
+            row.loading = Some((weights.clone(), now + takes));
         }
         if let Some(said) = said {
             self.put(WIRE, Wire::To(at, Input::Ordered(id, weights, Ok(said))));
@@ -190,7 +200,8 @@
             let loaded = row.loading.take_if(|(_, until)| *until <= self.now);
             let changed = loaded.map(|(weights, _)| row.weights = weights).is_some();
             let due = row.polls.extract_if(.., |(_, _, until)| changed || *until <= self.now);
-            answers.extend(due.map(|(at, fence, _)| (at, id.clone(), fence, report(&row.weights, 0, 0, vec![]))));
+            let said = Report { busy: Some(row.loading.is_some()), ..report(&row.weights, 0, 0, vec![]) };
+            answers.extend(due.map(|(at, fence, _)| (at, id.clone(), fence, said.clone())));
         }
         for (at, id, fence, report) in answers {
             self.put(WIRE, Wire::To(at, Input::Polled(id, fence, Ok(report))));
--- a/crates/way-choice/src/desk.rs
+++ b/crates/way-choice/src/desk.rs
@@ -15,7 +15,7 @@
 
 /// Whether it was ordered, or is about to be, to load weights that it does not run yet.
 fn loads(told: &SeatNews) -> bool {
-    told.stage == stage::LOADING && told.weights != told.order
+    [stage::LOADING, stage::LATE].contains(&told.stage) && told.weights != told.order
 }
 
 /// Replicas as they look now: listed by the platform, loaded and running as the index told. A mirror
