--- a/crates/control-chain/src/fleet.rs
+++ b/crates/control-chain/src/fleet.rs
@@ -3,6 +3,7 @@
 use crate::command::{Node, Replica};
 use crate::configuration::Configuration;
 use crate::naming_clock::{Moment, NamingClock};
+use crate::older_weights::OlderWeightsBound;
 use crate::state::{Duty, Key};
 use fleet_common::ask::{
     BLUEPRINT, CONFIGURATION, DUTIES, KEYS, MEMBERS, Pulled, REPLICAS, SOURCES, Vector, Versioned, WEIGHTS,
@@ -137,15 +138,20 @@
     /// they are the newest, or nothing is known of when newer ones were named.
     ///
     /// The bound counts from when the control replicas took the first newer ones, whenever this node learnt of it. A
-    /// control process that started since may have held the roll-out up: the bound then counts from its start.
+    /// control process that started since may have held the roll-out up: the bound then counts from its start, but not
+    /// beyond the bound on all such times together.
     /// ```
     /// use control_chain::fleet::Fleet;
     /// assert_eq!(Fleet::default().older_weights_until("m", "1", std::time::Duration::from_secs(14)), None);
     /// ```
-    pub fn older_weights_until(&self, model: &str, weights: &str, bound: Duration) -> Option<Moment> {
+    pub fn older_weights_until(
+        &self,
+        model: &str,
+        weights: &str,
+        bound: impl Into<OlderWeightsBound>,
+    ) -> Option<Moment> {
         let superseded = self.namings.superseded_at(model, weights)?;
-        let from = self.namings.control_restart().map_or(superseded, |restart| restart.max(superseded));
-        Some(from.plus(bound))
+        Some(bound.into().until(superseded, self.namings.control_restart()))
     }
 
     fn take_configuration(&mut self, configuration: Option<Configuration>) {
--- a/crates/control-chain/src/lib.rs
+++ b/crates/control-chain/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod message;
 pub mod moment;
 pub mod naming_clock;
+pub mod older_weights;
 pub mod outcome;
 pub mod relay;
 pub mod rules;
--- a/crates/prefix-index/src/lib.rs
+++ b/crates/prefix-index/src/lib.rs
@@ -5,6 +5,7 @@
 mod replicas;
 mod shared;
 
+use control_chain::older_weights::OlderWeightsBound;
 use fleet_common::frame;
 use fleet_common::node::{Identity, Link, Seeds};
 use prefix_table::index_node::IndexNode;
@@ -13,7 +14,6 @@
 pub use shared::Shared;
 use std::net::TcpListener;
 use std::sync::Arc;
-use std::time::Duration;
 
 /// What an index node is started with.
 pub struct Start {
@@ -23,7 +23,7 @@
     pub frames: TcpListener,
     pub replicas: Arc<dyn Replicas>,
     /// For how long after newer weights were named routers let older ones serve.
-    pub older_weights_bound: Duration,
+    pub older_weights_bound: OlderWeightsBound,
 }
 
 /// Serves frames and starts the node's threads; it knows nothing until `follow` pulls.
@@ -34,7 +34,7 @@
 /// let frames = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
 /// let shared = prefix_index::start(Start {
 ///     identity, seeds: Default::default(), frames, replicas: std::sync::Arc::new(OwnSpeech),
-///     older_weights_bound: prefix_index::OLDER_WEIGHTS_BOUND,
+///     older_weights_bound: prefix_index::OLDER_WEIGHTS_BOUND.into(),
 /// });
 /// assert!(!shared.index_node().fresh());
 /// ```
@@ -66,7 +66,7 @@
 /// # let frames = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
 /// # let replicas = std::sync::Arc::new(prefix_index::OwnSpeech);
 /// # let shared = prefix_index::start(prefix_index::Start { identity, seeds: Default::default(), frames, replicas,
-/// #     older_weights_bound: prefix_index::OLDER_WEIGHTS_BOUND });
+/// #     older_weights_bound: prefix_index::OLDER_WEIGHTS_BOUND.into() });
 /// prefix_index::leave(&shared);
 /// ```
 pub fn leave(shared: &Shared) {
--- a/crates/prefix-index/src/main.rs
+++ b/crates/prefix-index/src/main.rs
@@ -48,7 +48,7 @@
         seeds: seeds.clone(),
         frames,
         replicas: Arc::new(OwnSpeech),
-        older_weights_bound: OLDER_WEIGHTS_BOUND,
+        older_weights_bound: OLDER_WEIGHTS_BOUND.into(),
     });
     heed(shared.clone(), seeds, flags);
     let for_pages = shared.clone();
--- a/crates/prefix-index/src/shared.rs
+++ b/crates/prefix-index/src/shared.rs
@@ -57,7 +57,7 @@
     /// # let frames = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     /// # let replicas = std::sync::Arc::new(prefix_index::OwnSpeech);
     /// # let shared = prefix_index::start(prefix_index::Start { identity, seeds: Default::default(), frames, replicas,
-    /// #     older_weights_bound: prefix_index::OLDER_WEIGHTS_BOUND });
+    /// #     older_weights_bound: prefix_index::OLDER_WEIGHTS_BOUND.into() });
     /// assert!(shared.index_node().kept.is_empty());
     /// ```
     pub fn index_node(&self) -> MutexGuard<'_, IndexNode> {
@@ -73,7 +73,7 @@
     /// # let frames = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     /// # let replicas = std::sync::Arc::new(prefix_index::OwnSpeech);
     /// # let shared = prefix_index::start(prefix_index::Start { identity, seeds: Default::default(), frames, replicas,
-    /// #     older_weights_bound: prefix_index::OLDER_WEIGHTS_BOUND });
+    /// #     older_weights_bound: prefix_index::OLDER_WEIGHTS_BOUND.into() });
     /// use fleet_common::ask::{Answer, Ask};
     /// assert!(matches!(shared.answer(Ask::FilterPull("r1".into())), Answer::Refused(_)));
     /// ```
--- a/crates/prefix-table/src/index_node.rs
+++ b/crates/prefix-table/src/index_node.rs
@@ -10,6 +10,7 @@
 use crate::table::Shape;
 use control_chain::command::Command;
 use control_chain::fleet::Fleet;
+use control_chain::older_weights::OlderWeightsBound;
 use fleet_common::ask::{Ask, LEASE, Pulled, SeatNews, TableCopy, Vector};
 use fleet_common::node::Identity;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -91,7 +92,7 @@
     pub(crate) member_since: Option<Duration>,
     pub(crate) stirred: bool,
     pub(crate) leaving: bool,
-    pub(crate) older_weights_bound: Duration,
+    pub(crate) older_weights_bound: OlderWeightsBound,
     pub(crate) ticked: Option<Duration>,
     /// No order is begun before this.
     pub(crate) orders_resume: Duration,
@@ -137,7 +138,7 @@
             member_since: None,
             stirred: false,
             leaving: false,
-            older_weights_bound: OLDER_WEIGHTS_BOUND,
+            older_weights_bound: OLDER_WEIGHTS_BOUND.into(),
             ticked: None,
             orders_resume: Duration::ZERO,
             overdue_roll_outs: 0,
@@ -151,8 +152,8 @@
     /// # let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, at: "".into(), district: "a".into() };
     /// let _node = prefix_table::index_node::IndexNode::new(me).with_older_weights_bound(std::time::Duration::from_secs(11));
     /// ```
-    pub fn with_older_weights_bound(mut self, bound: Duration) -> Self {
-        self.older_weights_bound = bound;
+    pub fn with_older_weights_bound(mut self, bound: impl Into<OlderWeightsBound>) -> Self {
+        self.older_weights_bound = bound.into();
         self
     }
 
--- a/crates/stream-router/src/setup.rs
+++ b/crates/stream-router/src/setup.rs
@@ -1,6 +1,7 @@
 //! How a router is set.
 use crate::budget::Bound;
 use control_chain::configuration::Route;
+use control_chain::older_weights::OlderWeightsBound;
 use std::net::SocketAddr;
 use std::time::Duration;
 pub use way_choice::shutdown::ShutdownLimits;
@@ -19,9 +20,9 @@
     /// withdrawn is out of use after that.
     pub lease: Duration,
     /// How long after new weights were named replicas may go on with old ones.
-    pub older_weights_bound: Duration,
+    pub older_weights_bound: OlderWeightsBound,
     /// What operators are promised of that: after so long no request begins on older weights.
-    pub weights_promise: Duration,
+    pub weights_promise: OlderWeightsBound,
     pub patience: Patience,
     /// How a router that is told to stop leaves.
     pub shutdown: ShutdownLimits,
