--- a/crates/stream-router/src/forward.rs
+++ b/crates/stream-router/src/forward.rs
@@ -55,6 +55,8 @@
     pub first: bool,
     /// Under which id the present try was told.
     pub id: u64,
+    /// When the present try's answer was last waited for and had not come.
+    pub waited: Instant,
 }
 
 /// Forwards a request to replicas until one has answered or none may.
@@ -66,7 +68,8 @@
 /// ```
 pub fn forward(shared: &Arc<Shared>, context: &mut RequestContext, inbound: &mut Inbound) -> Flow {
     let last = context.info.after.clone();
-    let mut run = Run { shared, context, inbound, events: Events::default(), last, first: false, id: 0 };
+    let mut run =
+        Run { shared, context, inbound, events: Events::default(), last, first: false, id: 0, waited: Instant::now() };
     loop {
         let (failure, whole) = match run.once() {
             Try::Flow(flow) => return flow,
@@ -224,7 +227,7 @@
             source: place.source.as_ref().map(|(_, at)| at.as_str()),
             target: place.target.as_deref(),
             urgency: context.urgency,
-            weights: (model && !place.weights.is_empty()).then_some(place.weights.as_str()),
+            weights: (!place.model.is_empty() && !place.weights.is_empty()).then_some(place.weights.as_str()),
             after: self.last.as_deref(),
         };
         let mut bytes = self.shared.dialect.ask(&context.head, context.body.len(), &told);
--- a/crates/stream-router/src/lib.rs
+++ b/crates/stream-router/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod feed;
 pub mod forward;
 pub mod placing;
+mod placing_costs;
 pub mod progress;
 pub mod request_context;
 mod response;
--- a/crates/stream-router/src/placing.rs
+++ b/crates/stream-router/src/placing.rs
@@ -1,7 +1,8 @@
 //! Placing a request among the replicas of a service, with what this router knows.
+use crate::placing_costs::{lacks, link_us, memory};
 use crate::request_context::RequestContext;
 use crate::shared::{Shared, count};
-use control_chain::fleet::{Fleet, STORE};
+use control_chain::fleet::{APP, Fleet, STORE};
 use control_chain::naming_clock::{Moment, is_newer};
 use fleet_common::hash;
 use prefix_table::blocks;
@@ -20,14 +21,14 @@
 const TOKEN_TIME: Duration = Duration::from_millis(20);
 /// A store whose link is busy for longer gets nothing more.
 const STORE_BUSY_US: f64 = 150_000.0;
-/// A token's time on a link of which nothing is said, in microseconds.
-const USUAL_LINK_US: f64 = 1.0;
 
 /// Where a try goes.
 #[derive(Clone, Debug)]
 pub struct Place {
     pub id: String,
     pub at: SocketAddr,
+    /// The model whose weights the request runs on; empty where the replica has none.
+    pub model: String,
     pub weights: String,
     pub salt: String,
     pub parts: Parts,
@@ -54,11 +55,19 @@
     context.info.parts.iter().map(|(id, tokens)| (blocks::part(salt, model, id), *tokens)).collect()
 }
 
+/// The model whose weights a request runs on at a replica: what it names, or else the replica's own. Work that names no
+/// model runs on a version all the same.
+fn model_of<'a>(context: &'a RequestContext, seat: &'a Seat) -> &'a str {
+    match context.info.model.as_str() {
+        "" if [APP, STORE].contains(&seat.model.as_str()) => "",
+        "" => &seat.model,
+        model => model,
+    }
+}
+
 /// What of a service's replicas may take the request: up, not leaving, of weights that may still serve.
 fn fit(shared: &Shared, context: &RequestContext, seats: &[Seat]) -> Vec<usize> {
     let fleet = shared.fleet.read();
-    let model = &context.info.model;
-    let named = fleet.named_weights(model);
     let ledger = shared.ledger();
     let run = TOKEN_TIME.saturating_mul(u32::try_from(context.info.tokens.1).unwrap_or(u32::MAX));
     let ends = |seat: &Seat| {
@@ -66,14 +75,14 @@
         Moment::at(shared.now() + waiting.mul_f64(2.0) + BEGINS).plus(run)
     };
     // A replica on older weights is told to stop when these may be used no more, so it must be done by then.
-    let old_too = |seat: &Seat| old_until(&fleet, model, &seat.weights, shared).is_some_and(|end| ends(seat) < end);
+    let old_too =
+        |seat: &Seat, model: &str| old_until(&fleet, model, &seat.weights, shared).is_some_and(|end| ends(seat) < end);
     let service = |at: usize| fleet.replicas.get(at).is_some_and(|r| r.service == context.service);
-    let runs = |seat: &Seat| match named {
-        Some(named) => {
-            let newest = seat.weights.is_empty() || seat.weights == named || is_newer(&seat.weights, named);
-            newest || old_too(seat)
-        }
-        None => true,
+    let runs = |seat: &Seat| {
+        let model = model_of(context, seat);
+        let Some(named) = fleet.named_weights(model) else { return true };
+        let newest = seat.weights.is_empty() || seat.weights == named || is_newer(&seat.weights, named);
+        newest || old_too(seat, model)
     };
     let open = |at: &usize| {
         let seat = &seats[*at];
@@ -118,9 +127,8 @@
     let seats = shared.seats();
     let fit = fit(shared, context, &seats);
     let fleet = shared.fleet.read();
-    let named = fleet.named_weights(&context.info.model);
     let weights_of = |seat: &Seat| match seat.weights.is_empty() {
-        true => named.unwrap_or_default().to_string(),
+        true => fleet.named_weights(model_of(context, seat)).unwrap_or_default().to_string(),
         false => seat.weights.clone(),
     };
     let salted = |weights: String| {
@@ -157,9 +165,10 @@
         })
         .collect();
     drop(ledger);
+    let has_parts = !context.info.parts.is_empty();
     let sources: Vec<Source> = seats
         .iter()
-        .filter(|s| !s.down && !s.leaving && (s.model == context.info.model || s.model == STORE))
+        .filter(|s| has_parts && !s.down && !s.leaving && (s.model == context.info.model || s.model == STORE))
         .map(|seat| Source {
             seat,
             move_us: link_us(&fleet, context, seat),
@@ -168,7 +177,8 @@
         .collect();
     let prices = *shared.prices();
     let mirrors = shared.mirrors.read();
-    let recent = shared.recent().clone();
+    // Held while it is looked through, as it is large; no other lock is taken meanwhile.
+    let recent = shared.recent();
     let held = Held { mirrors: &mirrors, recent: &recent, now: shared.now() };
     let first = candidates.first().and_then(|c| c.parts.first()).map_or(0, |(hash, _)| *hash);
     let spread = if context.tried.is_empty() { first } else { hash::unique() };
@@ -198,6 +208,7 @@
     Some(Place {
         id: candidate.seat.id.clone(),
         at: candidate.seat.at.parse().ok()?,
+        model: model_of(context, candidate.seat).to_string(),
         weights,
         salt,
         target,
@@ -210,38 +221,6 @@
         work: Duration::from_micros(choice.work_us as u64),
         waiting: Duration::from_micros(candidate.waiting_us as u64),
         memory: candidate.memory,
-        begins_by: begins_by(shared, &context.info.model, &candidate.seat.weights),
+        begins_by: begins_by(shared, model_of(context, candidate.seat), &candidate.seat.weights),
     })
 }
-
-/// The share of a replica's memory that is asked for with this prompt, by what the configuration says it has.
-fn memory(fleet: &Fleet, context: &RequestContext, asked: u64, parts: &Parts) -> f64 {
-    let services = fleet.configuration.as_ref().map(|c| &c.services);
-    let engine = services.and_then(|s| s.get(&context.service)).and_then(|s| s.row.engine.as_ref());
-    let own: u64 = parts.iter().map(|(_, tokens)| tokens).sum();
-    match engine.map_or(0, |e| e.cache_tokens) {
-        0 => 0.0,
-        whole => (asked + own) as f64 / whole as f64,
-    }
-}
-
-/// What handing one token over takes on a source's link, by what the configuration says of it.
-fn link_us(fleet: &Fleet, context: &RequestContext, source: &Seat) -> f64 {
-    let Some(configuration) = &fleet.configuration else { return USUAL_LINK_US };
-    let engine = configuration.services.get(&context.service).and_then(|s| s.row.engine.as_ref());
-    let store = fleet.replicas.iter().find(|r| r.id == source.id && r.model == STORE);
-    let store = store.and_then(|r| configuration.services.get(&r.service)).and_then(|s| s.row.store.as_ref());
-    let mbps = store.map_or(engine.map_or(0, |e| e.link_mbps), |s| s.link_mbps);
-    match (engine.map_or(0, |e| e.token_bytes), mbps) {
-        (0, _) | (_, 0) => USUAL_LINK_US,
-        (bytes, mbps) => bytes as f64 * 8.0 / mbps as f64,
-    }
-}
-
-/// Whether a store is to get this prompt: it lacks parts that others will share, and they are more than the
-/// part that nobody will ask for again.
-fn lacks(held: &Held, store: &Seat, parts: &Parts) -> bool {
-    let Some((last, shared)) = parts.split_last() else { return false };
-    let tokens: u64 = shared.iter().map(|(_, tokens)| tokens).sum();
-    tokens > 0 && tokens >= last.1 && tokens - held.tokens(store, &shared.to_vec(), true) > tokens / 4
-}
--- a/crates/stream-router/src/response.rs
+++ b/crates/stream-router/src/response.rs
@@ -62,6 +62,9 @@
         if self.context.route.stream && head.status == 200 {
             return self.stream(place, up, head, sent);
         }
+        if head.status < 300 {
+            weights_check::on_begun(self.shared, place, self.waited);
+        }
         let caller = Some(self.inbound.socket());
         let body = match rest(&mut up, caller, self.context.until + LAST_WORD) {
             Ok(body) => body,
@@ -107,14 +110,15 @@
     /// Reads on of an answer that has not begun. On older weights it begins in time or not at all, also where newer ones
     /// are named while it waits: it times out when these may be used no more.
     fn before_it_begins(
-        &self,
+        &mut self,
         place: &Place,
         up: &mut Outbound,
         end: Instant,
         read: fn(&mut Outbound, Option<&TcpStream>, Instant) -> ResponsePart,
     ) -> ResponsePart {
         loop {
-            let begins_by = placing::begins_by(self.shared, &self.context.info.model, &place.weights);
+            self.waited = Instant::now();
+            let begins_by = placing::begins_by(self.shared, &place.model, &place.weights);
             let last = begins_by.map_or(end, |by| by.min(end));
             let until = last.min(Instant::now() + LOOK_AGAIN);
             match read(up, Some(self.inbound.socket()), until) {
@@ -197,7 +201,7 @@
     /// The first event is here: what the try took is told to whoever audits its source.
     fn first(&mut self, place: &Place, sent: Instant) {
         let took = sent.elapsed();
-        weights_check::on_first_event(self.shared, &self.context.info.model, place);
+        weights_check::on_begun(self.shared, place, self.waited);
         self.shared.tell(News::Read(Ended { replica: key(&place.id), id: self.id }));
         if place.waiting < CALM && place.work > Duration::from_millis(20) {
             let thought = place.work + BASE;
--- a/crates/stream-router/src/weights_check.rs
+++ b/crates/stream-router/src/weights_check.rs
@@ -4,20 +4,23 @@
 use crate::shared::{Shared, count};
 use control_chain::naming_clock::Moment;
 use fleet_common::{PeerError, Step, ring};
+use std::time::Instant;
 
-/// Checks a try whose first event has just come.
-pub(crate) fn on_first_event(shared: &Shared, model: &str, place: &Place) {
-    let (fleet, now) = (shared.fleet.read(), shared.now());
-    if fleet.named_weights(model) == Some(&place.weights) {
+/// Checks a try whose answer has just begun to come. `waited` is when it had surely not come yet: this process may have
+/// stood still since, with the answer unread, so what may have begun in time is not counted.
+pub(crate) fn on_begun(shared: &Shared, place: &Place, waited: Instant) {
+    let (fleet, model) = (shared.fleet.read(), &place.model);
+    if fleet.named_weights(model).is_none_or(|named| named == place.weights) {
         return;
     }
     let promise = shared.setup.weights_promise;
     let Some(until) = fleet.older_weights_until(model, &place.weights, promise) else { return };
-    if Moment::at(now) <= until {
+    let began = shared.now().saturating_sub(waited.elapsed());
+    if Moment::at(began) <= until {
         return;
     }
     count(&shared.counters.weights_violations);
-    let late = until.age(now);
+    let late = until.age(began);
     let what =
         format!("began on older weights {} of {model}, {late:?} after these had served {promise:?}", place.weights);
     ring::error(&PeerError::at(Step::Check, &place.id, &what));
--- a/crates/way-choice/src/rank.rs
+++ b/crates/way-choice/src/rank.rs
@@ -127,6 +127,28 @@
 /// Reading never counts more than so many times again.
 const CROWD_MOST: f64 = 8.0;
 
+/// What each source keeps of a prompt: its place among the sources, and the tokens. Candidates of the same weights have
+/// the same parts, so it is looked up once for all of them.
+struct Offers<'a> {
+    parts: &'a Parts,
+    held: Vec<(usize, u64)>,
+}
+
+impl<'a> Offers<'a> {
+    fn look_up(parts: &'a Parts, sources: &[Source], held: &Held) -> Self {
+        let tokens = sources.iter().map(|source| held.tokens(source.seat, parts, false));
+        Offers { parts, held: tokens.enumerate().filter(|(_, tokens)| *tokens > 0).collect() }
+    }
+}
+
+/// Where among those looked up are the offers for these parts; looks them up if they are not among them.
+fn offers_for<'a>(all: &mut Vec<Offers<'a>>, parts: &'a Parts, sources: &[Source], held: &Held) -> usize {
+    all.iter().position(|offers| std::ptr::eq(offers.parts, parts)).unwrap_or_else(|| {
+        all.push(Offers::look_up(parts, sources, held));
+        all.len() - 1
+    })
+}
+
 /// Chooses. `sources` gives for a candidate who may hand over to it; `spread` parts equal costs, the same way
 /// for equal prompts from every router.
 /// ```
@@ -152,6 +174,7 @@
     spread: u64,
 ) -> Option<Choice> {
     let mut best: Option<Choice> = None;
+    let mut all_offers: Vec<Offers> = Vec::new();
     let all_us: f64 = candidates.iter().map(|c| c.waiting_us).sum();
     let crowd = 1.0 + (all_us / candidates.len().max(1) as f64 / prices.crowd_us).min(CROWD_MOST);
     for (at, candidate) in candidates.iter().enumerate() {
@@ -161,12 +184,13 @@
         choice.work_us = prices.reading(choice.anew, total);
         let mut prompt_us = choice.work_us * candidate.pace * crowd;
         let mut kept = own;
-        for (from, source) in sources.iter().enumerate().filter(|(_, s)| s.seat.id != candidate.seat.id) {
-            let has = held.tokens(source.seat, candidate.parts, false);
-            let gained = has.saturating_sub(own);
-            if gained == 0 {
+        let offers = offers_for(&mut all_offers, candidate.parts, sources, held);
+        for (from, has) in all_offers[offers].held.iter().copied().filter(|(_, has)| *has > own) {
+            let source = &sources[from];
+            if source.seat.id == candidate.seat.id {
                 continue;
             }
+            let gained = has - own;
             kept = kept.max(has);
             let times = if source.seat.district == candidate.seat.district { 1.0 } else { 2.0 };
             let work_us = prices.reading(total - has, total);
