--- a/crates/stream-router/src/response.rs
+++ b/crates/stream-router/src/response.rs
@@ -6,7 +6,6 @@
 use crate::progress::Failure;
 use crate::request_context::Flow;
 use crate::shared::count;
-use crate::sharing::{Ended, News};
 use crate::weights_check;
 use http_streams::head::AnswerHead;
 use http_streams::outbound::{Outbound, ResponsePart};
@@ -202,7 +201,7 @@
     fn first(&mut self, place: &Place, sent: Instant) {
         let took = sent.elapsed();
         weights_check::on_begun(self.shared, place, self.waited);
-        self.shared.tell(News::Read(Ended { replica: key(&place.id), id: self.id }));
+        self.shared.read_at(place, self.id);
         if place.waiting < CALM && place.work > Duration::from_millis(20) {
             let thought = place.work + BASE;
             self.shared.ledger().learn(key(&place.id), thought, took);
--- a/crates/stream-router/src/sharing.rs
+++ b/crates/stream-router/src/sharing.rs
@@ -15,6 +15,9 @@
     /// A hand-over that takes a link (by its key) for so long.
     pub struct Moved { pub link: u64, pub took_us: u32 }
 
+    /// Parts that a replica (by its key) has just come to keep.
+    pub struct Kept { pub replica: u64, pub parts: List<u64> }
+
     /// What routers tell each other.
     pub enum News {
         1 = Begun(Begun),
@@ -23,6 +26,18 @@
         /// It will not be read.
         3 = Undone(Ended),
         4 = Moved(Moved),
+        /// For routers that do not serve the replica: it may hand them over before its filter says so.
+        5 = Kept(Kept),
+    }
+}
+
+impl News {
+    /// Reads a datagram; none where it holds no news.
+    /// ```
+    /// assert!(stream_router::sharing::News::from_datagram(&[99]).is_none());
+    /// ```
+    pub fn from_datagram(bytes: &[u8]) -> Option<News> {
+        News::from_bytes((bytes, 0)).ok().map(|(_, news)| news)
     }
 }
 
@@ -84,7 +99,7 @@
                 std::thread::sleep(BROKEN);
                 continue;
             };
-            if let Ok((_, news)) = News::from_bytes((&bytes[..got], 0)) {
+            if let Some(news) = News::from_datagram(&bytes[..got]) {
                 shared.take_news(&news);
             }
         }
--- a/crates/stream-router/src/subsets.rs
+++ b/crates/stream-router/src/subsets.rs
@@ -9,6 +9,9 @@
 /// So many routers serve a replica at the most.
 pub const ROUTERS_MOST: usize = 20;
 
+/// So many of a replica's other routers are told what it newly keeps, at the most.
+const OUTSIDE_MOST: usize = 60;
+
 /// A router: its name, and where the others reach it.
 pub type Router = (String, SocketAddr);
 
@@ -17,6 +20,8 @@
 pub struct Subsets {
     /// By a replica's key the other routers that serve it; without a row all others do.
     others: HashMap<u64, Vec<SocketAddr>>,
+    /// By a replica's key other routers that do not serve it, the next by rendezvous; without a row none.
+    outside: HashMap<u64, Vec<SocketAddr>>,
     /// Keys of the replicas that this router serves; none where it serves all.
     own: Option<HashSet<u64>>,
     all: Vec<SocketAddr>,
@@ -37,18 +42,22 @@
         if routers.len() <= ROUTERS_MOST {
             return Subsets { all, ..Subsets::default() };
         }
-        let (mut others, mut own) = (HashMap::new(), HashSet::new());
+        let (mut others, mut outside, mut own) = (HashMap::new(), HashMap::new(), HashSet::new());
         for replica in replicas {
             let mut order: Vec<(u64, &Router)> = routers.iter().map(|r| (weight(replica, &r.0), r)).collect();
             order.sort_by(|a, b| (b.0, &a.1.0).cmp(&(a.0, &b.1.0)));
-            order.truncate(ROUTERS_MOST);
+            let mut rest = order.split_off(ROUTERS_MOST);
+            rest.truncate(OUTSIDE_MOST);
             if order.iter().any(|(_, (name, _))| name == me) {
                 own.insert(key(replica));
             }
-            let rows = order.iter().filter(|(_, (name, _))| name != me).map(|(_, (_, at))| *at);
-            others.insert(key(replica), rows.collect());
+            let addresses = |rows: &[(u64, &Router)]| {
+                rows.iter().filter(|(_, (name, _))| name != me).map(|(_, (_, at))| *at).collect::<Vec<_>>()
+            };
+            others.insert(key(replica), addresses(&order));
+            outside.insert(key(replica), addresses(&rest));
         }
-        Subsets { others, own: Some(own), all }
+        Subsets { others, outside, own: Some(own), all }
     }
 
     /// Whether this router serves a replica.
@@ -67,6 +76,14 @@
         self.others.get(&replica).unwrap_or(&self.all)
     }
 
+    /// Other routers that do not serve a replica, by its key: all, or as many as may be told.
+    /// ```
+    /// assert!(stream_router::subsets::Subsets::default().outside(7).is_empty());
+    /// ```
+    pub fn outside(&self, replica: u64) -> &[SocketAddr] {
+        self.outside.get(&replica).map_or(&[], Vec::as_slice)
+    }
+
     /// A few of all other routers, picked by a number, and how many there are for each of them: who tells only
     /// these tells so many times as much.
     /// ```
--- a/crates/stream-router/src/telling.rs
+++ b/crates/stream-router/src/telling.rs
@@ -1,7 +1,8 @@
 //! What happens at replicas by this router's doing and others': told, heard and put to use.
 use crate::auditing::Tried;
+use crate::placing::Place;
 use crate::shared::Shared;
-use crate::sharing::{Begun, Ended, Moved, News, told_parts};
+use crate::sharing::{Begun, Ended, Kept, Moved, News, told_parts};
 use fleet_common::hash;
 use std::time::Duration;
 use way_choice::backlog::key;
@@ -22,6 +23,19 @@
         (own.running, own.since) = (own.running + 1, own.since + 1);
     }
 
+    /// A replica has read a prompt: those that serve it hear of that, and all others of the shared parts that it did
+    /// not keep before, so that none of them has these read elsewhere.
+    pub(crate) fn read_at(&self, place: &Place, id: u64) {
+        let replica = key(&place.id);
+        self.tell(News::Read(Ended { replica, id }));
+        let Some((_, shared)) = place.parts.split_last() else { return };
+        let tokens: u64 = shared.iter().map(|(_, tokens)| tokens).sum();
+        if place.own < tokens {
+            let parts: Vec<u64> = shared.iter().map(|(part, _)| *part).collect();
+            self.tell(News::Kept(Kept { replica, parts: told_parts(&parts).into() }));
+        }
+    }
+
     /// Puts news to use, and tells the other routers: of a replica those that serve it too, of a link a few of
     /// them for all.
     pub(crate) fn tell(&self, news: News) {
@@ -33,6 +47,7 @@
             | News::Undone(Ended { replica, .. }) => {
                 self.sharing.tell(subsets.others(*replica), &news);
             }
+            News::Kept(kept) => self.sharing.tell(subsets.outside(kept.replica), &news),
             News::Moved(moved) => {
                 let (few, times) = subsets.few(hash::unique());
                 let took_us = (f64::from(moved.took_us) * times).min(f64::from(u32::MAX)) as u32;
@@ -59,6 +74,7 @@
                 let sent = self.ledger().undo(now, e.replica, e.id);
                 sent.iter().for_each(|sent| self.recent().undo(now, e.replica, &sent.parts));
             }
+            News::Kept(kept) => self.recent().note(now, true, kept.replica, kept.parts.items()),
             News::Moved(m) => self.links().add(now, m.link, Duration::from_micros(m.took_us.into())),
         }
     }
--- a/crates/stream-router/tests/subsets_model.rs
+++ b/crates/stream-router/tests/subsets_model.rs
@@ -30,6 +30,9 @@
             let mut plain: Vec<SocketAddr> = serving.iter().map(|at| routers[*at].1).collect();
             plain.sort();
             assert_eq!(told, plain, "{id} from {at}");
+            let outside = cuts[*at].outside(key(id));
+            assert_eq!(outside.len(), (count - plain.len()).min(60), "{id} from {at}");
+            assert!(outside.iter().all(|one| !plain.contains(one)), "{id} from {at}: told twice");
         }
     }
     // No router is left without a fair choice.
