--- a/crates/stream-router/src/forward.rs
+++ b/crates/stream-router/src/forward.rs
@@ -1,5 +1,6 @@
 //! The last filter: sends a request to a replica and passes its answer on; after a failure it does what the
 //! progress says. Each run of a stream is followed by whole events, and another run goes on after the last.
+use crate::admission::{Estimate, Limits, refuse};
 use crate::chain::may_go_on;
 use crate::dialect::ForwardInfo;
 use crate::events::Events;
@@ -24,15 +25,6 @@
 const DOWN_FOR: Duration = Duration::from_millis(1500);
 /// What a replica is given less than is left, so that its last word arrives in time.
 const WAY_BACK: Duration = Duration::from_millis(20);
-/// What a first event takes besides waiting and reading.
-const ANSWERS: Duration = Duration::from_millis(50);
-/// Of a caller's patience so much may be waited for a first event: what is thought may be short of what comes.
-const CROWDED: f64 = 0.4;
-/// Nothing is sent to a replica whose requests ask for more of its memory than this, while others wait there.
-const MEMORY_MOST: f64 = 0.9;
-const COME_SOON: Duration = Duration::from_millis(200);
-/// A refused caller is asked to stay away no longer than this.
-const COME_BACK: Duration = Duration::from_millis(1500);
 
 /// A replica's whole answer that may be handed on.
 pub(crate) struct Whole {
@@ -129,7 +121,7 @@
             return Try::Failed(Failure::NoPlace, None);
         };
         if self.context.progress.sent == 0
-            && let Some(after) = self.too_late(&place)
+            && let Some(after) = self.not_admitted(&place)
         {
             return Try::Flow(Flow::Reply(Reply::later("nobody could answer in time", after)));
         }
@@ -199,14 +191,12 @@
         Ok(new)
     }
 
-    /// When to come back, where even the best place would bring the first event after its caller has gone: what
-    /// is read for nobody makes all others wait.
-    fn too_late(&self, place: &Place) -> Option<Duration> {
-        let patience = self.shared.setup.patience.of(&self.context.route);
-        let first = place.waiting + place.work + ANSWERS;
-        let full = place.memory > MEMORY_MOST && place.waiting > ANSWERS * 2;
-        (full || first > patience.mul_f64(CROWDED))
-            .then(|| first.saturating_sub(patience.mul_f64(0.3)).clamp(COME_SOON, COME_BACK))
+    /// When to come back, where even the best place is too crowded.
+    fn not_admitted(&self, place: &Place) -> Option<Duration> {
+        let route = &self.context.route;
+        let limits =
+            Limits { aim: Duration::from_millis(route.aim_ms), patience: self.shared.setup.patience.of(route) };
+        refuse(&Estimate { waiting: place.waiting, work: place.work, memory: place.memory }, &limits)
     }
 
     fn unreached(&mut self, place: &Place) -> Try {
--- a/crates/stream-router/src/lib.rs
+++ b/crates/stream-router/src/lib.rs
@@ -2,6 +2,7 @@
 //! them by what replicas keep and how busy they are, and passes their streams on event by event. How the
 //! callers and replicas name things is a dialect's business; everything decided is decided here.
 
+pub mod admission;
 pub mod auditing;
 pub mod budget;
 pub mod chain;
