--- a/crates/prefix-table/src/index_node.rs
+++ b/crates/prefix-table/src/index_node.rs
@@ -1,6 +1,5 @@
-//! An index node as a state machine: (now, input) gives outputs. It holds duties for replicas, keeps
-//! their tables from their events, shadows others, gives orders and tells routers. Threads or a
-//! simulator drive it.
+//! An index node as a state machine: (now, input) gives outputs. It keeps the tables of replicas assigned to it from
+//! their events, shadows others, gives orders and tells routers. Threads or a simulator drive it.
 use crate::event::Report;
 pub use crate::kept::{Kept, Order, Told};
 use crate::news::Audience;
