A link that fails between two control replicas no longer changes views for as long as it fails

Change: LinkReport (message 16, a new kind beside the old ones; sent after heartbeats, only while a member is silent to somebody) tells whom a replica hears and since when. The desired view takes the longest order of the chain whose neighbours hear one another and whose members each hear a majority of it; it changes only on evidence of 1.5 s. Until then the head answers 503 at once; where no order is left nothing is proposed and a log line names the links.

--- a/crates/chain-replication/src/control_replica/fingerprint.rs
+++ b/crates/chain-replication/src/control_replica/fingerprint.rs
@@ -1,7 +1,7 @@
 //! A fingerprint of a replica's whole protocol state, by which an exhaustive search tells states that it has seen.
 use super::ControlReplica;
 use crate::fingerprint::age;
-use crate::timing::{FAILURE_TIMEOUT, HEARTBEAT_INTERVAL, STARTUP_GRACE, UNLIST_TIMEOUT};
+use crate::timing::{HEARTBEAT_INTERVAL, LINK_FAULT_TIMEOUT, STARTUP_GRACE, UNLIST_TIMEOUT};
 use std::hash::{Hash, Hasher};
 use std::time::Duration;
 
@@ -25,8 +25,10 @@
 
     fn fingerprint_peers(&self, now: Duration, hasher: &mut impl Hasher) {
         self.last_heartbeat.map(|at| age(now, at, HEARTBEAT_INTERVAL)).hash(hasher);
-        let silence_that_counts = if self.discovery.is_enabled() { UNLIST_TIMEOUT } else { FAILURE_TIMEOUT };
+        let silence_that_counts = if self.discovery.is_enabled() { UNLIST_TIMEOUT } else { LINK_FAULT_TIMEOUT };
         self.peers.fingerprint(now, silence_that_counts, hasher);
+        age(now, self.listening_since, LINK_FAULT_TIMEOUT).hash(hasher);
+        self.links.fingerprint(now, silence_that_counts, hasher);
         self.discovery.fingerprint(now, hasher);
         if self.discovery.is_enabled() {
             age(now, self.view_since, UNLIST_TIMEOUT).hash(hasher);
--- a/crates/chain-replication/src/control_replica/heartbeats.rs
+++ b/crates/chain-replication/src/control_replica/heartbeats.rs
@@ -17,6 +17,7 @@
         if !self.pending_commands.is_empty() && !self.hears_majority() {
             self.give_up_pending_commands();
         }
+        self.log_faulty_links();
         self.view_change_tick();
         self.pulls_tick();
         self.background_tick();
@@ -89,9 +90,10 @@
         let heartbeat = self.heartbeat();
         let known = self.known_peers();
         self.announce(&known);
-        for to in known {
-            self.send(to, Message::Heartbeat(heartbeat.clone()));
+        for to in &known {
+            self.send(*to, Message::Heartbeat(heartbeat.clone()));
         }
+        self.send_link_reports(&known);
     }
 
     /// Where replicas announce themselves: says where this one is reached if the others may not know, and tells the view
--- a/crates/chain-replication/src/control_replica/mod.rs
+++ b/crates/chain-replication/src/control_replica/mod.rs
@@ -5,6 +5,7 @@
 //! | module | what |
 //! | --- | --- |
 //! | `heartbeats` | ticks, heartbeats, and how this replica is |
+//! | `links` | telling whom this replica hears, and which links fail |
 //! | `replication` | commands at the head, entries down the chain, commit |
 //! | `snapshots` | making snapshots, and taking one in place of the log |
 //! | `tail_lease` | asking for the tail's lease, granting it |
@@ -17,6 +18,7 @@
 mod background;
 mod fingerprint;
 mod heartbeats;
+mod links;
 mod pulls;
 mod queries;
 mod releases;
@@ -31,9 +33,10 @@
 use crate::failure_detector::FailureDetector;
 use crate::hard_state::HardState;
 use crate::lease::{GrantedLease, HeldLease};
+use crate::link_reports::LinkReports;
 use crate::listing::ListingFollower;
 use crate::log::ReplicationLog;
-use crate::membership::Observations;
+use crate::membership::{FaultyLink, Observations};
 use crate::message::{Message, PeerMessage};
 use crate::node_status::NodeStatuses;
 use crate::paxos::{Acceptor, Proposer};
@@ -82,6 +85,11 @@
     writes: WriteQueue,
     health: Health,
     peers: FailureDetector,
+    /// Since when this replica has heard others without a pause: a silence before it says nothing of a link.
+    listening_since: Duration,
+    links: LinkReports,
+    /// The links that were logged as faulty last.
+    logged_faulty_links: Vec<FaultyLink>,
     discovery: Discovery,
     last_heartbeat: Option<Duration>,
     held_lease: HeldLease,
@@ -122,6 +130,9 @@
             writes: WriteQueue::default(),
             health: Health::default(),
             peers: FailureDetector::default(),
+            listening_since: now,
+            links: LinkReports::default(),
+            logged_faulty_links: Vec::new(),
             discovery: Discovery::new(seeds),
             last_heartbeat: None,
             held_lease: HeldLease::default(),
@@ -219,6 +230,7 @@
     /// in order.
     pub fn step(&mut self, now: Duration, input: Input) -> Vec<Output> {
         self.now = self.now.max(now);
+        self.note_silence();
         match input {
             Input::Tick => self.on_tick(),
             Input::Message(message) => self.on_message(message),
@@ -248,6 +260,7 @@
             Message::LeaseGrant(lease) => self.on_lease_grant(from, incarnation, lease),
             Message::LeaseEnd(lease) => self.on_lease_end(from, lease),
             Message::ReleaseAges(announced) => self.on_release_ages(from, &announced),
+            Message::LinkReport(report) => self.links.record(self.now, from, report),
             Message::Command(bytes) => self.on_forwarded_command(bytes.as_slice()),
         }
     }
@@ -263,6 +276,8 @@
             holds_all: self.holds_all(),
             synced: self.replicator.synced.seq,
             peers: &self.peers,
+            listening_since: self.listening_since,
+            links: &self.links,
             discovery: &self.discovery,
             requested_addresses: self.pending_members.as_ref().map(|pending| pending.addresses.as_slice()),
         }
--- a/crates/chain-replication/src/control_replica/requests.rs
+++ b/crates/chain-replication/src/control_replica/requests.rs
@@ -89,6 +89,10 @@
         if self.is_overloaded() {
             return self.redirect(token, None);
         }
+        if self.observations().chain_is_broken() {
+            let reason = "a link of the chain fails, and no other order of the chain was agreed on yet";
+            return self.respond(token, Response::Unavailable(reason.into()));
+        }
         match CommandRequest::decode(bytes) {
             Some(request) => self.take_command(Some(token), &request),
             None => self.respond(token, Response::Rejected("command cannot be read".into())),
--- a/crates/chain-replication/src/failure_detector.rs
+++ b/crates/chain-replication/src/failure_detector.rs
@@ -1,7 +1,7 @@
 //! Who is alive, by heartbeats. A replica that is not heard for [`FAILURE_TIMEOUT`] counts as failed; it may as well be
 //! cut off, so nothing that must hold for certain relies on this.
 use crate::message::Heartbeat;
-use crate::timing::FAILURE_TIMEOUT;
+use crate::timing::{FAILURE_TIMEOUT, LINK_FAULT_TIMEOUT};
 use crate::view::{Member, View};
 use std::collections::BTreeMap;
 use std::hash::{Hash, Hasher};
@@ -12,6 +12,8 @@
 pub struct PeerStatus {
     /// When it came, by this replica's clock.
     pub heard_at: Duration,
+    /// Since when heartbeats have come without a pause that counts as a failure.
+    pub heard_since: Duration,
     /// The sender's.
     pub incarnation: u64,
     /// What it said.
@@ -27,7 +29,14 @@
 impl FailureDetector {
     /// A heartbeat came.
     pub fn record(&mut self, now: Duration, from: u32, incarnation: u64, heartbeat: Heartbeat) {
-        self.peers.insert(from, PeerStatus { heard_at: now, incarnation, heartbeat });
+        let former = self.peers.get(&from).filter(|peer| peer.incarnation == incarnation && is_recent(now, peer));
+        let heard_since = former.map_or(now, |peer| peer.heard_since);
+        self.insert(from, PeerStatus { heard_at: now, heard_since, incarnation, heartbeat });
+    }
+
+    /// The last heartbeat of a replica, as another heard it.
+    pub fn insert(&mut self, from: u32, status: PeerStatus) {
+        self.peers.insert(from, status);
     }
 
     /// The last heartbeat of the replica with this id, however old, of whichever incarnation.
@@ -35,6 +44,11 @@
         self.peers.get(&id)
     }
 
+    /// The last heartbeat of each replica that was ever heard, with its id.
+    pub fn all(&self) -> impl Iterator<Item = (u32, &PeerStatus)> {
+        self.peers.iter().map(|(id, peer)| (*id, peer))
+    }
+
     /// The last heartbeat of this very member, if it is not too old.
     pub fn recent_status(&self, now: Duration, member: &Member) -> Option<&PeerStatus> {
         self.peers.get(&member.id).filter(|peer| peer.incarnation == member.incarnation && is_recent(now, peer))
@@ -45,6 +59,16 @@
         self.peers.get(&id).is_some_and(|peer| is_recent(now, peer))
     }
 
+    /// Since when the replica with this id has been heard without a pause, if it was heard lately.
+    pub fn recent_since(&self, now: Duration, id: u32) -> Option<Duration> {
+        self.peers.get(&id).filter(|peer| is_recent(now, peer)).map(|peer| peer.heard_since)
+    }
+
+    /// Whether any other replica was heard lately.
+    pub fn hears_anyone(&self, now: Duration) -> bool {
+        self.peers.values().any(|peer| is_recent(now, peer))
+    }
+
     /// Whether a majority of a view's voters was heard lately, `me` included. A replica that hears none may have been
     /// left behind by a newer view: what it knows may no longer hold.
     pub fn hears_majority(&self, now: Duration, view: &View, me: &Member) -> bool {
@@ -56,11 +80,13 @@
     pub fn fingerprint(&self, now: Duration, limit: Duration, hasher: &mut impl Hasher) {
         for (id, peer) in &self.peers {
             let silence = crate::fingerprint::age(now, peer.heard_at, limit);
-            (id, silence, peer.incarnation, &peer.heartbeat).hash(hasher);
+            let heard_for = crate::fingerprint::age(now, peer.heard_since, LINK_FAULT_TIMEOUT);
+            (id, silence, heard_for, peer.incarnation, &peer.heartbeat).hash(hasher);
         }
     }
 }
 
-fn is_recent(now: Duration, peer: &PeerStatus) -> bool {
+/// Whether a heartbeat is not too old.
+pub fn is_recent(now: Duration, peer: &PeerStatus) -> bool {
     now.saturating_sub(peer.heard_at) < FAILURE_TIMEOUT
 }
--- a/crates/chain-replication/src/lib.rs
+++ b/crates/chain-replication/src/lib.rs
@@ -10,6 +10,7 @@
 //! | [`log`], [`replicator`], [`snapshot_transfer`] | the log; what followers have and lack; snapshots in parts |
 //! | [`paxos`], [`ballot`] | the decision on the next view: proposer and acceptor |
 //! | [`membership`], [`failure_detector`], [`discovery`] | which view is wanted; who is alive; who there is |
+//! | [`link_reports`], [`chain_order`] | which links between replicas fail; an order of the chain that needs none of them |
 //! | [`lease`] | the tail's lease, by the tail and by the voters |
 //! | [`write_queue`], [`recovery`] | writes that are not yet durable; starting from a disk |
 //! | [`node_status`], [`listing`] | what is known of nodes, and of the platform's list of replicas |
@@ -17,11 +18,13 @@
 //! | [`timing`] | every duration |
 
 pub mod ballot;
+pub mod chain_order;
 pub mod control_replica;
 pub mod discovery;
 pub mod failure_detector;
 pub mod hard_state;
 pub mod lease;
+pub mod link_reports;
 pub mod listing;
 pub mod log;
 pub mod membership;
--- a/crates/chain-replication/src/membership.rs
+++ b/crates/chain-replication/src/membership.rs
@@ -3,10 +3,16 @@
 //! A machine that comes is a spare first: it learns from the tail, and is let into the chain, with a vote, once it has
 //! caught up. One that is told to stop stays until enough others hold all that it holds. So the chain never has fewer
 //! complete members than the view demands, unless disks are lost.
+//!
+//! A member counts as alive if this replica hears it, or somebody that reports whom it hears does. Neighbours in the chain
+//! have to hear one another in both directions: where a link fails, the order changes, and a member goes only if no order
+//! of all is left.
+use crate::chain_order::OrderSearch;
 use crate::discovery::Discovery;
-use crate::failure_detector::{FailureDetector, PeerStatus};
+use crate::failure_detector::{FailureDetector, PeerStatus, is_recent};
+use crate::link_reports::LinkReports;
 use crate::message::Condition;
-use crate::timing::UNLIST_TIMEOUT;
+use crate::timing::{LINK_FAULT_TIMEOUT, UNLIST_TIMEOUT};
 use crate::view::{Member, MemberAddress, View};
 use std::time::Duration;
 
@@ -31,6 +37,10 @@
     pub synced: u64,
     /// The heartbeats of the others.
     pub peers: &'a FailureDetector,
+    /// Since when this replica has heard others without a pause.
+    pub listening_since: Duration,
+    /// Whom the others hear.
+    pub links: &'a LinkReports,
     /// Who announced themselves.
     pub discovery: &'a Discovery,
     /// The list of control machines that an operator asked for.
@@ -51,6 +61,10 @@
     behind: Vec<Member>,
 }
 
+/// Two replicas whose link fails in one direction or both, the lower id first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct FaultyLink(pub u32, pub u32);
+
 impl Candidates {
     /// The next chain: members that hold all keep their order, as the others may have to fetch entries from them. While
     /// members that leave wait for their successors, the chain is longer by them.
@@ -69,12 +83,75 @@
 }
 
 impl Observations<'_> {
+    /// The newest heartbeat of a replica, heard here or by another that reports it.
+    fn status(&self, id: u32) -> Option<&PeerStatus> {
+        let relayed = self.links.relayed_status(self.now, id);
+        self.peers.status(id).into_iter().chain(relayed).max_by_key(|peer| peer.heard_at)
+    }
+
     fn condition(&self, member: &Member) -> Option<Condition> {
         if member == self.me {
             return Some(self.own_condition.clone());
         }
-        let peer = self.peers.recent_status(self.now, member)?;
-        Some(peer.heartbeat.condition.clone())
+        let peer = self.status(member.id)?;
+        let is_this_member = peer.incarnation == member.incarnation && is_recent(self.now, peer);
+        is_this_member.then(|| peer.heartbeat.condition.clone())
+    }
+
+    /// Whether `listener` has not heard `speaker` for so long that their link counts as faulty: others have heard the one
+    /// all the while, and the other has heard others. So no link is to blame for a replica that stood still.
+    fn misses(&self, listener: u32, speaker: u32) -> bool {
+        let (Some(heard_at), Some(spoke_since)) =
+            (self.heard_at(listener, speaker), self.heard_by_others_since(listener, speaker))
+        else {
+            return false;
+        };
+        let silent_since = heard_at.max(spoke_since).max(self.listening_since(listener));
+        self.now.saturating_sub(silent_since) >= LINK_FAULT_TIMEOUT
+    }
+
+    /// Since when somebody other than `listener` has heard `speaker` without a pause. A replica hears itself.
+    fn heard_by_others_since(&self, listener: u32, speaker: u32) -> Option<Duration> {
+        let by_me = match (listener == self.me.id, speaker == self.me.id) {
+            (true, _) => None,
+            (false, true) => Some(self.listening_since),
+            (false, false) => self.peers.recent_since(self.now, speaker),
+        };
+        self.links.heard_since(self.now, listener, speaker).chain(by_me).min()
+    }
+
+    /// When `listener` heard `speaker` last; zero for never, and none where `listener` did not say.
+    fn heard_at(&self, listener: u32, speaker: u32) -> Option<Duration> {
+        let heard = if listener == self.me.id { Some(self.peers) } else { self.links.heard_by(self.now, listener) };
+        heard.map(|heard| heard.status(speaker).map_or(Duration::ZERO, |peer| peer.heard_at))
+    }
+
+    fn listening_since(&self, id: u32) -> Duration {
+        if id == self.me.id {
+            return self.listening_since;
+        }
+        self.links.listening_since(self.now, id).unwrap_or_default()
+    }
+
+    fn is_linked(&self, one: u32, other: u32) -> bool {
+        !self.misses(one, other) && !self.misses(other, one)
+    }
+
+    /// The links between members of the view that fail though somebody hears both ends.
+    pub fn faulty_links(&self) -> Vec<FaultyLink> {
+        let view = self.view;
+        let members = view.chain.items().iter().chain(view.spares.items());
+        let is_heard = |member: &&Member| self.condition(member).is_some();
+        let mut alive: Vec<u32> = members.filter(is_heard).map(|member| member.id).collect();
+        alive.sort();
+        let pairs = alive.iter().enumerate().flat_map(|(at, one)| alive[at + 1..].iter().map(|other| (*one, *other)));
+        pairs.filter(|(one, other)| !self.is_linked(*one, *other)).map(|(one, other)| FaultyLink(one, other)).collect()
+    }
+
+    /// Whether a link fails over which entries or acknowledgements of the present chain have to go.
+    pub fn chain_is_broken(&self) -> bool {
+        let is_broken = |pair: &[Member]| !self.is_linked(pair[0].id, pair[1].id);
+        self.view.chain.items().windows(2).any(is_broken)
     }
 
     /// Whether a member was heard lately and can do its part.
@@ -93,7 +170,7 @@
             return self.holds_all;
         }
         let says_so = |peer: &PeerStatus| peer.heartbeat.view == self.view.number && peer.heartbeat.holds_all;
-        self.peers.status(member.id).is_some_and(says_so)
+        self.status(member.id).is_some_and(says_so)
     }
 
     /// How many members of the chain are alive and hold all entries. One loss is survived while there are two.
@@ -104,7 +181,7 @@
 
     fn has_caught_up(&self, spare: &Member) -> bool {
         let is_close = || {
-            let peer = self.peers.status(spare.id);
+            let peer = self.status(spare.id);
             peer.is_some_and(|peer| self.synced.saturating_sub(peer.heartbeat.synced.seq) <= CAUGHT_UP_ENTRIES)
         };
         (spare == self.me || is_close()) && self.is_complete(spare)
@@ -133,7 +210,7 @@
     fn stays_listed(&self, id: u32) -> bool {
         let members = [&self.view.chain, &self.view.voters];
         let is_of_use = members.iter().any(|list| list.items().iter().any(|member| member.id == id));
-        let heard_at = self.peers.status(id).map_or(self.view_since, |peer| peer.heard_at.max(self.view_since));
+        let heard_at = self.status(id).map_or(self.view_since, |peer| peer.heard_at.max(self.view_since));
         is_of_use || id == self.me.id || self.now.saturating_sub(heard_at) < UNLIST_TIMEOUT
     }
 
@@ -143,7 +220,7 @@
             if address.id == self.me.id {
                 return Some(self.me.clone());
             }
-            let incarnation = self.peers.status(address.id)?.incarnation;
+            let incarnation = self.status(address.id)?.incarnation;
             Some(Member { id: address.id, incarnation })
         };
         addresses.iter().filter_map(member).filter(|member| self.is_alive(member)).collect()
@@ -163,6 +240,19 @@
         Candidates { complete, staying, learning, ready, behind }
     }
 
+    /// This chain, or where neighbours in it do not hear one another, the longest that can do without such links; none
+    /// where it would be too short.
+    fn linked_chain(&self, chain: Vec<Member>, complete: &[Member], ready: &[Member]) -> Option<Vec<Member>> {
+        let spare = ready.iter().filter(|member| !chain.contains(member));
+        let candidates: Vec<Member> = chain.iter().chain(spare).cloned().collect();
+        let is_linked = |one, other| self.is_linked(one, other);
+        let search = OrderSearch { candidates: &candidates, complete, is_linked };
+        if search.accepts(&chain) {
+            return Some(chain);
+        }
+        search.find(chain.len(), self.view.min_chain_length as usize)
+    }
+
     /// The view that would suit what is known now, if it is another than the one that holds.
     pub fn desired_view(&self) -> Option<View> {
         let view = self.view;
@@ -175,10 +265,12 @@
         }
         let newcomers: Vec<Member> =
             candidates.behind.iter().filter(|member| !view.contains(member)).cloned().collect();
+        let (complete, ready) = (candidates.complete.clone(), candidates.ready.clone());
         let chain = candidates.chain(view.target_length as usize, min_chain_length);
         if chain.len() < min_chain_length {
             return None;
         }
+        let chain = self.linked_chain(chain, &complete, &ready)?;
         let selection = Selection { addresses: &addresses, alive: &alive, chain: &chain };
         let spares = selection.next_spares(view, newcomers);
         let voters = selection.next_voters(view);
--- a/crates/chain-replication/src/message.rs
+++ b/crates/chain-replication/src/message.rs
@@ -111,6 +111,29 @@
         pub ages: ReleaseAges,
     }
 
+    /// Another replica as the sender of a report heard it last, without others between.
+    pub struct HeardPeer {
+        /// The id of the replica that was heard.
+        pub id: u32,
+        /// Its incarnation.
+        pub incarnation: u64,
+        /// How long before the report its last heartbeat came, in milliseconds.
+        pub age_ms: u64,
+        /// For how long, up to the report, its heartbeats have come without a pause, in milliseconds.
+        pub heard_ms: u64,
+        /// Its last heartbeat.
+        pub heartbeat: Heartbeat,
+    }
+
+    /// Whom the sender hears without others between. It is sent beside heartbeats while a member of the view is silent to
+    /// somebody: so replicas learn which links fail, and that a member to which their own link fails is alive.
+    pub struct LinkReport {
+        /// For how long the sender has heard others without a pause, in milliseconds.
+        pub listening_ms: u64,
+        /// All that it ever heard.
+        pub heard: List<HeardPeer>,
+    }
+
     /// Everything that control replicas tell each other.
     pub enum Message {
         /// A sign of life.
@@ -143,6 +166,8 @@
         14 = LeaseEnd(Lease),
         /// When weights were released.
         15 = ReleaseAges(ProcessReleaseAges),
+        /// Whom the sender hears.
+        16 = LinkReport(LinkReport),
     }
 
     /// A message with its sender's id and incarnation.
--- a/crates/chain-replication/src/timing.rs
+++ b/crates/chain-replication/src/timing.rs
@@ -6,6 +6,9 @@
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(150);
 /// A control replica from which no heartbeat came for so long counts as failed.
 pub const FAILURE_TIMEOUT: Duration = Duration::from_millis(900);
+/// A link on which no heartbeat came for so long counts as faulty where its ends are alive: longer than a failure takes to
+/// be seen by all, so that a replica that fails is dropped and never put elsewhere first.
+pub const LINK_FAULT_TIMEOUT: Duration = Duration::from_millis(1500);
 /// The tail's lease, counted by the tail from when it asked for it: for so long the voters choose no next view.
 pub const TAIL_LEASE: Duration = Duration::from_millis(1000);
 /// A disk on which a write has waited for so long counts as stalled.
--- a/crates/chain-replication/tests/explore.rs
+++ b/crates/chain-replication/tests/explore.rs
@@ -9,7 +9,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-const THREADS: u16 = 4;
+const THREADS: u16 = 8;
 /// Searches run one after the other, so that they take no more threads than these.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
 /// Turns until a founded world has a tail under its lease, and a joiner its place.
--- a/crates/chain-replication/tests/golden_protocol/messages.rs
+++ b/crates/chain-replication/tests/golden_protocol/messages.rs
@@ -4,8 +4,8 @@
 use chain_replication::hard_state::HardState;
 use chain_replication::log::{Entry, Position, Snapshot};
 use chain_replication::message::{
-    Accept, Accepted, Ack, Append, Condition, Heartbeat, Lease, Message, PeerMessage, Prepare, ProcessReleaseAges,
-    Promise,
+    Accept, Accepted, Ack, Append, Condition, HeardPeer, Heartbeat, Lease, LinkReport, Message, PeerMessage, Prepare,
+    ProcessReleaseAges, Promise,
 };
 use chain_replication::snapshot_transfer::{SnapshotPart, SnapshotProgress};
 use chain_replication::view::{AcceptedView, Member, MemberAddress, View};
@@ -77,6 +77,11 @@
     Lease { view: 7, process: 77, sent_us: 123_456_789 }
 }
 
+fn link_report() -> LinkReport {
+    let heard = HeardPeer { id: 2, incarnation: 9, age_ms: 140, heard_ms: 9_000, heartbeat: beat(Condition::Healthy) };
+    LinkReport { listening_ms: 12_000, heard: vec![heard].into() }
+}
+
 fn messages() -> Vec<(&'static str, Message)> {
     let accepted = AcceptedView { ballot: Ballot::new(5, 2), view: view() };
     vec![
@@ -105,6 +110,7 @@
         ("announce", Message::Announce(address(4))),
         ("lease_end", Message::LeaseEnd(lease())),
         ("naming_ages", Message::ReleaseAges(naming_ages())),
+        ("link_report", Message::LinkReport(link_report())),
     ]
 }
 
@@ -122,7 +128,7 @@
         | Message::Ack(_)
         | Message::LeaseRequest(_) => true,
         Message::LeaseGrant(_) | Message::Command(_) | Message::Announce(_) | Message::LeaseEnd(_) => true,
-        Message::ReleaseAges(_) => true,
+        Message::ReleaseAges(_) | Message::LinkReport(_) => true,
     }
 }
 
--- a/crates/chain-replication/tests/membership.rs
+++ b/crates/chain-replication/tests/membership.rs
@@ -1,6 +1,7 @@
 //! Which view is wanted by what is known, without replicas round it.
 use chain_replication::discovery::Discovery;
 use chain_replication::failure_detector::FailureDetector;
+use chain_replication::link_reports::LinkReports;
 use chain_replication::log::Position;
 use chain_replication::membership::Observations;
 use chain_replication::message::{Condition, Heartbeat};
@@ -52,6 +53,8 @@
         holds_all: true,
         synced: 5,
         peers: &peers,
+        listening_since: NOW,
+        links: &LinkReports::default(),
         discovery: &discovery,
         requested_addresses: None,
     };
--- a/crates/chain-replication/tests/sim/mod.rs
+++ b/crates/chain-replication/tests/sim/mod.rs
@@ -74,6 +74,8 @@
     pub last_process_start: Duration,
     /// Whether what cores note is printed, to look into a run.
     pub shows_notes: bool,
+    /// What cores logged, with their ids.
+    pub log_lines: Vec<(u32, String)>,
     /// A digest of all outputs, where they are recorded.
     outputs: Option<Sha256>,
 }
@@ -120,6 +122,7 @@
             torn: Vec::new(),
             last_process_start: ms(1000),
             shows_notes: std::env::var("SIM_NOTES").is_ok(),
+            log_lines: Vec::new(),
             outputs: None,
         }
     }
@@ -174,8 +177,12 @@
                 }
                 Output::Respond { token, response: answer } => self.answered(token, answer),
                 Output::PollReplicas { poll: number } => self.poll(id, boot, number),
-                Output::Log(line) if self.shows_notes => println!("{now:?} {id}: {line}"),
-                Output::Log(_) => {}
+                Output::Log(line) => {
+                    if self.shows_notes {
+                        println!("{now:?} {id}: {line}");
+                    }
+                    self.log_lines.push((id, line));
+                }
             }
         }
     }
