--- a/crates/http-streams/src/outbound.rs
+++ b/crates/http-streams/src/outbound.rs
@@ -22,6 +22,10 @@
 /// What follows this status is another protocol, which no request asked for.
 const SWITCHING_PROTOCOLS: u16 = 101;
 
+/// Once a deadline has passed, a response is read no more often than this: what had arrived by then is taken, and a replica
+/// that sends without a pause is not followed.
+const MAX_LATE_READS: u32 = 16;
+
 /// Connections are not used within so much of the end that the replica states.
 const MARGIN: Duration = Duration::from_millis(1200);
 /// How long one may be idle where the replica states nothing.
@@ -35,6 +39,8 @@
     /// Bytes that were read and not used yet.
     buffer: Vec<u8>,
     framing: Framing,
+    /// Reads in a row whose deadline had passed.
+    late_reads: u32,
     /// The method of the current request.
     method: String,
     /// When it was last used.
@@ -63,6 +69,7 @@
             stream,
             buffer: Vec::new(),
             framing: Framing::Ended,
+            late_reads: 0,
             method: String::new(),
             last_used: Instant::now(),
             keep_alive: None,
@@ -109,6 +116,12 @@
         Ok(())
     }
 
+    /// Counts a read against the bound on late ones: whether it is within it.
+    fn may_read(&mut self, deadline: Instant) -> bool {
+        self.late_reads = if Instant::now() < deadline { 0 } else { self.late_reads + 1 };
+        self.late_reads <= MAX_LATE_READS
+    }
+
     /// Reads what is available, waiting for it until `deadline`: `false` at the end of the connection.
     fn fill(&mut self, caller: Option<&TcpStream>, deadline: Instant) -> Result<bool, ResponsePart> {
         match wait_readable(&self.stream, caller, deadline) {
@@ -116,6 +129,9 @@
             WaitOutcome::TimedOut => return Err(ResponsePart::TimedOut),
             WaitOutcome::Readable => {}
         }
+        if !self.may_read(deadline) {
+            return Err(ResponsePart::TimedOut);
+        }
         let count = read_available(&self.stream, &mut self.buffer);
         count.map(|count| count > 0).map_err(|error| self.broken(ResponseError::Read(error.kind())))
     }
