A view whose head lost its disk is followed by another: who held all that was acknowledged may lead

A view that one voter had accepted must be adopted (Paxos); where its head had just lost its disk, every other member of its chain stopped counting as complete, as it stood behind a member that had followed it, and nobody was left to propose a view.

Change: a member that held all in one view and is in the chain of the next holds every acknowledged entry. Without recent link reports the search for an order is left out.

--- a/crates/chain-replication/src/chain_order.rs
+++ b/crates/chain-replication/src/chain_order.rs
@@ -53,7 +53,7 @@
 
     /// The members of the chain vote. One that hears no majority of them would leave the chain again.
     fn hears_majority(&self, member: &Member, chain: &[Member]) -> bool {
-        let is_heard = |other: &&Member| *other == member || (self.is_linked)(member.id, other.id);
-        chain.iter().filter(is_heard).count() > chain.len() / 2
+        let is_reachable = |other: &&Member| *other == member || (self.is_linked)(member.id, other.id);
+        chain.iter().filter(is_reachable).count() > chain.len() / 2
     }
 }
--- a/crates/chain-replication/src/control_replica/fingerprint.rs
+++ b/crates/chain-replication/src/control_replica/fingerprint.rs
@@ -1,7 +1,7 @@
 //! A fingerprint of a replica's whole protocol state, by which an exhaustive search tells states that it has seen.
 use super::ControlReplica;
 use crate::fingerprint::age;
-use crate::timing::{HEARTBEAT_INTERVAL, LINK_FAULT_TIMEOUT, STARTUP_GRACE, UNLIST_TIMEOUT};
+use crate::timing::{FAILURE_TIMEOUT, HEARTBEAT_INTERVAL, LINK_FAULT_TIMEOUT, STARTUP_GRACE, UNLIST_TIMEOUT};
 use std::hash::{Hash, Hasher};
 use std::time::Duration;
 
@@ -17,7 +17,8 @@
     }
 
     fn fingerprint_storage(&self, now: Duration, hasher: &mut impl Hasher) {
-        (&self.me, &self.hard_state, self.holds_all_is_synced, self.health).hash(hasher);
+        (&self.me, &self.hard_state, self.holds_all_is_synced, self.holds_acknowledged, self.health).hash(hasher);
+        age(now, self.view_since, FAILURE_TIMEOUT).hash(hasher);
         self.replicator.fingerprint(now, hasher);
         self.writes.fingerprint(now, hasher);
         (&self.pending_commands, &self.pending_members).hash(hasher);
--- a/crates/chain-replication/src/control_replica/links.rs
+++ b/crates/chain-replication/src/control_replica/links.rs
@@ -7,7 +7,7 @@
 
 impl ControlReplica {
     /// A replica that hears nobody stood still or is cut off: no link is to blame for that.
-    pub(super) fn note_silence(&mut self) {
+    pub(super) fn note_isolation(&mut self) {
         if !self.peers.hears_anyone(self.now) {
             self.listening_since = self.now;
         }
--- a/crates/chain-replication/src/control_replica/mod.rs
+++ b/crates/chain-replication/src/control_replica/mod.rs
@@ -79,13 +79,15 @@
     hard_state: HardState,
     /// Whether the disk says what `hard_state.holds_all` does.
     holds_all_is_synced: bool,
+    /// Whether this replica holds every acknowledged entry though it may not hold all: see [`Self::install`].
+    holds_acknowledged: bool,
     /// Since when the present view holds here.
     view_since: Duration,
     replicator: Replicator,
     writes: WriteQueue,
     health: Health,
     peers: FailureDetector,
-    /// Since when this replica has heard others without a pause: a silence before it says nothing of a link.
+    /// Since when this replica has received heartbeats without a pause: what did not come before says nothing of a link.
     listening_since: Duration,
     links: LinkReports,
     /// The links that were logged as faulty last.
@@ -125,6 +127,7 @@
             started_at: now,
             holds_all_is_synced: hard_state.holds_all,
             hard_state,
+            holds_acknowledged: false,
             view_since: now,
             replicator: Replicator::new(log, state),
             writes: WriteQueue::default(),
@@ -230,7 +233,7 @@
     /// in order.
     pub fn step(&mut self, now: Duration, input: Input) -> Vec<Output> {
         self.now = self.now.max(now);
-        self.note_silence();
+        self.note_isolation();
         match input {
             Input::Tick => self.on_tick(),
             Input::Message(message) => self.on_message(message),
@@ -274,6 +277,7 @@
             view_since: self.view_since,
             own_condition: self.condition(),
             holds_all: self.holds_all(),
+            holds_acknowledged: self.holds_acknowledged,
             synced: self.replicator.synced.seq,
             peers: &self.peers,
             listening_since: self.listening_since,
--- a/crates/chain-replication/src/control_replica/replication.rs
+++ b/crates/chain-replication/src/control_replica/replication.rs
@@ -153,6 +153,7 @@
             self.log_line(error.to_string());
             return false;
         }
+        self.holds_acknowledged = false;
         records.push(Record::Truncate(seq));
         self.releases.forget_after(seq);
         if self.replicator.state.seq > seq {
--- a/crates/chain-replication/src/control_replica/snapshots.rs
+++ b/crates/chain-replication/src/control_replica/snapshots.rs
@@ -40,6 +40,7 @@
         let Some(state) = State::decode(snapshot.state.as_slice()) else {
             return self.log_line(format!("the snapshot at {} cannot be read", snapshot.at.seq));
         };
+        self.holds_acknowledged = false;
         self.replace_state(state);
         self.nodes.forget_expiries(self.now);
         self.replicator.replace_log(snapshot.clone());
--- a/crates/chain-replication/src/failure_detector.rs
+++ b/crates/chain-replication/src/failure_detector.rs
@@ -11,9 +11,9 @@
 #[derive(Clone)]
 pub struct PeerStatus {
     /// When it came, by this replica's clock.
-    pub heard_at: Duration,
+    pub last_received_at: Duration,
     /// Since when heartbeats have come without a pause that counts as a failure.
-    pub heard_since: Duration,
+    pub received_since: Duration,
     /// The sender's.
     pub incarnation: u64,
     /// What it said.
@@ -30,11 +30,11 @@
     /// A heartbeat came.
     pub fn record(&mut self, now: Duration, from: u32, incarnation: u64, heartbeat: Heartbeat) {
         let former = self.peers.get(&from).filter(|peer| peer.incarnation == incarnation && is_recent(now, peer));
-        let heard_since = former.map_or(now, |peer| peer.heard_since);
-        self.insert(from, PeerStatus { heard_at: now, heard_since, incarnation, heartbeat });
+        let received_since = former.map_or(now, |peer| peer.received_since);
+        self.insert(from, PeerStatus { last_received_at: now, received_since, incarnation, heartbeat });
     }
 
-    /// The last heartbeat of a replica, as another heard it.
+    /// The last heartbeat of a replica, as another received it.
     pub fn insert(&mut self, from: u32, status: PeerStatus) {
         self.peers.insert(from, status);
     }
@@ -61,7 +61,7 @@
 
     /// Since when the replica with this id has been heard without a pause, if it was heard lately.
     pub fn recent_since(&self, now: Duration, id: u32) -> Option<Duration> {
-        self.peers.get(&id).filter(|peer| is_recent(now, peer)).map(|peer| peer.heard_since)
+        self.peers.get(&id).filter(|peer| is_recent(now, peer)).map(|peer| peer.received_since)
     }
 
     /// Whether any other replica was heard lately.
@@ -72,21 +72,21 @@
     /// Whether a majority of a view's voters was heard lately, `me` included. A replica that hears none may have been
     /// left behind by a newer view: what it knows may no longer hold.
     pub fn hears_majority(&self, now: Duration, view: &View, me: &Member) -> bool {
-        let is_heard = |voter: &&Member| *voter == me || self.recent_status(now, voter).is_some();
-        view.voters.items().iter().filter(is_heard).count() >= view.majority()
+        let is_reachable = |voter: &&Member| *voter == me || self.recent_status(now, voter).is_some();
+        view.voters.items().iter().filter(is_reachable).count() >= view.majority()
     }
 
     /// Feeds what decides later steps to `hasher`; silences beyond `limit` make no difference.
     pub fn fingerprint(&self, now: Duration, limit: Duration, hasher: &mut impl Hasher) {
         for (id, peer) in &self.peers {
-            let silence = crate::fingerprint::age(now, peer.heard_at, limit);
-            let heard_for = crate::fingerprint::age(now, peer.heard_since, LINK_FAULT_TIMEOUT);
-            (id, silence, heard_for, peer.incarnation, &peer.heartbeat).hash(hasher);
+            let since_last = crate::fingerprint::age(now, peer.last_received_at, limit);
+            let received_for = crate::fingerprint::age(now, peer.received_since, LINK_FAULT_TIMEOUT);
+            (id, since_last, received_for, peer.incarnation, &peer.heartbeat).hash(hasher);
         }
     }
 }
 
 /// Whether a heartbeat is not too old.
 pub fn is_recent(now: Duration, peer: &PeerStatus) -> bool {
-    now.saturating_sub(peer.heard_at) < FAILURE_TIMEOUT
+    now.saturating_sub(peer.last_received_at) < FAILURE_TIMEOUT
 }
--- a/crates/chain-replication/src/membership.rs
+++ b/crates/chain-replication/src/membership.rs
@@ -12,7 +12,7 @@
 use crate::failure_detector::{FailureDetector, PeerStatus, is_recent};
 use crate::link_reports::LinkReports;
 use crate::message::Condition;
-use crate::timing::{LINK_FAULT_TIMEOUT, UNLIST_TIMEOUT};
+use crate::timing::{FAILURE_TIMEOUT, LINK_FAULT_TIMEOUT, UNLIST_TIMEOUT};
 use crate::view::{Member, MemberAddress, View};
 use std::time::Duration;
 
@@ -33,11 +33,13 @@
     pub own_condition: Condition,
     /// Whether this replica itself holds all entries of its view, also by its disk.
     pub holds_all: bool,
+    /// Whether it holds all that was acknowledged, so that it may lead where nobody is left that holds all.
+    pub holds_acknowledged: bool,
     /// The number of the last entry that is synced here.
     pub synced: u64,
     /// The heartbeats of the others.
     pub peers: &'a FailureDetector,
-    /// Since when this replica has heard others without a pause.
+    /// Since when this replica has received heartbeats without a pause.
     pub listening_since: Duration,
     /// Whom the others hear.
     pub links: &'a LinkReports,
@@ -86,7 +88,7 @@
     /// The newest heartbeat of a replica, heard here or by another that reports it.
     fn status(&self, id: u32) -> Option<&PeerStatus> {
         let relayed = self.links.relayed_status(self.now, id);
-        self.peers.status(id).into_iter().chain(relayed).max_by_key(|peer| peer.heard_at)
+        self.peers.status(id).into_iter().chain(relayed).max_by_key(|peer| peer.last_received_at)
     }
 
     fn condition(&self, member: &Member) -> Option<Condition> {
@@ -98,32 +100,32 @@
         is_this_member.then(|| peer.heartbeat.condition.clone())
     }
 
-    /// Whether `listener` has not heard `speaker` for so long that their link counts as faulty: others have heard the one
-    /// all the while, and the other has heard others. So no link is to blame for a replica that stood still.
-    fn misses(&self, listener: u32, speaker: u32) -> bool {
-        let (Some(heard_at), Some(spoke_since)) =
-            (self.heard_at(listener, speaker), self.heard_by_others_since(listener, speaker))
+    /// Whether no heartbeat of `sender` reached `receiver` for so long that their link counts as faulty: others received
+    /// those of the one all the while, and the other received those of others. So no link is to blame for a replica that stood still.
+    fn misses(&self, receiver: u32, sender: u32) -> bool {
+        let (Some(last_received_at), Some(reachable_since)) =
+            (self.last_received_at(receiver, sender), self.received_by_others_since(receiver, sender))
         else {
             return false;
         };
-        let silent_since = heard_at.max(spoke_since).max(self.listening_since(listener));
-        self.now.saturating_sub(silent_since) >= LINK_FAULT_TIMEOUT
+        let unreachable_since = last_received_at.max(reachable_since).max(self.listening_since(receiver));
+        self.now.saturating_sub(unreachable_since) >= LINK_FAULT_TIMEOUT
     }
 
-    /// Since when somebody other than `listener` has heard `speaker` without a pause. A replica hears itself.
-    fn heard_by_others_since(&self, listener: u32, speaker: u32) -> Option<Duration> {
-        let by_me = match (listener == self.me.id, speaker == self.me.id) {
+    /// Since when somebody other than `receiver` has received heartbeats of `sender` without a pause. A replica reaches itself.
+    fn received_by_others_since(&self, receiver: u32, sender: u32) -> Option<Duration> {
+        let by_me = match (receiver == self.me.id, sender == self.me.id) {
             (true, _) => None,
             (false, true) => Some(self.listening_since),
-            (false, false) => self.peers.recent_since(self.now, speaker),
+            (false, false) => self.peers.recent_since(self.now, sender),
         };
-        self.links.heard_since(self.now, listener, speaker).chain(by_me).min()
+        self.links.received_since(self.now, receiver, sender).chain(by_me).min()
     }
 
-    /// When `listener` heard `speaker` last; zero for never, and none where `listener` did not say.
-    fn heard_at(&self, listener: u32, speaker: u32) -> Option<Duration> {
-        let heard = if listener == self.me.id { Some(self.peers) } else { self.links.heard_by(self.now, listener) };
-        heard.map(|heard| heard.status(speaker).map_or(Duration::ZERO, |peer| peer.heard_at))
+    /// When the last heartbeat of `sender` reached `receiver`; zero for never, and none where `receiver` did not say.
+    fn last_received_at(&self, receiver: u32, sender: u32) -> Option<Duration> {
+        let peers = if receiver == self.me.id { Some(self.peers) } else { self.links.peers_of(self.now, receiver) };
+        peers.map(|peers| peers.status(sender).map_or(Duration::ZERO, |peer| peer.last_received_at))
     }
 
     fn listening_since(&self, id: u32) -> Duration {
@@ -137,12 +139,12 @@
         !self.misses(one, other) && !self.misses(other, one)
     }
 
-    /// The links between members of the view that fail though somebody hears both ends.
+    /// The links between members of the view that fail though both ends reach somebody.
     pub fn faulty_links(&self) -> Vec<FaultyLink> {
         let view = self.view;
         let members = view.chain.items().iter().chain(view.spares.items());
-        let is_heard = |member: &&Member| self.condition(member).is_some();
-        let mut alive: Vec<u32> = members.filter(is_heard).map(|member| member.id).collect();
+        let is_reachable = |member: &&Member| self.condition(member).is_some();
+        let mut alive: Vec<u32> = members.filter(is_reachable).map(|member| member.id).collect();
         alive.sort();
         let pairs = alive.iter().enumerate().flat_map(|(at, one)| alive[at + 1..].iter().map(|other| (*one, *other)));
         pairs.filter(|(one, other)| !self.is_linked(*one, *other)).map(|(one, other)| FaultyLink(one, other)).collect()
@@ -151,7 +153,7 @@
     /// Whether a link fails over which entries or acknowledgements of the present chain have to go.
     pub fn chain_is_broken(&self) -> bool {
         let is_broken = |pair: &[Member]| !self.is_linked(pair[0].id, pair[1].id);
-        self.view.chain.items().windows(2).any(is_broken)
+        !self.links.is_empty(self.now) && self.view.chain.items().windows(2).any(is_broken)
     }
 
     /// Whether a member was heard lately and can do its part.
@@ -210,8 +212,9 @@
     fn stays_listed(&self, id: u32) -> bool {
         let members = [&self.view.chain, &self.view.voters];
         let is_of_use = members.iter().any(|list| list.items().iter().any(|member| member.id == id));
-        let heard_at = self.status(id).map_or(self.view_since, |peer| peer.heard_at.max(self.view_since));
-        is_of_use || id == self.me.id || self.now.saturating_sub(heard_at) < UNLIST_TIMEOUT
+        let last_received_at =
+            self.status(id).map_or(self.view_since, |peer| peer.last_received_at.max(self.view_since));
+        is_of_use || id == self.me.id || self.now.saturating_sub(last_received_at) < UNLIST_TIMEOUT
     }
 
     /// Those of a list that are alive, as the members that they are now.
@@ -226,11 +229,20 @@
         addresses.iter().filter_map(member).filter(|member| self.is_alive(member)).collect()
     }
 
+    /// Whether this replica may lead though it does not hold all: nobody that does has shown in this view for long enough.
+    fn may_lead(&self) -> bool {
+        self.holds_acknowledged && self.now.saturating_sub(self.view_since) >= FAILURE_TIMEOUT
+    }
+
     fn candidates(&self, alive: &[Member]) -> Candidates {
         let view = self.view;
         let is_leaving = |member: &Member| self.condition(member) == Some(Condition::Leaving);
         let chain = view.chain.items().iter().filter(|member| alive.contains(member)).cloned();
-        let (complete, learning): (Vec<Member>, Vec<Member>) = chain.partition(|member| self.is_complete(member));
+        let (mut complete, mut learning): (Vec<Member>, Vec<Member>) =
+            chain.partition(|member| self.is_complete(member));
+        if complete.is_empty() && self.may_lead() {
+            complete.extend(learning.extract_if(.., |member| member == self.me));
+        }
         let staying = complete.iter().filter(|member| !is_leaving(member)).cloned().collect();
         let spares = alive.iter().filter(|member| view.spares.items().contains(member) && !is_leaving(member));
         let (ready, mut behind): (Vec<Member>, Vec<Member>) =
@@ -247,7 +259,7 @@
         let candidates: Vec<Member> = chain.iter().chain(spare).cloned().collect();
         let is_linked = |one, other| self.is_linked(one, other);
         let search = OrderSearch { candidates: &candidates, complete, is_linked };
-        if search.accepts(&chain) {
+        if self.links.is_empty(self.now) || search.accepts(&chain) {
             return Some(chain);
         }
         search.find(chain.len(), self.view.min_chain_length as usize)
--- a/crates/chain-replication/src/message.rs
+++ b/crates/chain-replication/src/message.rs
@@ -111,27 +111,27 @@
         pub ages: ReleaseAges,
     }
 
-    /// Another replica as the sender of a report heard it last, without others between.
-    pub struct HeardPeer {
-        /// The id of the replica that was heard.
+    /// Another replica as the sender of a report received its heartbeats, without others between.
+    pub struct ReachablePeer {
+        /// The id of that replica.
         pub id: u32,
         /// Its incarnation.
         pub incarnation: u64,
         /// How long before the report its last heartbeat came, in milliseconds.
         pub age_ms: u64,
         /// For how long, up to the report, its heartbeats have come without a pause, in milliseconds.
-        pub heard_ms: u64,
+        pub received_ms: u64,
         /// Its last heartbeat.
         pub heartbeat: Heartbeat,
     }
 
-    /// Whom the sender hears without others between. It is sent beside heartbeats while a member of the view is silent to
-    /// somebody: so replicas learn which links fail, and that a member to which their own link fails is alive.
+    /// Whose heartbeats the sender receives without others between. It is sent beside heartbeats while no heartbeat of a
+    /// member of the view reaches somebody: so replicas learn which links fail, and that a member to which their own link fails is alive.
     pub struct LinkReport {
-        /// For how long the sender has heard others without a pause, in milliseconds.
+        /// For how long the sender has received heartbeats without a pause, in milliseconds.
         pub listening_ms: u64,
-        /// All that it ever heard.
-        pub heard: List<HeardPeer>,
+        /// All from which it ever received a heartbeat.
+        pub reachable: List<ReachablePeer>,
     }
 
     /// Everything that control replicas tell each other.
@@ -166,7 +166,7 @@
         14 = LeaseEnd(Lease),
         /// When weights were released.
         15 = ReleaseAges(ProcessReleaseAges),
-        /// Whom the sender hears.
+        /// Whose heartbeats the sender receives.
         16 = LinkReport(LinkReport),
     }
 
--- a/crates/chain-replication/tests/golden_protocol/messages.rs
+++ b/crates/chain-replication/tests/golden_protocol/messages.rs
@@ -4,8 +4,8 @@
 use chain_replication::hard_state::HardState;
 use chain_replication::log::{Entry, Position, Snapshot};
 use chain_replication::message::{
-    Accept, Accepted, Ack, Append, Condition, HeardPeer, Heartbeat, Lease, LinkReport, Message, PeerMessage, Prepare,
-    ProcessReleaseAges, Promise,
+    Accept, Accepted, Ack, Append, Condition, Heartbeat, Lease, LinkReport, Message, PeerMessage, Prepare,
+    ProcessReleaseAges, Promise, ReachablePeer,
 };
 use chain_replication::snapshot_transfer::{SnapshotPart, SnapshotProgress};
 use chain_replication::view::{AcceptedView, Member, MemberAddress, View};
@@ -78,8 +78,9 @@
 }
 
 fn link_report() -> LinkReport {
-    let heard = HeardPeer { id: 2, incarnation: 9, age_ms: 140, heard_ms: 9_000, heartbeat: beat(Condition::Healthy) };
-    LinkReport { listening_ms: 12_000, heard: vec![heard].into() }
+    let peer =
+        ReachablePeer { id: 2, incarnation: 9, age_ms: 140, received_ms: 9_000, heartbeat: beat(Condition::Healthy) };
+    LinkReport { listening_ms: 12_000, reachable: vec![peer].into() }
 }
 
 fn messages() -> Vec<(&'static str, Message)> {
--- a/crates/chain-replication/tests/membership.rs
+++ b/crates/chain-replication/tests/membership.rs
@@ -51,6 +51,7 @@
         view_since: Duration::ZERO,
         own_condition: Condition::Healthy,
         holds_all: true,
+        holds_acknowledged: false,
         synced: 5,
         peers: &peers,
         listening_since: NOW,
--- a/crates/chain-replication/tests/sim/disk.rs
+++ b/crates/chain-replication/tests/sim/disk.rs
@@ -1,6 +1,7 @@
 //! A disk that loses what was not synced when the power goes.
 use chain_replication::hard_state::HardState;
 use chain_replication::log::{Entry, Position, Snapshot};
+use chain_replication::message::Accept;
 use chain_replication::step::{Record, RecoveredDisk};
 use chain_replication::write_queue::WriteId;
 use std::collections::{BTreeMap, VecDeque};
@@ -34,6 +35,11 @@
         }
     }
 
+    /// Writes down that this replica accepted a next view, and stopped before it could say so.
+    pub fn accept(&mut self, accept: Accept) {
+        self.meta.accept(accept);
+    }
+
     pub fn incarnation(&self) -> u64 {
         self.meta.incarnation
     }
