Faulty links are computed once for a desired view, and logged with heartbeats

Cause: each step of the search for an order asked anew who receives whom, on every tick, and so did the log line: up to some thousand look-ups fifty times a second while a member is lost.

Change: the faulty links among the candidates are a list, made once; where it is empty nothing is searched.

--- a/crates/chain-replication/src/control_replica/heartbeats.rs
+++ b/crates/chain-replication/src/control_replica/heartbeats.rs
@@ -13,11 +13,11 @@
             self.last_heartbeat = Some(self.now);
             self.send_heartbeats();
             self.announce_release_ages();
+            self.log_faulty_links();
         }
         if !self.pending_commands.is_empty() && !self.hears_majority() {
             self.give_up_pending_commands();
         }
-        self.log_faulty_links();
         self.view_change_tick();
         self.pulls_tick();
         self.background_tick();
--- a/crates/chain-replication/src/membership.rs
+++ b/crates/chain-replication/src/membership.rs
@@ -144,9 +144,16 @@
         let view = self.view;
         let members = view.chain.items().iter().chain(view.spares.items());
         let is_reachable = |member: &&Member| self.condition(member).is_some();
-        let mut alive: Vec<u32> = members.filter(is_reachable).map(|member| member.id).collect();
-        alive.sort();
-        let pairs = alive.iter().enumerate().flat_map(|(at, one)| alive[at + 1..].iter().map(|other| (*one, *other)));
+        self.faulty_links_among(members.filter(is_reachable).map(|member| member.id).collect())
+    }
+
+    /// The faulty ones of all links between replicas with these ids, in order.
+    fn faulty_links_among(&self, mut ids: Vec<u32>) -> Vec<FaultyLink> {
+        if self.links.is_empty(self.now) {
+            return Vec::new();
+        }
+        ids.sort();
+        let pairs = ids.iter().enumerate().flat_map(|(at, one)| ids[at + 1..].iter().map(|other| (*one, *other)));
         pairs.filter(|(one, other)| !self.is_linked(*one, *other)).map(|(one, other)| FaultyLink(one, other)).collect()
     }
 
@@ -257,9 +264,10 @@
     fn linked_chain(&self, chain: Vec<Member>, complete: &[Member], ready: &[Member]) -> Option<Vec<Member>> {
         let spare = ready.iter().filter(|member| !chain.contains(member));
         let candidates: Vec<Member> = chain.iter().chain(spare).cloned().collect();
-        let is_linked = |one, other| self.is_linked(one, other);
+        let faulty = self.faulty_links_among(candidates.iter().map(|member| member.id).collect());
+        let is_linked = |one: u32, other: u32| !faulty.contains(&FaultyLink(one.min(other), one.max(other)));
         let search = OrderSearch { candidates: &candidates, complete, is_linked };
-        if self.links.is_empty(self.now) || search.accepts(&chain) {
+        if faulty.is_empty() || search.accepts(&chain) {
             return Some(chain);
         }
         search.find(chain.len(), self.view.min_chain_length as usize)
