--- a/crates/chain-replication/src/control_replica/links.rs
+++ b/crates/chain-replication/src/control_replica/links.rs
@@ -2,6 +2,7 @@
 use super::ControlReplica;
 use crate::link_reports;
 use crate::message::Message;
+use crate::timing::FAILURE_TIMEOUT;
 use crate::view::Member;
 use std::collections::BTreeSet;
 
@@ -24,12 +25,15 @@
         }
     }
 
-    /// Whether a member of the view is silent to this replica, or one that this replica hears to another.
+    /// Whether a member of the view is silent to this replica, or one that this replica hears to another. A process that has
+    /// just started has not heard everybody yet.
     fn a_link_may_fail(&self) -> bool {
+        let has_just_started = self.now.saturating_sub(self.started_at) < FAILURE_TIMEOUT;
         let view = &self.hard_state.view;
         let members = view.chain.items().iter().chain(view.voters.items()).chain(view.spares.items());
         let mut others = members.filter(|member| member.id != self.me.id).map(|member: &Member| member.id);
-        others.any(|id| !self.peers.hears_id(self.now, id) || self.links.is_missed(self.now, id))
+        let is_silent = |id| !has_just_started && !self.peers.hears_id(self.now, id);
+        others.any(|id| is_silent(id) || self.links.is_missed(self.now, id))
     }
 
     pub(super) fn log_faulty_links(&mut self) {
