A placement looks at one version of the fleet: no request goes to a service that its route does not name

Cause: `placement.rs:place` built the rows of the replicas from one reading of the fleet and took their services from a second one, joined by position. The list is kept sorted by id, so a replica that was added or removed between the two readings moved all rows behind it, and each was judged by the service of its neighbour.

Change: `place` reads the fleet and the reports once and hands them to all its steps; a row carries the service that the same list names beside its address, so nothing is joined by position any more. The deadline of superseded weights and the loads of candidates are taken from the same readings, and a store's link is found by the row's service.

Why it works: id, address and service of a row come from one element of one version of the list.

Test literals of `ReplicaStatus` got the new field, nothing else in them changed.

--- a/crates/index-bench/src/replica.rs
+++ b/crates/index-bench/src/replica.rs
@@ -75,6 +75,7 @@
         id: format!("r{}", at + 1),
         address: String::new(),
         zone: ["a", "b", "c", "d"][at % 4].into(),
+        service: String::new(),
         model: "m".into(),
         weights: "w".into(),
         draining: false,
--- a/crates/routing/src/replica_table.rs
+++ b/crates/routing/src/replica_table.rs
@@ -51,6 +51,7 @@
             id: replica.id.clone(),
             address: replica.at.clone(),
             zone: replica.zone.clone(),
+            service: replica.service.clone(),
             model: replica.model.clone(),
             weights: report.map(|report| report.weights.to_string()).unwrap_or_default(),
             draining: replica.leaving,
--- a/crates/routing/src/session_placement.rs
+++ b/crates/routing/src/session_placement.rs
@@ -12,6 +12,8 @@
     pub address: String,
     /// Its zone.
     pub zone: String,
+    /// The service that it belongs to, by the same list as its address.
+    pub service: String,
     /// The model.
     pub model: String,
     /// Empty where it has none, or nothing is known.
--- a/crates/routing/tests/api/session_placement.rs
+++ b/crates/routing/tests/api/session_placement.rs
@@ -12,6 +12,7 @@
         id: id.into(),
         address: "".into(),
         zone: "a".into(),
+        service: String::new(),
         model: "m".into(),
         weights: "w".into(),
         draining: false,
--- a/crates/routing/tests/choices.rs
+++ b/crates/routing/tests/choices.rs
@@ -20,6 +20,7 @@
         id: id.into(),
         address: format!("{id}:1"),
         zone: "a".into(),
+        service: String::new(),
         model: "m".into(),
         weights: "w1".into(),
         draining: false,
--- a/crates/routing/tests/golden/decisions.rs
+++ b/crates/routing/tests/golden/decisions.rs
@@ -18,6 +18,7 @@
         id: id.into(),
         address: format!("{id}:1"),
         zone: district.into(),
+        service: String::new(),
         model: "m".into(),
         weights: "w1".into(),
         draining: false,
--- a/crates/routing/tests/ranking.rs
+++ b/crates/routing/tests/ranking.rs
@@ -72,6 +72,7 @@
                 id,
                 address: "".into(),
                 zone: format!("z{}", rng.next(2)),
+                service: String::new(),
                 model: "m".into(),
                 weights: "w".into(),
                 draining: false,
--- a/crates/stream-router/src/placement.rs
+++ b/crates/stream-router/src/placement.rs
@@ -17,6 +17,7 @@
 use fleet_common::hash;
 use reserve::{Reservation, reserve};
 use routing::placement_cost::{CacheView, Candidate, Choice, Parts, SourceCandidate, choose_candidate};
+use routing::replica_table::ReplicaReports;
 use routing::session_placement::ReplicaStatus;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -88,12 +89,14 @@
     NoReplica,
 }
 
-/// What a placement looks at.
+/// What a placement looks at: one version of the fleet and of the reports, whatever comes in meanwhile.
 struct Inputs<'a> {
     state: &'a RouterState,
     context: &'a RequestContext,
     fleet: &'a Fleet,
-    /// All replicas and stores, in the order of the fleet's list.
+    /// What index nodes report of the replicas.
+    load_reports: &'a ReplicaReports,
+    /// All replicas and stores of `fleet`, by `load_reports`.
     statuses: &'a [ReplicaStatus],
     /// Since the start of the router.
     now: Duration,
@@ -101,8 +104,10 @@
 
 /// Finds a replica for the next attempt of a request.
 pub fn place(state: &RouterState, context: &RequestContext) -> PlacementOutcome {
-    let (statuses, fleet) = (state.replica_statuses(), state.fleet.read());
-    let inputs = Inputs { state, context, fleet: &fleet, statuses: &statuses, now: state.now() };
+    let (fleet, load_reports) = (state.fleet.read(), state.load_reports.read());
+    let statuses = state.replica_statuses(&fleet, &load_reports);
+    let inputs =
+        Inputs { state, context, fleet: &fleet, load_reports: &load_reports, statuses: &statuses, now: state.now() };
     let eligible = eligible_replicas(&inputs);
     let prompts = salted_prompts(&inputs, &eligible);
     let candidates = candidates(&inputs, &eligible, &prompts);
@@ -124,7 +129,7 @@
     let filter_copies = inputs.state.filter_copies.read();
     // Locked while it is searched, as it is too large to copy; no other lock is taken meanwhile.
     let recent = inputs.state.recent_prompts();
-    let cached = CacheView { filter_copies: &filter_copies, recent_prompts: &recent, now: inputs.state.now() };
+    let cached = CacheView { filter_copies: &filter_copies, recent_prompts: &recent, now: inputs.now };
     let choice = choose_candidate(candidates, sources, &cached, &prices, tie_breaker(inputs.context, candidates))?;
     let candidate = &candidates[choice.candidate];
     let parts = &prompts.get(&weights::weights_at(inputs, candidate.replica))?.parts;
@@ -180,6 +185,6 @@
         prefill_time: Duration::from_micros(choice.prefill_us as u64),
         queue_delay: Duration::from_micros(candidate.queue_us as u64),
         memory_share: candidate.memory_use,
-        start_deadline: start_deadline(inputs.state, model, &status.weights),
+        start_deadline: start_deadline(inputs.state, inputs.fleet, model, &status.weights),
     })
 }
--- a/crates/stream-router/src/placement/costs.rs
+++ b/crates/stream-router/src/placement/costs.rs
@@ -41,8 +41,7 @@
     if source.model != STORE_MODEL {
         return None;
     }
-    let listed = fleet.replicas.iter().find(|replica| replica.id == source.id)?;
-    let service = fleet.route_config.as_ref()?.services.get(&listed.service)?;
+    let service = fleet.route_config.as_ref()?.services.get(&source.service)?;
     service.value.store.as_ref().map(|store| store.link_mbps)
 }
 
--- a/crates/stream-router/src/placement/eligible.rs
+++ b/crates/stream-router/src/placement/eligible.rs
@@ -35,7 +35,7 @@
     let in_flight = inputs.state.in_flight();
     let may_take = |index: &usize| {
         let status = &inputs.statuses[*index];
-        is_of_service(inputs, *index)
+        status.service == inputs.context.service
             && !status.draining
             && !inputs.context.attempted_replicas.contains(&status.id)
             && runs_usable_weights(inputs, &in_flight, status)
@@ -43,10 +43,6 @@
     (0..inputs.statuses.len()).filter(may_take).collect()
 }
 
-fn is_of_service(inputs: &Inputs, index: usize) -> bool {
-    inputs.fleet.replicas.get(index).is_some_and(|replica| replica.service == inputs.context.service)
-}
-
 /// Whether the replica runs the newest weights, or superseded ones on which the request can still end in time: the
 /// replica is told to stop when these may be used no more.
 fn runs_usable_weights(inputs: &Inputs, in_flight: &InFlightTable, status: &ReplicaStatus) -> bool {
--- a/crates/stream-router/src/placement/estimate.rs
+++ b/crates/stream-router/src/placement/estimate.rs
@@ -46,13 +46,13 @@
     eligible: &[usize],
     prompts: &'a PromptsByWeights,
 ) -> Vec<Candidate<'a>> {
-    let (local_loads, load_reports) = (inputs.state.local_loads().clone(), inputs.state.load_reports.read());
+    let local_loads = inputs.state.local_loads().clone();
     let in_flight = inputs.state.in_flight();
     let candidate = |index: &usize| {
         let status = &inputs.statuses[*index];
         let parts = &prompts.get(&weights_at(inputs, status))?.parts;
         let local = local_loads.get(&status.id).copied().unwrap_or_default();
-        let reported_at = load_reports.get(&status.id).map(|received| received.received_at);
+        let reported_at = inputs.load_reports.get(&status.id).map(|received| received.received_at);
         let key = BacklogKey::Replica(&status.id).number();
         Some(Candidate {
             replica: status,
--- a/crates/stream-router/src/placement/weights.rs
+++ b/crates/stream-router/src/placement/weights.rs
@@ -28,9 +28,8 @@
 
 /// By when a request must start on these weights, as far as is known now: they may be superseded at any time. `None`
 /// where they are the newest.
-pub(crate) fn start_deadline(state: &RouterState, model: &str, weights: &str) -> Option<Instant> {
-    let fleet = state.fleet.read();
-    if let Some(until) = superseded_until(state, &fleet, model, weights) {
+pub(crate) fn start_deadline(state: &RouterState, fleet: &Fleet, model: &str, weights: &str) -> Option<Instant> {
+    if let Some(until) = superseded_until(state, fleet, model, weights) {
         return Some(Instant::now() + until.remaining(state.now()));
     }
     let newest = fleet.current_weights(model).unwrap_or(weights);
--- a/crates/stream-router/src/replica_response.rs
+++ b/crates/stream-router/src/replica_response.rs
@@ -171,7 +171,8 @@
     ) -> ResponsePart {
         loop {
             self.attempt.last_wait = Instant::now();
-            let start_deadline = start_deadline(self.state, &placement.model, &placement.weights);
+            let start_deadline =
+                start_deadline(self.state, &self.state.fleet.read(), &placement.model, &placement.weights);
             let last = start_deadline.map_or(deadline, |start| start.min(deadline));
             let until = last.min(Instant::now() + SUPERSEDED_CHECK_INTERVAL);
             match read(connection, Some(self.inbound.socket()), until) {
--- a/crates/stream-router/src/state.rs
+++ b/crates/stream-router/src/state.rs
@@ -18,7 +18,7 @@
 use routing::lease::Lease;
 use routing::link_queues::LinkQueues;
 use routing::placement_cost::{CostModel, RecentPrompts};
-use routing::replica_table::{self, EjectedUntil, replica_statuses};
+use routing::replica_table::{EjectedUntil, ReplicaReports, replica_statuses};
 use routing::session_placement::ReplicaStatus;
 use std::collections::HashMap;
 use std::sync::atomic::AtomicU64;
@@ -76,7 +76,7 @@
     /// Which prompt parts each replica has cached, as far as is known.
     pub filter_copies: FilterCopies,
     /// What index nodes report of the replicas.
-    pub load_reports: Rcu<replica_table::ReplicaReports>,
+    pub load_reports: Rcu<ReplicaReports>,
     /// Until when replicas that could not be reached are avoided.
     pub unreachable: Rcu<EjectedUntil>,
     /// The weights that replicas said they run, which may be newer than the index's reports.
@@ -119,7 +119,7 @@
             started_at: Instant::now(),
             fleet: Rcu::new(Fleet::default()),
             filter_copies: FilterCopies::default(),
-            load_reports: Rcu::new(replica_table::ReplicaReports::new()),
+            load_reports: Rcu::new(ReplicaReports::new()),
             unreachable: Rcu::new(EjectedUntil::new()),
             reported_weights: Rcu::default(),
             lease: Lease::default(),
@@ -200,10 +200,11 @@
         }
     }
 
-    /// The replicas' current status; their weights by their own report where that is newer than the index's.
-    pub fn replica_statuses(&self) -> Vec<ReplicaStatus> {
-        let (reports, reported_weights) = (self.load_reports.read(), self.reported_weights.read());
-        let mut statuses = replica_statuses(&self.fleet.read(), &reports, &self.unreachable.read(), self.now());
+    /// The status of the replicas that this version of the fleet lists, by these reports of index nodes; their weights by
+    /// their own report where that is newer. Both are the caller's, so that all that it decides is by one version of each.
+    pub fn replica_statuses(&self, fleet: &Fleet, reports: &ReplicaReports) -> Vec<ReplicaStatus> {
+        let reported_weights = self.reported_weights.read();
+        let mut statuses = replica_statuses(fleet, reports, &self.unreachable.read(), self.now());
         for status in &mut statuses {
             let index_reported_at = reports.get(&status.id).map(|received| received.received_at).unwrap_or_default();
             let reported = reported_weights
--- a/crates/stream-router/tests/state.rs
+++ b/crates/stream-router/tests/state.rs
@@ -7,6 +7,7 @@
 mod router;
 
 use http_streams::inbound::{Inbound, Limits, ReadOutcome};
+use routing::session_placement::ReplicaStatus;
 use routing::shutdown::Admission;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::Ordering;
@@ -14,6 +15,11 @@
 use stream_router::peer_requests::record_false_hit;
 use stream_router::placement::{PlacementOutcome, place};
 use stream_router::request_context::RequestContext;
+use stream_router::state::RouterState;
+
+fn statuses(router: &RouterState) -> Vec<ReplicaStatus> {
+    router.replica_statuses(&router.fleet.read(), &router.load_reports.read())
+}
 
 fn context() -> RequestContext {
     RequestContext::new(Default::default(), Vec::new())
@@ -26,7 +32,7 @@
     assert!(context().check_allowed(&router).is_err());
     assert!(!router.recent_prompts().is_expected(router.now(), 1, 7));
     assert!(router.in_flight().queue_time(router.now(), 7).is_zero());
-    assert!(router.local_loads().is_empty() && router.replica_statuses().is_empty());
+    assert!(router.local_loads().is_empty() && statuses(&router).is_empty());
     assert!(router.cost_model().prefill_us_per_token > 0.0);
     assert!(router.limits().header_bytes > 0);
     assert!(!router.retry_budget().try_spend(), "the number of routers is not known");
@@ -69,9 +75,9 @@
 fn a_replica_runs_the_weights_that_it_reported() {
     let address: SocketAddr = "127.0.0.1:1".parse().unwrap();
     let router = router::configured(&[address]);
-    assert_eq!(router.replica_statuses()[0].weights, "");
+    assert_eq!(statuses(&router)[0].weights, "");
     router.record_weights("r0", "2");
-    assert_eq!(router.replica_statuses()[0].weights, "2");
+    assert_eq!(statuses(&router)[0].weights, "2");
 }
 
 #[test]
