A request on a kept connection is judged by the limits in force, not by those from before the wait for it

Clients do not send again after a 413.

Cause: `phases.rs:serve_connection` took the limits and then waited for the next request, up to `idle_timeout_ms`. Whatever came was judged by limits that had held when the wait began; a lowered limit was passed over in the same way, an idle connection stayed open by a former time-out, and a head or body under way kept the limits of its beginning.

Change: a connection is handed a `LimitsSource` in place of `Limits`, and asks it when it applies a limit: at a request's first byte, at each further read, at the end of an idle wait. A request that a change meets under way is judged by the most generous limits since its first byte, as a client cannot take back what it has sent. A change of limits wakes connections that wait (`LimitsWatch`), so a lowered idle time-out holds at once and costs no polling. `next_request` moved from the latch to the connection, which ends the circle of imports between inbound, latch and wait.

Why it works: no limits are kept across a wait, except to be widened.

--- a/crates/http-streams/src/inbound.rs
+++ b/crates/http-streams/src/inbound.rs
@@ -2,7 +2,8 @@
 use crate::error::RequestError;
 use crate::framing::write_chunk;
 use crate::head::{self, RequestHead};
-pub use crate::limits::Limits;
+use crate::latch::Latch;
+pub use crate::limits::{Limits, LimitsSource};
 pub use crate::outcome::ReadOutcome;
 use crate::wait::{WaitOutcome, read_available, reset_on_close, set_socket_options, wait_readable};
 use std::io::{self, Write};
@@ -10,6 +11,26 @@
 use std::time::{Duration, Instant};
 
 mod body;
+mod idle;
+
+/// The limits on a request: the most generous that held at any moment since its first byte, so that a change of limits
+/// ends no request that was within them when it was sent.
+struct RequestLimits<'a, S> {
+    source: &'a S,
+    widest: Limits,
+}
+
+impl<'a, S: LimitsSource> RequestLimits<'a, S> {
+    fn starting(source: &'a S) -> Self {
+        RequestLimits { source, widest: source.limits() }
+    }
+
+    /// The limits by which the request is judged now.
+    fn now(&mut self) -> Limits {
+        self.widest = self.widest.widened_by(self.source.limits());
+        self.widest
+    }
+}
 
 /// A client that takes no bytes for so long is given up.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -54,18 +75,17 @@
         &self.stream
     }
 
-    /// Whether bytes of another request have been read already.
-    pub(crate) fn is_read_ahead(&self) -> bool {
-        !self.buffer.is_empty()
-    }
-
     /// Reads what is available, waiting for it until `deadline`: `false` when nothing more comes.
     fn fill(&mut self, deadline: Instant) -> bool {
-        wait_readable(&self.stream, None, deadline) == WaitOutcome::Readable
-            && read_available(&self.stream, &mut self.buffer).is_ok_and(|count| count > 0)
+        wait_readable(&self.stream, None, deadline) == WaitOutcome::Readable && self.read_some()
+    }
+
+    /// Reads what is available: `false` when nothing more comes.
+    fn read_some(&mut self) -> bool {
+        read_available(&self.stream, &mut self.buffer).is_ok_and(|count| count > 0)
     }
 
-    /// Reads the next complete request.
+    /// Reads the next complete request within the limits, each read at the moment at which it is applied.
     /// ```
     /// use http_streams::inbound::{ReadOutcome, Inbound, Limits};
     /// use std::io::Write;
@@ -75,18 +95,44 @@
     /// let mut inbound = Inbound::new(listener.accept().unwrap().0);
     /// assert!(matches!(inbound.read_request(&Limits::default()), ReadOutcome::Request(_, body) if body == b"hi"));
     /// ```
-    pub fn read_request(&mut self, limits: &Limits) -> ReadOutcome {
-        if self.buffer.is_empty() && !self.fill(Instant::now() + limits.idle_timeout) {
+    pub fn read_request(&mut self, limits: &impl LimitsSource) -> ReadOutcome {
+        match self.wait_for_request(None, limits) {
+            true => self.read_waiting_request(limits),
+            false => ReadOutcome::Ended,
+        }
+    }
+
+    /// Reads the next complete request. `Ended` if the latch is released before its first byte.
+    /// ```
+    /// use http_streams::{inbound::{Inbound, Limits, ReadOutcome}, latch::Latch};
+    /// let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    /// let _caller = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    /// let mut inbound = Inbound::new(listener.accept().unwrap().0);
+    /// let latch = Latch::default();
+    /// latch.release();
+    /// assert_eq!(inbound.next_request(&latch, &Limits::default()), ReadOutcome::Ended);
+    /// ```
+    pub fn next_request(&mut self, stop: &Latch, limits: &impl LimitsSource) -> ReadOutcome {
+        match self.wait_for_request(Some(stop), limits) {
+            true => self.read_waiting_request(limits),
+            false => ReadOutcome::Ended,
+        }
+    }
+
+    /// Reads a request of which something has come, or the end of the connection.
+    fn read_waiting_request(&mut self, source: &impl LimitsSource) -> ReadOutcome {
+        if self.buffer.is_empty() && !self.read_some() {
             return ReadOutcome::Ended;
         }
         self.request_began = Instant::now();
-        let head = match self.read_head(limits) {
+        let mut limits = RequestLimits::starting(source);
+        let head = match self.read_head(&mut limits) {
             Ok(Some(head)) => head,
             Ok(None) => return ReadOutcome::Ended,
             Err(error) => return ReadOutcome::Rejected(error),
         };
         self.head_only = head.method == "HEAD";
-        match self.read_body(&head, limits) {
+        match self.read_body(&head, &mut limits) {
             Ok(Some(body)) => ReadOutcome::Request(head, body),
             Ok(None) => ReadOutcome::Ended,
             Err(error) => ReadOutcome::Rejected(error),
@@ -94,16 +140,20 @@
     }
 
     /// The complete head; `None` where the connection ended before.
-    fn read_head(&mut self, limits: &Limits) -> Result<Option<RequestHead>, RequestError> {
-        let deadline = self.request_began + limits.header_timeout;
+    fn read_head(
+        &mut self,
+        limits: &mut RequestLimits<impl LimitsSource>,
+    ) -> Result<Option<RequestHead>, RequestError> {
         loop {
+            let Limits { header_bytes, header_timeout, .. } = limits.now();
+            let deadline = self.request_began + header_timeout;
             match head::parse_request(&self.buffer)? {
-                Some((length, _)) if length > limits.header_bytes => return Err(RequestError::HeadTooLarge),
+                Some((length, _)) if length > header_bytes => return Err(RequestError::HeadTooLarge),
                 Some((length, head)) => {
                     self.buffer.drain(..length);
                     return Ok(Some(head));
                 }
-                None if self.buffer.len() > limits.header_bytes => return Err(RequestError::HeadTooLarge),
+                None if self.buffer.len() > header_bytes => return Err(RequestError::HeadTooLarge),
                 None if Instant::now() >= deadline => return Err(RequestError::HeadTimeout),
                 None => {
                     if !self.fill(deadline) && Instant::now() < deadline {
--- a/crates/http-streams/src/inbound/body.rs
+++ b/crates/http-streams/src/inbound/body.rs
@@ -1,5 +1,5 @@
 //! Reading the body of a request.
-use super::{Inbound, Limits};
+use super::{Inbound, LimitsSource, RequestLimits};
 use crate::error::RequestError;
 use crate::framing::{Framing, request_framing};
 use crate::head::RequestHead;
@@ -10,18 +10,21 @@
 
 impl Inbound {
     /// The complete body; `None` where the connection ended before.
-    pub(super) fn read_body(&mut self, head: &RequestHead, limits: &Limits) -> Result<Option<Vec<u8>>, RequestError> {
+    pub(super) fn read_body(
+        &mut self,
+        head: &RequestHead,
+        limits: &mut RequestLimits<impl LimitsSource>,
+    ) -> Result<Option<Vec<u8>>, RequestError> {
         let mut framing = request_framing(&head.headers)?;
-        let max_bytes = limits.body_bytes as u64;
-        if matches!(framing, Framing::Length(length) if length > max_bytes) {
+        if matches!(framing, Framing::Length(length) if length > limits.now().body_bytes as u64) {
             return Err(RequestError::BodyTooLarge);
         }
-        let deadline = Instant::now() + limits.body_timeout;
+        let deadline = Instant::now() + limits.now().body_timeout;
         let mut body = Vec::new();
         let mut may_send = !head.headers.contains_token("expect", "100-continue");
         loop {
             framing.take(&mut self.buffer, &mut body)?;
-            if body.len() as u64 > max_bytes {
+            if body.len() > limits.now().body_bytes {
                 return Err(RequestError::BodyTooLarge);
             }
             if framing == Framing::Ended {
--- a/crates/http-streams/src/latch.rs
+++ b/crates/http-streams/src/latch.rs
@@ -1,12 +1,9 @@
 //! A signal that is given once; any number of threads may wait for it together with their sockets.
-use crate::inbound::{Inbound, Limits, ReadOutcome};
-use crate::wait::{WaitOutcome, wait_readable_or_released};
 use fleet_common::ring;
 use std::io::{PipeReader, PipeWriter, pipe};
 use std::os::fd::{AsFd, BorrowedFd};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, PoisonError};
-use std::time::Instant;
 
 /// A latch: a pipe whose reading end reports a hang-up once the latch is released. Where no pipe was available, the
 /// latch can still be asked whether it is released, but wakes nobody.
@@ -48,23 +45,4 @@
     pub(crate) fn descriptor(&self) -> Option<BorrowedFd<'_>> {
         self.reader.as_ref().map(|reader| reader.as_fd())
     }
-
-    /// Reads the next complete request of a connection. `Ended` if the latch is released before its first byte.
-    /// ```
-    /// use http_streams::{inbound::{Inbound, Limits, ReadOutcome}, latch::Latch};
-    /// let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    /// let _caller = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-    /// let mut inbound = Inbound::new(listener.accept().unwrap().0);
-    /// let latch = Latch::default();
-    /// latch.release();
-    /// assert_eq!(latch.next_request(&mut inbound, &Limits::default()), ReadOutcome::Ended);
-    /// ```
-    pub fn next_request(&self, inbound: &mut Inbound, limits: &Limits) -> ReadOutcome {
-        let until = Instant::now() + limits.idle_timeout;
-        if !inbound.is_read_ahead() && wait_readable_or_released(inbound.socket(), self, until) != WaitOutcome::Readable
-        {
-            return ReadOutcome::Ended;
-        }
-        inbound.read_request(limits)
-    }
 }
--- a/crates/http-streams/src/limits.rs
+++ b/crates/http-streams/src/limits.rs
@@ -1,4 +1,6 @@
 //! Limits on what clients send.
+use crate::latch::Latch;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// What a client may send, and how long it may take.
@@ -28,3 +30,41 @@
         }
     }
 }
+
+impl Limits {
+    /// In each respect the more generous of both.
+    /// ```
+    /// use http_streams::limits::Limits;
+    /// let small = Limits { body_bytes: 10, ..Limits::default() };
+    /// assert_eq!(small.widened_by(Limits::default()), Limits::default());
+    /// ```
+    pub fn widened_by(self, other: Limits) -> Limits {
+        Limits {
+            header_bytes: self.header_bytes.max(other.header_bytes),
+            body_bytes: self.body_bytes.max(other.body_bytes),
+            header_timeout: self.header_timeout.max(other.header_timeout),
+            body_timeout: self.body_timeout.max(other.body_timeout),
+            idle_timeout: self.idle_timeout.max(other.idle_timeout),
+        }
+    }
+}
+
+/// Where the limits on a connection come from. They may change while the connection waits, so they are asked for at the
+/// moment at which something is judged by them, and never kept across a wait.
+pub trait LimitsSource {
+    /// The limits in force now.
+    fn limits(&self) -> Limits;
+
+    /// A latch that is released when the limits change; whoever waits by limits takes it before it reads these. `None`
+    /// where they never change.
+    fn next_change(&self) -> Option<Arc<Latch>> {
+        None
+    }
+}
+
+/// Limits that never change.
+impl LimitsSource for Limits {
+    fn limits(&self) -> Limits {
+        *self
+    }
+}
--- a/crates/http-streams/src/wait.rs
+++ b/crates/http-streams/src/wait.rs
@@ -16,7 +16,7 @@
 pub enum WaitOutcome {
     /// Something can be read, the end of the stream included.
     Readable,
-    /// The watched connection was closed by its other side, or the latch was released.
+    /// The watched connection was closed by its other side, or a latch was released.
     Disconnected,
     /// The deadline passed.
     TimedOut,
@@ -31,10 +31,10 @@
 /// drop(listener);
 /// ```
 pub fn wait_readable(from: &TcpStream, watched: Option<&TcpStream>, until: Instant) -> WaitOutcome {
-    poll(from, watched.map(|watched| (watched.as_fd(), libc::POLLRDHUP)), until)
+    poll(from, [watched.map(|watched| (watched.as_fd(), libc::POLLRDHUP)), None], until)
 }
 
-/// Waits until `from` can be read, the latch is released, or `until` has passed. What can be read goes first.
+/// Waits until `from` can be read, one of the latches is released, or `until` has passed. What can be read goes first.
 /// ```
 /// use http_streams::{latch::Latch, wait::{WaitOutcome, wait_readable_or_released}};
 /// let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
@@ -42,27 +42,30 @@
 /// let latch = Latch::default();
 /// latch.release();
 /// let until = std::time::Instant::now() + std::time::Duration::from_secs(30);
-/// assert_eq!(wait_readable_or_released(&from, &latch, until), WaitOutcome::Disconnected);
+/// assert_eq!(wait_readable_or_released(&from, [Some(&latch), None], until), WaitOutcome::Disconnected);
 /// ```
-pub fn wait_readable_or_released(from: &TcpStream, latch: &Latch, until: Instant) -> WaitOutcome {
-    poll(from, latch.descriptor().map(|descriptor| (descriptor, 0)), until)
+pub fn wait_readable_or_released(from: &TcpStream, latches: [Option<&Latch>; 2], until: Instant) -> WaitOutcome {
+    let descriptors = latches.map(|latch| latch?.descriptor().map(|descriptor| (descriptor, 0)));
+    poll(from, descriptors, until)
 }
 
-fn poll(from: &TcpStream, watched: Option<(BorrowedFd<'_>, libc::c_short)>, until: Instant) -> WaitOutcome {
+/// A descriptor that is watched, and the events that are waited for beside its end.
+type Watched<'a> = Option<(BorrowedFd<'a>, libc::c_short)>;
+
+fn poll(from: &TcpStream, watched: [Watched; 2], until: Instant) -> WaitOutcome {
     let row = |fd, events| libc::pollfd { fd, events, revents: 0 };
-    let mut rows = [row(from.as_raw_fd(), libc::POLLIN), row(-1, 0)];
-    if let Some((watched, events)) = watched {
-        rows[1] = row(watched.as_raw_fd(), events);
-    }
+    let watched_row =
+        |watched: Watched| watched.map_or(row(-1, 0), |(watched, events)| row(watched.as_raw_fd(), events));
+    let mut rows = [row(from.as_raw_fd(), libc::POLLIN), watched_row(watched[0]), watched_row(watched[1])];
     loop {
         let left = until.saturating_duration_since(Instant::now());
         // Rounded up, so that the deadline has passed when the wait times out.
         let ms = left.as_micros().div_ceil(1000).min(i32::MAX as u128) as i32;
-        let count = unsafe { libc::poll(rows.as_mut_ptr(), 2, ms) };
+        let count = unsafe { libc::poll(rows.as_mut_ptr(), rows.len() as libc::nfds_t, ms) };
         if rows[0].revents != 0 && count > 0 {
             return WaitOutcome::Readable;
         }
-        if rows[1].revents != 0 && count > 0 {
+        if count > 0 && rows[1..].iter().any(|row| row.revents != 0) {
             return WaitOutcome::Disconnected;
         }
         if count == 0 || until.saturating_duration_since(Instant::now()).is_zero() {
--- a/crates/stream-router/src/fleet_updates.rs
+++ b/crates/stream-router/src/fleet_updates.rs
@@ -2,6 +2,7 @@
 //! that are not listed any more.
 use crate::agent_client::{AgentFollower, PullIdentity};
 use crate::backlog_key::BacklogKey;
+use crate::client_limits::limits_of;
 use crate::state::RouterState;
 use crate::subsets::{Router, Subsets};
 use control_state::fleet::Fleet;
@@ -41,6 +42,7 @@
 
     fn fleet_changed(&self) {
         let fleet = self.fleet.read();
+        self.limits_watch.announce(limits_of(&fleet));
         let routers = routers(&fleet);
         self.retry_budget().set_router_count(routers.len());
         let replicas = fleet.replicas.iter().map(|replica| replica.id.as_str());
--- a/crates/stream-router/src/lib.rs
+++ b/crates/stream-router/src/lib.rs
@@ -11,6 +11,7 @@
 mod announcements;
 pub mod audit_client;
 mod backlog_key;
+mod client_limits;
 pub mod counters;
 pub mod dialect;
 pub mod events;
--- a/crates/stream-router/src/phases.rs
+++ b/crates/stream-router/src/phases.rs
@@ -47,8 +47,7 @@
     let mut inbound = Inbound::new(stream);
     let mut connection = state.shutdown.track_connection();
     loop {
-        let limits = state.limits();
-        match connection.next_request(&mut inbound, &limits) {
+        match connection.next_request(&mut inbound, &**state) {
             ReadOutcome::Ended => return,
             ReadOutcome::Rejected(error) => {
                 let _ = send_reply(&mut inbound, &LocalReply::new(error.status(), error), true);
--- a/crates/stream-router/src/shutdown.rs
+++ b/crates/stream-router/src/shutdown.rs
@@ -1,5 +1,5 @@
 //! Graceful shutdown of a server: its connections, its listener, and the state machine that says when each stops.
-use http_streams::inbound::{Inbound, Limits, ReadOutcome};
+use http_streams::inbound::{Inbound, LimitsSource, ReadOutcome};
 use http_streams::latch::Latch;
 use http_streams::serve::Server;
 use routing::shutdown::{Admission, Phase, Shutdown, ShutdownLimits};
@@ -122,10 +122,10 @@
 impl ClientConnection<'_> {
     /// Reads the next request. An idle connection ends when the server drains; one that has not carried a request ends
     /// when the server is closed.
-    pub fn next_request(&mut self, inbound: &mut Inbound, limits: &Limits) -> ReadOutcome {
+    pub fn next_request(&mut self, inbound: &mut Inbound, limits: &impl LimitsSource) -> ReadOutcome {
         let used = std::mem::replace(&mut self.used, true);
         let latch = if used { &self.coordinator.draining } else { &self.coordinator.closed };
-        latch.next_request(inbound, limits)
+        inbound.next_request(latch, limits)
     }
 }
 
--- a/crates/stream-router/src/state.rs
+++ b/crates/stream-router/src/state.rs
@@ -1,6 +1,7 @@
 //! The state that all threads of a router share. Tables are read-copy-update; the rest is behind short locks, none of
 //! which is taken while another is held.
 use crate::audit_client::AuditQueue;
+use crate::client_limits::{LimitsWatch, limits_of};
 pub use crate::counters::{Counters, count};
 use crate::dialect::Dialect;
 use crate::filter_copies::FilterCopies;
@@ -12,7 +13,8 @@
 use crate::transfer_attempt::TransferAttempt;
 use control_state::fleet::Fleet;
 use fleet_common::{Rcu, hash};
-use http_streams::inbound::Limits;
+use http_streams::latch::Latch;
+use http_streams::limits::{Limits, LimitsSource};
 use http_streams::pool::{Pool, RECENTLY_USED};
 use routing::in_flight_table::InFlightTable;
 use routing::lease::Lease;
@@ -22,7 +24,7 @@
 use routing::session_placement::ReplicaStatus;
 use std::collections::HashMap;
 use std::sync::atomic::AtomicU64;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 /// A report that repeats one so recent is not noted again.
@@ -96,6 +98,8 @@
     in_flight: Mutex<InFlightTable>,
     link_backlogs: Mutex<LinkQueues>,
     pub(crate) gossip: GossipSocket,
+    /// Wakes connections that wait for a request when the limits on clients change.
+    pub(crate) limits_watch: LimitsWatch,
     /// Which routers serve which replicas.
     pub(crate) subsets: Rcu<Subsets>,
     local_loads: Mutex<HashMap<String, LocalLoad>>,
@@ -133,6 +137,7 @@
             in_flight: Mutex::default(),
             link_backlogs: Mutex::default(),
             gossip,
+            limits_watch: LimitsWatch::default(),
             subsets: Rcu::default(),
             local_loads: Mutex::default(),
             cost_model: Mutex::default(),
@@ -185,21 +190,6 @@
         lock(&self.cost_model)
     }
 
-    /// What clients may send, by the configuration in force.
-    pub fn limits(&self) -> Limits {
-        let fleet = self.fleet.read();
-        let Some(configuration) = &fleet.route_config else { return Limits::default() };
-        let bounds = &configuration.bounds.value;
-        let ms = Duration::from_millis;
-        Limits {
-            header_bytes: bounds.header_bytes as usize,
-            body_bytes: bounds.body_bytes as usize,
-            header_timeout: ms(bounds.header_ms),
-            idle_timeout: ms(bounds.idle_ms),
-            ..Limits::default()
-        }
-    }
-
     /// The status of the replicas that this version of the fleet lists, by these reports of index nodes; their weights by
     /// their own report where that is newer. Both are the caller's, so that all that it decides is by one version of each.
     pub fn replica_statuses(&self, fleet: &Fleet, reports: &ReplicaReports) -> Vec<ReplicaStatus> {
@@ -234,3 +224,14 @@
         }
     }
 }
+
+/// The limits on clients by the configuration in force.
+impl LimitsSource for RouterState {
+    fn limits(&self) -> Limits {
+        limits_of(&self.fleet.read())
+    }
+
+    fn next_change(&self) -> Option<Arc<Latch>> {
+        Some(self.limits_watch.next_change())
+    }
+}
--- a/crates/stream-router/tests/state.rs
+++ b/crates/stream-router/tests/state.rs
@@ -6,7 +6,7 @@
 #[path = "golden/router.rs"]
 mod router;
 
-use http_streams::inbound::{Inbound, Limits, ReadOutcome};
+use http_streams::inbound::{Inbound, Limits, LimitsSource, ReadOutcome};
 use routing::session_placement::ReplicaStatus;
 use routing::shutdown::Admission;
 use std::net::{SocketAddr, TcpListener, TcpStream};
