What was read before a wait no longer decides after it: key, tenant, cache scope, route and replica are brought up to date

What callers saw, each shown by a test in `edge_changes_meanwhile` that failed on: - a key that passed to another tenant while its request waited at a replica that then failed: 401, although both configurations allow the request (now: runs as the new tenant's; a stream that has begun is cut, as before); - a tenant that was isolated while one of its streams ran: the stream was resumed under the shared salt (`3.all.1`); - a route that was made `unsafe` while a request waited: the request was repeated; - a replica that passed to another service while the router connected: it got the request; - a key that was withdrawn while the router connected: 503, and the replica counted as unreachable for everybody for 1.5 s. By reading, not shown: the three phases that read the fleet (route, key, limits) could join two configurations into one that nobody sent; the time that a replica on superseded weights is given was reckoned before connecting.

What the configuration says of a request is found in `request_policy.rs`, and renewed before another attempt and after each wait for a connection: a request that was not sent is judged anew, one that was sent keeps its route and service, gets another attempt only where the route in force allows it too, and goes by its tenant of that moment. A placement remembers what it was decided by (`placement/basis.rs`); one that does not stand any more is made again, and nothing is held against the replica. The deadline of superseded weights is reckoned when the request is written.

Why it works: between the last check and the write there is no wait any more.

Run: cargo test -p stream-router -p platform -p http-streams, clippy with -D warnings: passed.

--- a/crates/stream-router/src/forward.rs
+++ b/crates/stream-router/src/forward.rs
@@ -6,17 +6,16 @@
 use crate::dialect::ForwardInfo;
 use crate::events::EventBuffer;
 use crate::gossip::{Announcement, LinkOccupied, RequestRef};
-use crate::placement::{LinkUse, Placement, PlacementOutcome, place};
+use crate::placement::{LinkUse, Placement, PlacementOutcome, place, start_deadline};
 use crate::request_context::{LocalReply, RequestContext, RequestEnd};
 use crate::retry_policy::{AttemptFailure, RetryDecision};
 use crate::state::{RouterState, count};
-use fleet_common::hash;
+use fleet_common::{hash, ring};
 use http_streams::head::ResponseHead;
 use http_streams::inbound::Inbound;
 use http_streams::outbound::{Outbound, SendError};
 use http_streams::pool::Reuse;
 use routing::in_flight_table::InFlightPrompt;
-use std::io;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -92,9 +91,13 @@
 impl Forwarder<'_> {
     /// Does what the retry policy decides; `None` where the next attempt follows.
     fn after_failure(&mut self, failure: AttemptFailure, response: Option<BufferedResponse>) -> Option<RequestEnd> {
+        let allowed = self.context.check_allowed(self.state);
         let decision = self.context.attempts.decide(&failure, || self.state.retry_budget().try_spend());
         match (decision, response) {
             (RetryDecision::Retry, _) => {
+                if let Err(reply) = allowed {
+                    return Some(self.reject(reply));
+                }
                 let resumed = self.context.attempts.response_started;
                 count(if resumed { &self.state.counters.resumed } else { &self.state.counters.retries });
                 self.events.clear();
@@ -130,11 +133,7 @@
         };
         let connection = match self.send(&placement, connection) {
             Ok(connection) => connection,
-            Err(SendError::Unsent(_)) => return self.mark_unreachable(&placement),
-            Err(SendError::SentInPart(_)) => {
-                self.context.attempts.sent += 1;
-                return AttemptOutcome::failed(AttemptFailure::Unknown);
-            }
+            Err(outcome) => return outcome,
         };
         self.record_sent(&placement);
         let outcome = self.receive(&placement, connection);
@@ -174,45 +173,74 @@
         if connection.is_new {
             count(&self.state.counters.connections);
         }
-        if let Err(reply) = self.context.check_allowed(self.state) {
+        if let Err(outcome) = self.confirm(placement) {
             self.state.pool.release(placement.address, connection);
-            let response_started = self.context.attempts.response_started;
-            return Err(AttemptOutcome::Ended(if response_started {
-                self.truncate()
-            } else {
-                RequestEnd::Reply(reply)
-            }));
+            return Err(outcome);
         }
         Ok(connection)
     }
 
+    /// Checks what was decided before the router waited for a connection: the request must still be allowed, and its
+    /// placement still stand. One that does not is made again; the replica is not to blame.
+    fn confirm(&mut self, placement: &Placement) -> Result<(), AttemptOutcome> {
+        if let Err(reply) = self.context.check_allowed(self.state) {
+            return Err(AttemptOutcome::Ended(self.reject(reply)));
+        }
+        let may_start = self.start_deadline(placement).is_none_or(|until| Instant::now() < until);
+        if may_start && placement.still_stands(&self.state.fleet.read(), self.context) {
+            return Ok(());
+        }
+        let id = &self.context.info.id;
+        ring::info(&format!("request {id} is placed again: what put it at {} has changed", placement.replica));
+        self.context.attempted_replicas.pop();
+        Err(AttemptOutcome::failed(AttemptFailure::Unsent))
+    }
+
+    /// By when the attempt must start, where the replica runs superseded weights by now.
+    pub(crate) fn start_deadline(&self, placement: &Placement) -> Option<Instant> {
+        start_deadline(self.state, &self.state.fleet.read(), &placement.model, &placement.weights)
+    }
+
     fn connect_timeout(&self) -> Duration {
         CONNECT_TIMEOUT.min(self.context.deadline.saturating_duration_since(Instant::now()))
     }
 
     /// Sends the request. A pooled connection on which nothing could be sent is replaced by a new one: that says
     /// nothing about the replica.
-    fn send(&self, placement: &Placement, mut pooled: Outbound) -> Result<Outbound, SendError> {
-        let method = &self.context.head.method;
-        match pooled.send(method, &self.request_bytes(placement)) {
+    fn send(&mut self, placement: &Placement, mut pooled: Outbound) -> Result<Outbound, AttemptOutcome> {
+        match pooled.send(&self.context.head.method, &self.request_bytes(placement)) {
             Ok(()) => return Ok(pooled),
             Err(SendError::Unsent(_)) if !pooled.is_new => {}
-            Err(error) => return Err(error),
+            Err(error) => return Err(self.send_failed(placement, &error)),
         }
-        let mut new = Outbound::connect(placement.address, self.connect_timeout()).map_err(SendError::Unsent)?;
+        let connected = Outbound::connect(placement.address, self.connect_timeout());
+        let mut new = connected.map_err(|_| self.mark_unreachable(placement))?;
         count(&self.state.counters.connections);
-        // Connecting took its time: what allowed the request before may not hold any more.
-        self.context.check_allowed(self.state).map_err(|_| SendError::Unsent(io::ErrorKind::TimedOut.into()))?;
-        new.send(method, &self.request_bytes(placement))?;
+        self.confirm(placement)?;
+        let sent = new.send(&self.context.head.method, &self.request_bytes(placement));
+        sent.map_err(|error| self.send_failed(placement, &error))?;
         Ok(new)
     }
 
+    /// What comes of an attempt that was not sent completely.
+    fn send_failed(&mut self, placement: &Placement, error: &SendError) -> AttemptOutcome {
+        match error {
+            SendError::Unsent(_) => self.mark_unreachable(placement),
+            SendError::SentInPart(_) => {
+                self.context.attempts.sent += 1;
+                AttemptOutcome::failed(AttemptFailure::Unknown)
+            }
+        }
+    }
+
     /// The request as the replica gets it.
     fn request_bytes(&self, placement: &Placement) -> Vec<u8> {
         let context = &self.context;
         let names_model = !context.info.model.is_empty();
         let has_weights = !placement.model.is_empty() && !placement.weights.is_empty();
-        let deadline = placement.start_deadline.map_or(context.deadline, |start| start.min(context.deadline));
+        // On superseded weights the replica is given no more time than to start: one that does not notice a closed
+        // connection would start it later.
+        let deadline = self.start_deadline(placement).map_or(context.deadline, |start| start.min(context.deadline));
         let info = ForwardInfo {
             time_left: deadline.saturating_duration_since(Instant::now()).saturating_sub(RETURN_MARGIN),
             replica: &placement.replica,
@@ -232,7 +260,7 @@
     /// Counts and announces an attempt that was sent.
     fn record_sent(&mut self, placement: &Placement) {
         self.context.attempts.sent += 1;
-        if placement.start_deadline.is_some() {
+        if self.start_deadline(placement).is_some() {
             count(&self.state.counters.sent_on_superseded_weights);
         }
         self.attempt.id = hash::unique_id();
@@ -266,6 +294,14 @@
         AttemptOutcome::failed(AttemptFailure::Unsent)
     }
 
+    /// Ends a request that may not be sent, or not again.
+    fn reject(&mut self, reply: LocalReply) -> RequestEnd {
+        match self.context.attempts.response_started {
+            true => self.truncate(),
+            false => RequestEnd::Reply(reply),
+        }
+    }
+
     /// Resets the connection of a client whose response cannot be completed, so that it does not look complete.
     fn truncate(&mut self) -> RequestEnd {
         count(&self.state.counters.responses_truncated);
--- a/crates/stream-router/src/lib.rs
+++ b/crates/stream-router/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod placement;
 mod replica_response;
 pub mod request_context;
+mod request_policy;
 pub mod retry_budget;
 pub mod retry_policy;
 pub mod server;
--- a/crates/stream-router/src/placement.rs
+++ b/crates/stream-router/src/placement.rs
@@ -3,6 +3,7 @@
 //! [`place`] takes four steps, all on the same reading of the router's state: `eligible` filters the replicas,
 //! `estimate` says what the attempt meets at each of them and at the sources of cached parts, `choose_candidate` takes the
 //! cheapest, and `reserve` names the links and the store that the attempt will use.
+mod basis;
 mod costs;
 mod eligible;
 mod estimate;
@@ -11,6 +12,7 @@
 
 use crate::request_context::RequestContext;
 use crate::state::{RouterState, count};
+pub use basis::PlacementBasis;
 use control_state::fleet::Fleet;
 use eligible::eligible_replicas;
 use estimate::{PromptsByWeights, candidates, salted_prompts, sources};
@@ -21,7 +23,7 @@
 use routing::session_placement::ReplicaStatus;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 pub(crate) use weights::start_deadline;
 
 /// Where an attempt goes.
@@ -57,9 +59,8 @@
     pub queue_delay: Duration,
     /// The share of the replica's KV cache that requests ask for, this one included.
     pub memory_share: f64,
-    /// By when it must start, where the replica runs superseded weights. The replica is given no more time than that:
-    /// one that does not notice a closed connection would start it later.
-    pub start_deadline: Option<Instant>,
+    /// What it was decided by.
+    pub basis: PlacementBasis,
 }
 
 /// A replica or store that transfers cached parts.
@@ -185,6 +186,6 @@
         prefill_time: Duration::from_micros(choice.prefill_us as u64),
         queue_delay: Duration::from_micros(candidate.queue_us as u64),
         memory_share: candidate.memory_use,
-        start_deadline: start_deadline(inputs.state, inputs.fleet, model, &status.weights),
+        basis: PlacementBasis::of(inputs.fleet, inputs.context),
     })
 }
--- a/crates/stream-router/src/replica_response.rs
+++ b/crates/stream-router/src/replica_response.rs
@@ -3,7 +3,7 @@
 use crate::backlog_key::BacklogKey;
 use crate::dialect::ResponseInfo;
 use crate::forward::{AttemptOutcome, BufferedResponse, Forwarder};
-use crate::placement::{Placement, start_deadline};
+use crate::placement::Placement;
 use crate::request_context::RequestEnd;
 use crate::retry_policy::AttemptFailure;
 use crate::state::count;
@@ -171,8 +171,7 @@
     ) -> ResponsePart {
         loop {
             self.attempt.last_wait = Instant::now();
-            let start_deadline =
-                start_deadline(self.state, &self.state.fleet.read(), &placement.model, &placement.weights);
+            let start_deadline = self.start_deadline(placement);
             let last = start_deadline.map_or(deadline, |start| start.min(deadline));
             let until = last.min(Instant::now() + SUPERSEDED_CHECK_INTERVAL);
             match read(connection, Some(self.inbound.socket()), until) {
--- a/crates/stream-router/src/request_context.rs
+++ b/crates/stream-router/src/request_context.rs
@@ -2,7 +2,6 @@
 use crate::dialect::RequestInfo;
 use crate::retry_policy::AttemptHistory;
 use crate::shutdown::ShutdownCoordinator;
-use crate::state::RouterState;
 use control_state::route_config::Route;
 use fleet_common::hash;
 use http_streams::head::RequestHead;
@@ -25,6 +24,8 @@
     pub deadline: Instant,
     /// What the head asks for.
     pub info: RequestInfo,
+    /// The version of the configuration by which it was judged last; none where it was not judged yet.
+    pub(crate) config_version: Option<u64>,
     /// The route that it takes.
     pub route: Route,
     /// The service that its replicas belong to.
@@ -62,6 +63,7 @@
             started_at: now,
             deadline: now + DEFAULT_TIMEOUT,
             info: RequestInfo::default(),
+            config_version: None,
             route: Route::default(),
             service: String::new(),
             key_print: None,
@@ -84,21 +86,6 @@
         hash::bytes(hash::bytes(0, self.route.host.as_bytes()), self.route.prefix.as_bytes())
     }
 
-    /// Whether the request may be sent at this moment: the router holds a lease, and the key is still valid. The error is
-    /// the reply to the client where it may not.
-    pub fn check_allowed(&self, state: &RouterState) -> Result<(), LocalReply> {
-        if !state.holds_lease() {
-            return Err(LocalReply::no_lease());
-        }
-        let Some(print) = &self.key_print else { return Ok(()) };
-        let fleet = state.fleet.read();
-        let tenant = fleet.tenant(print).ok();
-        if tenant != self.tenant.as_deref() {
-            return Err(LocalReply::unknown_key());
-        }
-        Ok(())
-    }
-
     /// Whether the client's connection ends with the response that is written now. Once the router drains, it does,
     /// also for requests that were accepted before.
     pub fn closes_connection(&mut self, stopping: &ShutdownCoordinator) -> bool {
