A pulled filter, an order to a replica and the product's own router go by the fleet as it is when they act

- An index node looked up whether it still owns a replica, then connected with it for up to 0.5 s, then sent the order; the next owner waits only 0.4 s beyond the lease.
The product's own replicas check fences, and their client connects and sends in one step: there it is asked right before.
- `request-router`: its phases up to the claim judge by one version of the fleet; an attempt goes by its tenant's wall of that moment, not of before the claim; the size of blocks that a replica is told is the one by which the prompt was cut.

--- a/crates/prefix-index/src/lib.rs
+++ b/crates/prefix-index/src/lib.rs
@@ -11,7 +11,7 @@
 use prefix_table::index_node::IndexNode;
 pub use prefix_table::rollout_planner::SUPERSEDED_WEIGHTS_BOUND;
 pub use replica_client::{
-    CacheReport, EventBatch, HttpReplicaClient, OrderOutcome, OrderRequest, PollRequest, ReplicaApi,
+    CacheReport, EventBatch, HttpReplicaClient, NO_LONGER_ASSIGNED, OrderOutcome, OrderRequest, PollRequest, ReplicaApi,
 };
 pub use service::IndexService;
 use std::net::TcpListener;
--- a/crates/prefix-index/src/replica_client.rs
+++ b/crates/prefix-index/src/replica_client.rs
@@ -49,10 +49,19 @@
     /// Events of a replica or store since a place; may wait a while for some.
     fn poll(&self, ask: &PollRequest) -> Result<CacheReport, String>;
 
-    /// Orders new weights under a fence.
-    fn order(&self, ask: &OrderRequest) -> Result<OrderOutcome, String>;
+    /// Orders new weights under a fence, whoever holds the replica's assignment by then.
+    fn order(&self, ask: &OrderRequest) -> Result<OrderOutcome, String> {
+        self.order_while(ask, &|| true)
+    }
+
+    /// Orders new weights under a fence. `is_owner` is asked as late as possible, after any wait for a connection: nothing
+    /// is sent once the assignment is gone.
+    fn order_while(&self, ask: &OrderRequest, is_owner: &dyn Fn() -> bool) -> Result<OrderOutcome, String>;
 }
 
+/// Why an order is not sent.
+pub const NO_LONGER_ASSIGNED: &str = "the replica is not assigned to this node any more";
+
 /// The speech of this project's own replicas: JSON over HTTP.
 pub struct HttpReplicaClient;
 
@@ -73,7 +82,11 @@
         sonic_rs::from_str(&text).map_err(|e| format!("events of {at} cannot be read: {e}"))
     }
 
-    fn order(&self, ask: &OrderRequest) -> Result<OrderOutcome, String> {
+    fn order_while(&self, ask: &OrderRequest, is_owner: &dyn Fn() -> bool) -> Result<OrderOutcome, String> {
+        // Connecting and sending are one step here; these replicas refuse an older fence themselves.
+        if !is_owner() {
+            return Err(NO_LONGER_ASSIGNED.into());
+        }
         let body = json::to_text(&OrderBody {
             fence: ask.fencing_token,
             index: &ask.owner,
--- a/crates/prefix-index/src/tasks.rs
+++ b/crates/prefix-index/src/tasks.rs
@@ -63,9 +63,9 @@
             shared.step(Input::CommandAnswered(replica));
         }
         Task::Order(ask) => {
-            // The process may have stood still since the order was decided.
-            let held = shared.index_node().owned_fencing_token(&ask.replica) == Some(ask.fencing_token);
-            let taken = if held { shared.replicas.order(&ask) } else { Err("the duty is held no longer".into()) };
+            // Since the order was decided the process may have stood still, and connecting may have taken a while.
+            let is_owner = || shared.index_node().owned_fencing_token(&ask.replica) == Some(ask.fencing_token);
+            let taken = shared.replicas.order_while(&ask, &is_owner);
             shared.step(Input::OrderAnswered(ask.replica, ask.weights, taken));
         }
     }
--- a/crates/request-router/src/forward.rs
+++ b/crates/request-router/src/forward.rs
@@ -20,8 +20,6 @@
 const UNREACHABLE_FOR: Duration = Duration::from_millis(1500);
 /// A replica that sends nothing for so long is given up, where no configuration says otherwise, in milliseconds.
 const DEFAULT_STALL_MS: u64 = 10_000;
-/// The size of a block, where no configuration says otherwise, in bytes.
-const DEFAULT_BLOCK_BYTES: u64 = 64;
 /// The event that ends a stream.
 const LAST_EVENT: &[u8] = b"data: [DONE]\n\n";
 /// The path under which model replicas answer.
@@ -292,12 +290,9 @@
         ("x-tenant", context.tenant.clone()),
     ];
     if !context.to_app {
-        let fleet = state.fleet.read();
-        let block_bytes =
-            fleet.fleet_config.as_ref().map_or(DEFAULT_BLOCK_BYTES, |blueprint| blueprint.index.block_bytes);
         headers.push(("x-wall", context.cache_scope.clone()));
         headers.push(("x-weights", placement.replica.weights.clone()));
-        headers.push(("x-block-bytes", block_bytes.to_string()));
+        headers.push(("x-block-bytes", placement.block_bytes.to_string()));
     }
     if let Some(source) = &placement.source {
         count(&state.counters.transfers_named);
--- a/crates/request-router/src/peer_requests.rs
+++ b/crates/request-router/src/peer_requests.rs
@@ -42,6 +42,6 @@
     }
     if let Some(index_node) = index_node_of(&fleet, replica) {
         count(&state.counters.filter_pulls);
-        state.filter_copies.pull_from(index_node, &fleet, replica);
+        state.filter_copies.pull_from(index_node, &state.fleet, replica);
     }
 }
--- a/crates/request-router/src/phases.rs
+++ b/crates/request-router/src/phases.rs
@@ -4,7 +4,7 @@
 use crate::shutdown::{RunningRequest, check_shutdown};
 use crate::state::{RouterState, count};
 use crate::{claims, forward};
-use control_state::fleet::KeyError;
+use control_state::fleet::{Fleet, KeyError};
 use control_state::fleet_config::FleetConfig;
 use control_state::rules::RequestFacts;
 use fleet_common::hash;
@@ -16,25 +16,31 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// A phase of a request.
-struct Phase {
-    /// The name that traces show.
+/// A phase that judges a request by a version of the fleet.
+type Check = fn(&Arc<RouterState>, &Fleet, &mut RequestContext) -> PhaseOutcome;
+/// A phase that waits for others, and goes by the fleet as it is whenever it acts.
+type Exchange = fn(&Arc<RouterState>, &mut RequestContext) -> PhaseOutcome;
+
+/// A phase of a request, with the name that traces show.
+struct Phase<Run> {
     trace_name: &'static str,
-    run: fn(&Arc<RouterState>, &mut RequestContext) -> PhaseOutcome,
+    run: Run,
 }
 
-const PHASES: &[Phase] = &[
+/// These judge a request by one version of the fleet.
+const CHECKS: &[Phase<Check>] = &[
     Phase { trace_name: "fresh", run: check_lease },
     Phase { trace_name: "key", run: authenticate },
     Phase { trace_name: "way", run: choose_route },
     Phase { trace_name: "parse", run: parse_request },
     Phase { trace_name: "rules", run: apply_rules },
-    Phase { trace_name: "admit", run: check_shutdown },
+    Phase { trace_name: "admit", run: |state, _, context| check_shutdown(state, context) },
     Phase { trace_name: "let in", run: admit },
-    Phase { trace_name: "claim", run: claims::claim },
-    Phase { trace_name: "ferry", run: forward::forward },
 ];
 
+const EXCHANGES: &[Phase<Exchange>] =
+    &[Phase { trace_name: "claim", run: claims::claim }, Phase { trace_name: "ferry", run: forward::forward }];
+
 /// The path under which models answer.
 const COMPLETIONS_PATH: &str = "/v1/completions";
 /// The target of a route to the app service.
@@ -92,13 +98,30 @@
 }
 
 fn run_phases(state: &Arc<RouterState>, context: &mut RequestContext) {
-    for phase in PHASES {
-        match (phase.run)(state, context) {
-            PhaseOutcome::Continue => {}
-            PhaseOutcome::Responded => return,
-            PhaseOutcome::Reply(reply) => return send_reply(state, context, phase.trace_name, reply),
+    let fleet = state.fleet.read();
+    for check in CHECKS {
+        let outcome = (check.run)(state, &fleet, context);
+        if !goes_on(state, context, check.trace_name, outcome) {
+            return;
         }
     }
+    drop(fleet);
+    for exchange in EXCHANGES {
+        let outcome = (exchange.run)(state, context);
+        if !goes_on(state, context, exchange.trace_name, outcome) {
+            return;
+        }
+    }
+}
+
+/// Whether the next phase follows; sends the reply where a phase ends the request with one.
+fn goes_on(state: &RouterState, context: &mut RequestContext, phase: &str, outcome: PhaseOutcome) -> bool {
+    match outcome {
+        PhaseOutcome::Continue => return true,
+        PhaseOutcome::Responded => {}
+        PhaseOutcome::Reply(reply) => send_reply(state, context, phase, reply),
+    }
+    false
 }
 
 /// Sends the reply with which a phase ends the request.
@@ -128,7 +151,7 @@
     PhaseOutcome::Reply(LocalReply::with_retry_after(status, message))
 }
 
-fn check_lease(state: &Arc<RouterState>, _: &mut RequestContext) -> PhaseOutcome {
+fn check_lease(state: &Arc<RouterState>, _: &Fleet, _: &mut RequestContext) -> PhaseOutcome {
     if state.holds_lease() {
         return PhaseOutcome::Continue;
     }
@@ -137,13 +160,12 @@
 }
 
 /// Finds the tenant of the API key, and its cache scope.
-fn authenticate(state: &Arc<RouterState>, context: &mut RequestContext) -> PhaseOutcome {
+fn authenticate(_: &Arc<RouterState>, fleet: &Fleet, context: &mut RequestContext) -> PhaseOutcome {
     let authorization = context.incoming.as_ref().and_then(|incoming| incoming.header("authorization"));
     let Some(key) = authorization.and_then(|value| value.strip_prefix("Bearer ")) else {
         return reject(401, "a key is wanted: Authorization: Bearer KEY");
     };
     context.key_print = hash::key_digest(key);
-    let fleet = state.fleet.read();
     match fleet.tenant(&context.key_print) {
         Ok(tenant) => context.tenant = tenant.to_string(),
         Err(KeyError::Withdrawn) => return reject(403, "this key is withdrawn"),
@@ -157,8 +179,7 @@
 }
 
 /// Decides by the path whether the request goes to a model replica or to the app service.
-fn choose_route(state: &Arc<RouterState>, context: &mut RequestContext) -> PhaseOutcome {
-    let fleet = state.fleet.read();
+fn choose_route(_: &Arc<RouterState>, fleet: &Fleet, context: &mut RequestContext) -> PhaseOutcome {
     match fleet.fleet_config.as_ref().and_then(|blueprint| blueprint.route_rule(&context.path)) {
         Some(route) => context.to_app = route.to == APP_TARGET,
         None => return reject(404, format!("no way for {}", context.path)),
@@ -199,7 +220,7 @@
     })
 }
 
-fn parse_request(_: &Arc<RouterState>, context: &mut RequestContext) -> PhaseOutcome {
+fn parse_request(_: &Arc<RouterState>, _: &Fleet, context: &mut RequestContext) -> PhaseOutcome {
     let Some(incoming) = &context.incoming else { return PhaseOutcome::Responded };
     if context.to_app {
         context.completion.body = incoming.body.clone();
@@ -221,8 +242,7 @@
 }
 
 /// Checks the request against the configuration's models, kinds of work and rules, and sets its deadline.
-fn apply_rules(state: &Arc<RouterState>, context: &mut RequestContext) -> PhaseOutcome {
-    let fleet = state.fleet.read();
+fn apply_rules(state: &Arc<RouterState>, fleet: &Fleet, context: &mut RequestContext) -> PhaseOutcome {
     let Some(blueprint) = &fleet.fleet_config else { return reject_with_retry_after(503, "no blueprint holds yet") };
     if !context.to_app && !blueprint.models.contains_key(&context.completion.model) {
         let message = format!("no model {}", context.completion.model);
@@ -241,7 +261,7 @@
         stream: context.completion.stream,
         once: context.idempotency_key.is_some(),
     };
-    match state.rules(&fleet).engine.rejection(&facts) {
+    match state.rules(fleet).engine.rejection(&facts) {
         Some(why) => reject(403, why),
         None => PhaseOutcome::Continue,
     }
@@ -267,8 +287,7 @@
 }
 
 /// Admission control: the limit on requests in flight, shared by urgency and by the tenants' weights.
-fn admit(state: &Arc<RouterState>, context: &mut RequestContext) -> PhaseOutcome {
-    let fleet = state.fleet.read();
+fn admit(state: &Arc<RouterState>, fleet: &Fleet, context: &mut RequestContext) -> PhaseOutcome {
     let Some(blueprint) = &fleet.fleet_config else { return reject_with_retry_after(503, "no blueprint holds yet") };
     let share = blueprint.tenants.get(&context.tenant).map_or(1, |tenant| tenant.quota_share);
     let sum = blueprint.tenants.values().map(|tenant| tenant.quota_share).sum();
--- a/crates/request-router/src/placement.rs
+++ b/crates/request-router/src/placement.rs
@@ -30,13 +30,18 @@
         reason: PlacementReason::Home,
         source: None,
         blocks: Vec::new(),
+        block_bytes: 0,
         cached_blocks: 0,
         link_us_per_block: 0,
     })
 }
 
-fn place_at_replica(state: &RouterState, context: &RequestContext) -> Option<Placement> {
+fn place_at_replica(state: &RouterState, context: &mut RequestContext) -> Option<Placement> {
     let (fleet, load_reports, unreachable) = (state.fleet.read(), state.load_reports.read(), state.unreachable.read());
+    // The tenant may have been isolated since the request came.
+    if let Some(wall) = fleet.fleet_config.as_ref().and_then(|configuration| configuration.wall(&context.tenant)) {
+        context.cache_scope = wall;
+    }
     let filter_copies = state.filter_copies.read();
     let learnt_links = state.learnt_links().clone();
     let known = FleetView {
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -54,6 +54,8 @@
     pub source: Option<TransferSource>,
     /// The hashes of the prompt's blocks.
     pub blocks: Vec<u64>,
+    /// The size of a block by which they were cut, in bytes.
+    pub block_bytes: u64,
     /// How many leading blocks the replica has cached itself, by its filter.
     pub cached_blocks: usize,
     /// What a block costs on the source's link, in microseconds, as far as is known.
@@ -90,7 +92,8 @@
     };
     let (replica, reason) = choose_replica(replicas, &session_request)?;
     let salt = blocks::block_salt(request.wall, request.model, &replica.weights);
-    let blocks = blocks::block_hashes(salt, request.prompt, configuration.index.block_bytes as usize);
+    let block_bytes = configuration.index.block_bytes;
+    let blocks = blocks::block_hashes(salt, request.prompt, block_bytes as usize);
     let cached_blocks = cached_blocks(state.filter_copies, replica, &blocks);
     let costs = LinkCosts { configured: &configuration.links, learnt: Some(state.learnt_costs), now: state.now };
     let source = match cached_blocks < blocks.len() {
@@ -98,5 +101,5 @@
         false => None,
     };
     let link_us_per_block = source.as_ref().map_or(0, |source| costs.us_per_block(&source.link));
-    Some(Placement { replica: replica.clone(), reason, source, blocks, cached_blocks, link_us_per_block })
+    Some(Placement { replica: replica.clone(), reason, source, blocks, block_bytes, cached_blocks, link_us_per_block })
 }
--- a/crates/stream-router/src/filter_copies.rs
+++ b/crates/stream-router/src/filter_copies.rs
@@ -54,10 +54,11 @@
         self.copies.update(|copies| transfer_source::count_false_hit(copies, replica, stale_after))
     }
 
-    /// Pulls a replica's filter from its index node.
-    pub fn pull_from(&self, index_node: SocketAddr, fleet: &Fleet, replica: &str) {
+    /// Pulls a replica's filter from its index node. What comes is judged by the fleet as it is by then: the replica may
+    /// have been assigned to another index node meanwhile.
+    pub fn pull_from(&self, index_node: SocketAddr, fleet: &Rcu<Fleet>, replica: &str) {
         match index_client(index_node).call(&Request::FilterPull(replica.into())) {
-            Ok(Response::Filter(filter)) => _ = self.take(fleet, filter),
+            Ok(Response::Filter(filter)) => _ = self.take(&fleet.read(), filter),
             Ok(_) => {}
             Err(error) => ring::info(&error.to_string()),
         }
