--- a/crates/control-server/src/listing.rs
+++ b/crates/control-server/src/listing.rs
@@ -3,7 +3,7 @@
 use chain_replication::listing::ListingError;
 use control_state::command::ReplicaInfo;
 use crossbeam::channel::Receiver;
-use fleet_common::json::{self, ParseError};
+use fleet_common::json::{self, JsonField, ParseError};
 use fleet_common::threads::{self, STACK};
 use fleet_common::{Rcu, http_client};
 use std::sync::Arc;
@@ -17,12 +17,13 @@
     let rows = root.required("replicas")?;
     let mut replicas = Vec::new();
     for row in rows.items()? {
-        row.only_fields(&["id", "at", "model", "district", "leaving"])?;
+        row.only_fields(&["id", "at", "model", "other_models", "district", "leaving"])?;
         let text = |name: &str| row.required(name)?.text();
         replicas.push(ReplicaInfo {
             id: text("id")?,
             at: text("at")?,
             model: text("model")?,
+            other_models: parse_other_models(&row)?,
             zone: text("district")?,
             leaving: row.required("leaving")?.boolean()?,
             ..ReplicaInfo::default()
@@ -31,6 +32,12 @@
     Ok(replicas)
 }
 
+/// The models of a replica that has several, besides the first.
+fn parse_other_models(row: &JsonField) -> Result<Vec<String>, ParseError> {
+    let Some(list) = row.optional("other_models")? else { return Ok(Vec::new()) };
+    list.items()?.iter().map(JsonField::text).collect()
+}
+
 /// A source of the listing of model servers.
 pub trait ReplicaLister: Send {
     /// Fetches the listing once. It may block, but not without bound. The error is a text for logs.
--- a/crates/control-server/tests/golden/commands.rs
+++ b/crates/control-server/tests/golden/commands.rs
@@ -17,6 +17,7 @@
         id: id.into(),
         at: "127.0.0.1:9".into(),
         model: "m1".into(),
+        other_models: Vec::new(),
         zone: "a".into(),
         leaving,
         service: "s".into(),
--- a/crates/control-state/src/command.rs
+++ b/crates/control-state/src/command.rs
@@ -18,8 +18,11 @@
     pub id: String,
     /// Its address, an IP and port.
     pub at: String,
-    /// The model that it serves, or a name with `@` for a store or app service.
+    /// The model that it serves, the first of several, or a name with `@` for a store or app service.
     pub model: String,
+    /// The models that it serves besides the first.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub other_models: Vec<String>,
     /// Its failure domain.
     #[serde(rename = "district")]
     pub zone: String,
@@ -33,6 +36,38 @@
     pub slots: u64,
 }
 
+impl ReplicaInfo {
+    /// All models that it serves.
+    /// ```
+    /// use control_state::command::ReplicaInfo;
+    /// let replica = ReplicaInfo { model: "a".into(), other_models: vec!["b".into()], ..ReplicaInfo::default() };
+    /// assert_eq!(replica.models().collect::<Vec<_>>(), ["a", "b"]);
+    /// ```
+    pub fn models(&self) -> impl Iterator<Item = &str> {
+        std::iter::once(self.model.as_str()).chain(self.other_models.iter().map(String::as_str))
+    }
+
+    /// Whether it serves a model.
+    pub fn has_model(&self, model: &str) -> bool {
+        self.models().any(|own| own == model)
+    }
+
+    /// Whether it serves more than one model.
+    pub fn has_several_models(&self) -> bool {
+        !self.other_models.is_empty()
+    }
+
+    /// Sets its models: each once, in the order of their names, so that the same set always reads the same. An empty list
+    /// stands for a replica without models, under the name `without`.
+    pub fn set_models(&mut self, mut models: Vec<String>, without: &str) {
+        models.sort();
+        models.dedup();
+        let mut models = models.into_iter();
+        self.model = models.next().unwrap_or_else(|| without.into());
+        self.other_models = models.collect();
+    }
+}
+
 /// A node that may hold a lease: an edge or an index node.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeInfo {
--- a/crates/control-state/tests/golden_state/commands.rs
+++ b/crates/control-state/tests/golden_state/commands.rs
@@ -44,6 +44,7 @@
         id: id.into(),
         at: "10.0.0.1:8000".into(),
         model: "m".into(),
+        other_models: Vec::new(),
         zone: "zone-a".into(),
         leaving: true,
         service: "chat".into(),
--- a/crates/fleet-common/src/rpc.rs
+++ b/crates/fleet-common/src/rpc.rs
@@ -22,6 +22,9 @@
 /// Index in [`SOURCES`]: the newest released weights of each model.
 pub const WEIGHTS: usize = 7;
 
+/// Stands for the weights of a filter whose blocks are of several models: their hashes tell them apart.
+pub const SEVERAL_WEIGHTS: &str = "*";
+
 /// How long a node's lease lasts, counted from when it sent the pull that renewed it.
 pub const NODE_LEASE: std::time::Duration = std::time::Duration::from_secs(3);
 
@@ -115,7 +118,7 @@
         pub fencing_token: u64,
         /// Number of the filter under this token.
         pub version: u64,
-        /// The weights that the replica runs.
+        /// The weights that the replica runs; [`SEVERAL_WEIGHTS`] where it has several models.
         pub weights: Text,
         /// Size of the filter in bits.
         pub bit_count: u32,
@@ -157,6 +160,27 @@
         pub order_in_progress: u8,
     }
 
+    /// The weights of one model at a replica that has several, and how far it is with an order for them.
+    pub struct ModelReport {
+        /// The model's name.
+        pub model: Text,
+        /// The weights that the replica runs of it.
+        pub weights: Text,
+        /// The weights that it was ordered to load, if any.
+        pub order: Text,
+        /// How far it is with them: see [`stage`].
+        pub stage: u8,
+    }
+
+    /// What an index node knows of a replica's state, model by model.
+    pub struct StateReport {
+        /// What holds of the replica, whichever model a request names. Weights and order are empty where it has several
+        /// models.
+        pub replica: ReplicaReport,
+        /// Its models where it has several; empty where it has one.
+        pub models: List<ModelReport>,
+    }
+
     /// One attempt to transfer cached blocks between replicas, as the router measured it.
     pub struct TransferReport {
         /// The request's id.
@@ -183,7 +207,7 @@
         pub fencing_token: u64,
         /// Which start of the replica's process the events belong to.
         pub incarnation: Text,
-        /// The weights that the replica runs.
+        /// The weights that the replica runs; empty where it has several models.
         pub weights: Text,
         /// Number of the next event wanted.
         pub sequence: u64,
@@ -223,6 +247,8 @@
         9 = ReplicaReports(List<ReplicaReport>),
         /// A new membership list: answered by `Json`.
         10 = SetMembers(SetMembersRequest),
+        /// The state of replicas that have several models each: answered by `Done`.
+        11 = StateReports(List<StateReport>),
     }
 
     /// Responses to them.
@@ -248,6 +274,12 @@
     }
 }
 
+impl From<ReplicaReport> for StateReport {
+    fn from(replica: ReplicaReport) -> Self {
+        StateReport { replica, models: Vec::new().into() }
+    }
+}
+
 impl Default for ReleaseAges {
     fn default() -> Self {
         ReleaseAges { releases: Vec::new().into(), control_restart_age_ms: u64::MAX }
--- a/crates/fleet-simulator/src/index.rs
+++ b/crates/fleet-simulator/src/index.rs
@@ -7,7 +7,7 @@
 use control_state::command::CommandRequest;
 use fleet_common::node::Identity;
 use fleet_common::rpc::{self, NODE_LEASE, Pull, Response};
-use prefix_table::index_node::{IndexNode, Input, OrderOutcome, Output};
+use prefix_table::index_node::{IndexNode, Input, Output};
 use std::time::Duration;
 
 const TICK: Duration = ms(50);
@@ -145,8 +145,8 @@
                 let ask = CommandRequest::internal(command).to_request().expect("a command can be written");
                 self.indexes[at].commands.push((replica, ControlCall::new(ask, now, now + ms(3000))));
             }
-            Output::Order { replica, at: to, fence, weights, .. } => {
-                let order = Message::Order { by: at, replica, fence, weights };
+            Output::Order { replica, at: to, fence, model, weights, .. } => {
+                let order = Message::Order { by: at, replica, fence, model, weights };
                 let to = Endpoint::Replica(machine(&to));
                 // An order may be long on its way, past its giver's term.
                 let late = if self.rng.next(100) < self.loss_percent { self.rng.next(5000) } else { 0 };
@@ -170,11 +170,7 @@
                 self.index_node_step(at, Input::Polled(replica, fence, polled.map(Into::into)))
             }
             Message::SnapshotFetched(replica, copy) => self.index_node_step(at, Input::SnapshotFetched(replica, copy)),
-            Message::OrderAnswered(replica, taken) => {
-                let order = self.indexes[at].index_node.replicas.get(&replica).and_then(|kept| kept.order.as_ref());
-                let weights = order.map(|order| order.weights.clone()).unwrap_or_default();
-                self.index_node_step(at, Input::OrderAnswered(replica, weights, taken.map(|()| OrderOutcome::Accepted)))
-            }
+            Message::OrderAnswered(answer) => self.index_node_step(at, Input::OrderAnswered(answer)),
             Message::FetchSnapshot { by, replica } => {
                 let copy =
                     match self.indexes[at].index_node.answer(now, rpc::Request::TablePull(replica.as_str().into())) {
--- a/crates/fleet-simulator/src/replica_requests.rs
+++ b/crates/fleet-simulator/src/replica_requests.rs
@@ -4,6 +4,7 @@
 use crate::shape::{CHUNK_INTERVAL, DisabledGuard, PREFILL_PER_BLOCK, STORE, ZONES};
 use crate::wire::{Endpoint, Message, ReplicaRequest};
 use crate::world::World;
+use prefix_table::index_node::{OrderAnswer, OrderOutcome};
 use std::time::Duration;
 
 impl World {
@@ -23,10 +24,10 @@
                 let from = if incarnation == replica.incarnation.to_string() { from } else { 0 };
                 replica.polls.push((by, id, fence, from, now + POLL_WAIT));
             }
-            Message::Order { by, replica: id, fence, weights } => {
+            Message::Order { by, replica: id, fence, model, weights } => {
                 let any = self.disabled_guard == DisabledGuard::FencingToken;
                 let replica = &mut self.replicas[at];
-                let taken = match fence >= replica.fencing_token || any {
+                let outcome = match fence >= replica.fencing_token || any {
                     false => Err(format!("fence {} is newer", replica.fencing_token)),
                     true => {
                         replica.fencing_token = fence;
@@ -35,12 +36,13 @@
                         if replica.weights != weights && !loading {
                             let quick = replica.weights.is_empty();
                             let took = replica.load_time.map_or(Duration::MAX, |l| if quick { l / 5 } else { l });
-                            replica.loading = Some((weights, now.saturating_add(took)));
+                            replica.loading = Some((weights.clone(), now.saturating_add(took)));
                         }
-                        Ok(())
+                        Ok(OrderOutcome::Accepted)
                     }
                 };
-                self.send(Endpoint::Replica(at), Endpoint::Index(by), Message::OrderAnswered(id, taken));
+                let answer = OrderAnswer { replica: id, model, weights, outcome };
+                self.send(Endpoint::Replica(at), Endpoint::Index(by), Message::OrderAnswered(answer));
             }
             _ => {}
         }
--- a/crates/fleet-simulator/src/wire.rs
+++ b/crates/fleet-simulator/src/wire.rs
@@ -4,6 +4,7 @@
 use crate::world::World;
 use fleet_common::rpc::{self, Response, TableSnapshot};
 use prefix_table::event::EventBatch;
+use prefix_table::index_node::OrderAnswer;
 use routing::request_machine::Outcome;
 use std::time::Duration;
 
@@ -63,9 +64,10 @@
         by: usize,
         replica: String,
         fence: u64,
+        model: String,
         weights: String,
     },
-    OrderAnswered(String, Result<(), String>),
+    OrderAnswered(OrderAnswer),
     Announce(rpc::Request),
     /// A router asks an index node, which answers.
     Query {
--- a/crates/prefix-index/src/pages.rs
+++ b/crates/prefix-index/src/pages.rs
@@ -39,6 +39,9 @@
     blocks: u64,
     weights: &'a str,
     ordered: &'a str,
+    /// Of replicas with several models: the weights and the order of each.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    models: BTreeMap<&'a str, ModelStatus<'a>>,
     gaps: u64,
     since_push: u64,
     load: u64,
@@ -46,6 +49,18 @@
     audits: AuditCounts,
 }
 
+/// One model of a replica that has several.
+#[derive(Serialize)]
+struct ModelStatus<'a> {
+    weights: &'a str,
+    ordered: &'a str,
+}
+
+fn model_status<'a>(replica: &'a TrackedReplica, model: &str) -> ModelStatus<'a> {
+    let ordered = replica.orders.get(model).map_or("", |order| &order.weights);
+    ModelStatus { weights: replica.table.weights_of(model), ordered }
+}
+
 #[derive(Serialize)]
 struct AuditCounts {
     held: u64,
@@ -53,13 +68,18 @@
     stale: u64,
 }
 
-fn table_status(replica: &TrackedReplica) -> TableStatus<'_> {
+fn table_status<'a>(replica: &'a TrackedReplica, models: &'a [String]) -> TableStatus<'a> {
+    let several = if models.len() > 1 { models } else { &[] };
+    let only = models
+        .first()
+        .map_or(ModelStatus { weights: replica.table.weights(), ordered: "" }, |model| model_status(replica, model));
     TableStatus {
         role: if replica.fencing_token.is_some() { "holder" } else { "shadow" },
         fencing_token: replica.fencing_token.unwrap_or(replica.snapshot_fencing_token),
         blocks: replica.table.items() as u64,
-        weights: replica.table.weights(),
-        ordered: replica.order.as_ref().map_or("", |order| &order.weights),
+        weights: if several.is_empty() { only.weights } else { "" },
+        ordered: if several.is_empty() { only.ordered } else { "" },
+        models: several.iter().map(|model| (model.as_str(), model_status(replica, model))).collect(),
         gaps: replica.table.gaps(),
         since_push: replica.table.changes_since_push(),
         load: replica.load.load,
@@ -74,12 +94,16 @@
 
 fn status_json(service: &IndexService) -> String {
     let index_node = service.index_node();
+    let status = |(id, replica)| -> (&str, TableStatus) {
+        let id: &String = id;
+        (id.as_str(), table_status(replica, index_node.models_of(id)))
+    };
     let status = NodeStatus {
         name: &index_node.me.name,
         fresh: index_node.has_valid_lease(),
         versions: NamedVersions(index_node.applied_versions()),
         halted: index_node.halted(),
-        tables: index_node.replicas.iter().map(|(id, replica)| (id.as_str(), table_status(replica))).collect(),
+        tables: index_node.replicas.iter().map(status).collect(),
     };
     json::to_text(&status)
 }
--- a/crates/prefix-index/src/replica_client.rs
+++ b/crates/prefix-index/src/replica_client.rs
@@ -38,8 +38,10 @@
     pub owner: String,
     /// The fencing token of the node's assignment.
     pub fencing_token: u64,
-    /// The model that it serves.
+    /// The model whose weights are meant.
     pub model: String,
+    /// Whether the replica serves other models too.
+    pub has_several_models: bool,
     /// The version of the weights to load.
     pub weights: String,
 }
@@ -71,6 +73,9 @@
     fence: u64,
     index: &'a str,
     order: &'a str,
+    /// Only replicas with several models are told which is meant.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    model: Option<&'a str>,
     weights: &'a str,
 }
 
@@ -91,6 +96,7 @@
             fence: ask.fencing_token,
             index: &ask.owner,
             order: "load_weights",
+            model: ask.has_several_models.then_some(ask.model.as_str()),
             weights: &ask.weights,
         });
         let sent = http_client::json("POST", &format!("http://{}/orders", ask.at), &body, ORDER_TIMEOUT);
--- a/crates/prefix-index/src/service.rs
+++ b/crates/prefix-index/src/service.rs
@@ -107,7 +107,7 @@
                 }
                 Output::FetchSnapshot { replica, at } => self.queue_task(Task::Fetch { replica, at }),
                 Output::Command(replica, command) => self.queue_task(Task::Command(replica, command)),
-                Output::Order { replica, at, fence, model, weights } => {
+                Output::Order { replica, at, fence, model, has_several_models, weights } => {
                     let owner = self.identity.name.clone();
                     self.queue_task(Task::Order(OrderRequest {
                         replica,
@@ -115,6 +115,7 @@
                         owner,
                         fencing_token: fence,
                         model,
+                        has_several_models,
                         weights,
                     }))
                 }
--- a/crates/prefix-index/src/tasks.rs
+++ b/crates/prefix-index/src/tasks.rs
@@ -7,7 +7,7 @@
 use fleet_common::ring;
 use fleet_common::rpc::{Request, Response};
 use fleet_common::threads::{self, SMALL_STACK, STACK, ThreadError};
-use prefix_table::index_node::Input;
+use prefix_table::index_node::{Input, OrderAnswer};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -65,8 +65,9 @@
         Task::Order(ask) => {
             // Since the order was decided the process may have stood still, and connecting may have taken a while.
             let is_owner = || shared.index_node().owned_fencing_token(&ask.replica) == Some(ask.fencing_token);
-            let taken = shared.replicas.order_while(&ask, &is_owner);
-            shared.step(Input::OrderAnswered(ask.replica, ask.weights, taken));
+            let outcome = shared.replicas.order_while(&ask, &is_owner);
+            let OrderRequest { replica, model, weights, .. } = ask;
+            shared.step(Input::OrderAnswered(OrderAnswer { replica, model, weights, outcome }));
         }
     }
 }
--- a/crates/prefix-index/tests/golden/replicas.rs
+++ b/crates/prefix-index/tests/golden/replicas.rs
@@ -40,6 +40,7 @@
         owner: "i\"1".into(),
         fencing_token: 17,
         model: "m1".into(),
+        has_several_models: false,
         weights: "w2".into(),
     };
     let refused = HttpReplicaClient.order(&order).unwrap_err().to_string().replace(&at, "AT");
--- a/crates/prefix-table/src/announcements.rs
+++ b/crates/prefix-table/src/announcements.rs
@@ -1,9 +1,10 @@
 //! What an index node announces: filters to routers after enough changes, and the state of its replicas to routers and
 //! other index nodes.
 use crate::index_node::{IndexNode, Output};
-use crate::replica_reports::same_state;
+use crate::replica_reports::same_states;
 use crate::table::FilterPush;
-use fleet_common::rpc::{Filter, NODES, ReplicaReport, Request};
+use crate::tracked_replica::TrackedReplica;
+use fleet_common::rpc::{Filter, ModelReport, NODES, ReplicaReport, Request, SEVERAL_WEIGHTS, StateReport, stage};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -29,34 +30,62 @@
     /// The next filter of a replica to be sent, if its assignment is owned here.
     pub fn next_filter(&mut self, replica: &str) -> Option<Filter> {
         let fencing_token = self.owned_fencing_token(replica)?;
+        let models = self.listed_models.get(replica).map_or(&[][..], Vec::as_slice);
         let tracked = self.replicas.get_mut(replica).filter(|tracked| tracked.fencing_token == Some(fencing_token))?;
         let items = tracked.table.items() as u32;
-        let weights = tracked.table.weights().into();
+        let weights = match models {
+            [] => tracked.table.weights(),
+            [model] => tracked.table.weights_of(model),
+            _ => SEVERAL_WEIGHTS,
+        };
+        let weights = weights.into();
         let FilterPush { filter, version } = tracked.table.next_push();
         let (bytes, bit_count, hash_count) = filter.into_parts();
         let (replica, index, bits) = (replica.into(), self.me.name.as_str().into(), bytes.into());
         Some(Filter { replica, index, fencing_token, version, weights, bit_count, hash_count, items, bits })
     }
 
-    /// The report of a tracked replica.
-    pub(crate) fn replica_report(&self, replica: &str, fencing_token: u64) -> Option<ReplicaReport> {
+    /// The report of a tracked replica: of each of its models where it is listed with several.
+    pub(crate) fn replica_report(&self, replica: &str, fencing_token: u64) -> Option<StateReport> {
         let tracked = self.replicas.get(replica)?;
-        let order = self.order_stage(replica);
-        Some(ReplicaReport {
+        let mut report = StateReport::from(ReplicaReport {
             replica: replica.into(),
             fencing_token,
             load: tracked.load.load,
-            weights: tracked.table.weights().into(),
+            weights: "".into(),
             down: tracked.down.into(),
             minimum_version: tracked.table.minimum_version(),
-            order: order.weights.as_str().into(),
-            stage: order.stage,
+            order: "".into(),
+            stage: stage::NONE,
             running: tracked.load.running,
             waiting: tracked.load.waiting,
             used_tokens: tracked.load.used_tokens,
             total_tokens: tracked.load.total_tokens,
             order_in_progress: tracked.load.busy.into(),
-        })
+        });
+        match self.models_of(replica) {
+            [] => report.replica.weights = tracked.table.weights().into(),
+            [model] => {
+                let ModelReport { weights, order, stage, .. } = self.model_report(tracked, model);
+                let replica = &mut report.replica;
+                (replica.weights, replica.order, replica.stage) = (weights, order, stage);
+            }
+            several => {
+                let models: Vec<ModelReport> = several.iter().map(|model| self.model_report(tracked, model)).collect();
+                report.models = models.into();
+            }
+        }
+        Some(report)
+    }
+
+    fn model_report(&self, tracked: &TrackedReplica, model: &str) -> ModelReport {
+        let order = self.order_stage(tracked, model);
+        ModelReport {
+            model: model.into(),
+            weights: tracked.table.weights_of(model).into(),
+            order: order.weights.as_str().into(),
+            stage: order.stage,
+        }
     }
 
     /// Sends the filters and reports that are due.
@@ -132,9 +161,9 @@
             self.announced.clear();
             return;
         }
-        let last = |report: &ReplicaReport| self.announced.get(report.replica.as_str());
-        let state_changed = |report: &ReplicaReport| !last(report).is_some_and(|last| same_state(last, report));
-        let changed: Vec<ReplicaReport> = reports.iter().filter(|report| state_changed(report)).cloned().collect();
+        let last = |report: &StateReport| self.announced.get(report.replica.replica.as_str());
+        let state_changed = |report: &StateReport| !last(report).is_some_and(|last| same_states(last, report));
+        let changed: Vec<StateReport> = reports.iter().filter(|report| state_changed(report)).cloned().collect();
         let any_differs = reports.iter().any(|report| last(report) != Some(report));
         let age = self.announced_at.map_or(FULL_REPORT_INTERVAL, |at| self.now.saturating_sub(at));
         if age >= FULL_REPORT_INTERVAL || (any_differs && age >= MIN_LOAD_REPORT_INTERVAL) {
@@ -143,27 +172,48 @@
             return self.send_to_all(reports);
         }
         for newcomer in newcomers {
-            self.outputs.push(Output::Send(newcomer, Request::ReplicaReports(reports.clone().into())));
+            let messages = report_messages(&reports).into_iter();
+            self.outputs.extend(messages.map(|message| Output::Send(newcomer.clone(), message)));
         }
         if !changed.is_empty() {
             self.send_to_all(changed);
         }
     }
 
-    /// The reports of all replicas that are owned here; none without a valid lease.
-    fn present_reports(&self) -> Vec<ReplicaReport> {
+    /// The reports of all replicas that are owned here; none without a valid lease. What a replica with several models runs
+    /// is in no snapshot of its table: nothing is reported of it before it was heard.
+    fn present_reports(&self) -> Vec<StateReport> {
         if !self.has_valid_lease() {
             return Vec::new();
         }
-        let report = |replica: &String| self.replica_report(replica, self.active_fencing_token(replica)?);
-        self.replicas.keys().filter_map(report).collect()
+        let is_known =
+            |(replica, tracked): &(&String, &TrackedReplica)| tracked.reported || self.models_of(replica).len() < 2;
+        let tracked = self.replicas.iter().filter(is_known).map(|(replica, _)| replica);
+        tracked.filter_map(|replica| self.replica_report(replica, self.active_fencing_token(replica)?)).collect()
     }
 
-    fn send_to_all(&mut self, reports: Vec<ReplicaReport>) {
-        let announced = reports.iter().map(|report| (report.replica.to_string(), report.clone()));
+    fn send_to_all(&mut self, reports: Vec<StateReport>) {
+        for message in report_messages(&reports) {
+            let messages = self.recipients.all.iter().map(|address| Output::Send(address.clone(), message.clone()));
+            self.outputs.extend(messages);
+        }
+        let announced = reports.into_iter().map(|report| (report.replica.replica.to_string(), report));
         self.announced.extend(announced);
-        let message = Request::ReplicaReports(reports.into());
-        let messages = self.recipients.all.iter().map(|address| Output::Send(address.clone(), message.clone()));
-        self.outputs.extend(messages);
     }
 }
+
+/// The messages that carry these reports: one for replicas with one model, one for those with several.
+fn report_messages(reports: &[StateReport]) -> Vec<Request> {
+    let (of_one, of_several): (Vec<&StateReport>, Vec<&StateReport>) =
+        reports.iter().partition(|report| report.models.items().is_empty());
+    let mut messages = Vec::new();
+    if !of_one.is_empty() {
+        let reports: Vec<ReplicaReport> = of_one.into_iter().map(|report| report.replica.clone()).collect();
+        messages.push(Request::ReplicaReports(reports.into()));
+    }
+    if !of_several.is_empty() {
+        let reports: Vec<StateReport> = of_several.into_iter().cloned().collect();
+        messages.push(Request::StateReports(reports.into()));
+    }
+    messages
+}
--- a/crates/prefix-table/src/event.rs
+++ b/crates/prefix-table/src/event.rs
@@ -1,5 +1,6 @@
 //! A replica's cache events, in the shape of vLLM's KV events, as JSON. Fields and kinds keep the names that replicas send.
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
 /// What happened in a replica's cache. Hashes are decimal texts: JSON numbers lose 64 bits.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -64,6 +65,9 @@
     /// Its events.
     #[serde(flatten)]
     pub batch: EventBatch,
+    /// The weights that the replica runs of each model, where it has several models; the batch's are empty then.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub models: BTreeMap<String, String>,
     /// Requests running.
     #[serde(default)]
     pub running: Option<u32>,
--- a/crates/prefix-table/src/fleet_updates.rs
+++ b/crates/prefix-table/src/fleet_updates.rs
@@ -1,7 +1,8 @@
 //! What a pull brings: the fleet as it is now, and which assignments another node had before. And what follows at once
 //! from a changed state.
 use crate::index_node::IndexNode;
-use fleet_common::rpc::PullResponse;
+use control_state::command::ReplicaInfo;
+use fleet_common::rpc::{PullResponse, REPLICAS, ROUTE_CONFIG};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
             .map(|(replica, assignment)| (replica.clone(), assignment.fencing_token))
             .collect();
         let taken = self.fleet.apply_pull(sent, &pulled);
+        self.refresh_listed_models();
         for (replica, assignment) in &self.fleet.assignments {
             if self.fleet.fencing_token(replica, &self.me).is_none()
                 || before.get(replica) == Some(&assignment.fencing_token)
@@ -34,6 +36,17 @@
         }
     }
 
+    fn refresh_listed_models(&mut self) {
+        let sources = [self.fleet.versions[REPLICAS], self.fleet.versions[ROUTE_CONFIG]];
+        if self.models_as_of == Some(sources) {
+            return;
+        }
+        self.models_as_of = Some(sources);
+        let models = |replica: &ReplicaInfo| replica.models().map(str::to_string).collect();
+        let listed = self.fleet.replicas.iter();
+        self.listed_models = listed.map(|replica| (replica.id.clone(), models(replica))).collect();
+    }
+
     /// For how long this node has been a member.
     pub(crate) fn member_for(&self) -> Option<Duration> {
         self.member_since.map(|since| self.now.saturating_sub(since))
--- a/crates/prefix-table/src/index_node.rs
+++ b/crates/prefix-table/src/index_node.rs
@@ -12,7 +12,7 @@
 use control_state::fleet::Fleet;
 use control_state::superseded_weights::SupersededWeightsBound;
 use fleet_common::node::Identity;
-use fleet_common::rpc::{NODE_LEASE, PullResponse, ReplicaReport, Request, TableSnapshot, VersionVector};
+use fleet_common::rpc::{NODE_LEASE, PullResponse, Request, StateReport, TableSnapshot, VersionVector};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -29,8 +29,8 @@
     SnapshotFetched(String, Option<TableSnapshot>),
     /// A command about this replica's assignment was answered, one way or another.
     CommandAnswered(String),
-    /// An order to this replica to load these weights was answered, or failed.
-    OrderAnswered(String, String, Result<OrderOutcome, String>),
+    /// An order to a replica was answered, or failed.
+    OrderAnswered(OrderAnswer),
     /// A report of another index node changed a replica's state: what waits for it goes on at once.
     StateChanged,
     /// This node is to stop: assignments are released and tables handed over.
@@ -48,6 +48,19 @@
     Busy,
 }
 
+/// What came of an order to load weights.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OrderAnswer {
+    /// The replica's id.
+    pub replica: String,
+    /// The model.
+    pub model: String,
+    /// The weights to load.
+    pub weights: String,
+    /// What the replica answered, or why nothing is known of it.
+    pub outcome: Result<OrderOutcome, String>,
+}
+
 /// What an index node wants done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
@@ -87,6 +100,8 @@
         fence: u64,
         /// The model.
         model: String,
+        /// Whether the replica has other models too, so that the order must name this one.
+        has_several_models: bool,
         /// The weights to load.
         weights: String,
     },
@@ -115,6 +130,10 @@
     pub replicas: BTreeMap<String, TrackedReplica>,
     /// What other index nodes reported of the replicas that they own.
     pub peer_reports: ReplicaReports,
+    /// The models of each listed replica, by the replica's id.
+    pub(crate) listed_models: BTreeMap<String, Vec<String>>,
+    /// The versions of the sources that `listed_models` was taken from.
+    pub(crate) models_as_of: Option<[u64; 2]>,
     pub(crate) now: Duration,
     /// When the last confirmed pull was sent: the lease counts from then.
     pub(crate) lease_confirmed_at: Option<Duration>,
@@ -122,7 +141,7 @@
     /// Replicas about which a command is on its way, and since when.
     pub(crate) pending_commands: BTreeMap<String, Duration>,
     /// The reports that were sent last, by replica.
-    pub(crate) announced: BTreeMap<String, ReplicaReport>,
+    pub(crate) announced: BTreeMap<String, StateReport>,
     /// When all reports were last sent.
     pub(crate) announced_at: Option<Duration>,
     pub(crate) recipients: Recipients,
@@ -168,6 +187,8 @@
             fleet: Fleet::default(),
             replicas: BTreeMap::new(),
             peer_reports: ReplicaReports::new(),
+            listed_models: BTreeMap::new(),
+            models_as_of: None,
             now: Duration::ZERO,
             lease_confirmed_at: None,
             fetches: BTreeMap::new(),
@@ -212,6 +233,11 @@
         self.fleet.versions
     }
 
+    /// The models that a replica has, by the platform's list.
+    pub fn models_of(&self, replica: &str) -> &[String] {
+        self.listed_models.get(replica).map_or(&[], Vec::as_slice)
+    }
+
     /// Why the rollouts that are halted are so, by model.
     pub fn halted(&self) -> &BTreeMap<String, String> {
         &self.halted
@@ -238,7 +264,7 @@
             Input::Polled(replica, fence, polled) => self.on_polled(&replica, fence, polled),
             Input::SnapshotFetched(replica, copy) => self.on_snapshot_fetched(&replica, copy),
             Input::CommandAnswered(replica) => _ = self.pending_commands.remove(&replica),
-            Input::OrderAnswered(replica, weights, taken) => self.on_order_answered(&replica, &weights, taken),
+            Input::OrderAnswered(answer) => self.on_order_answered(answer),
             Input::StateChanged => self.on_state_changed(),
             Input::Leave => {
                 self.shutting_down = true;
--- a/crates/prefix-table/src/lib.rs
+++ b/crates/prefix-table/src/lib.rs
@@ -4,7 +4,8 @@
 //!   `table_snapshot`, over `counting_filter` and `filter` (Bloom filters, and the routers' copies of them).
 //! - An index node as a state machine: `index_node` (inputs and outputs), `tracked_replica` (one replica and its polls),
 //!   `assignments` (which node owns which replica), `announcements` and `peer_requests` (what it sends and answers),
-//!   `fleet_updates` (what it pulls), `replica_reports` (what other nodes report).
+//!   `fleet_updates` (what it pulls), `replica_reports` (what other nodes report), `replica_weights` (the versions that a
+//!   replica runs).
 //! - Rollouts of weights: `rollout_planner` (whose turn it is), `load_orders` (orders to replicas), `rollout_progress`.
 //!
 //! Filters and their exchange follow "Deployment of Collaborative Web Caching with Active Networks", section 4.
@@ -21,6 +22,7 @@
 mod peer_requests;
 mod prompt_parts;
 pub mod replica_reports;
+pub mod replica_weights;
 pub mod rollout_planner;
 pub mod rollout_progress;
 pub mod table;
--- a/crates/prefix-table/src/load_orders.rs
+++ b/crates/prefix-table/src/load_orders.rs
@@ -1,6 +1,6 @@
 //! Orders to replicas: to load the weights that are released for their model, when it is their turn. Each carries the
 //! fencing token, and a replica rejects an older one.
-use crate::index_node::{IndexNode, OrderOutcome, Output};
+use crate::index_node::{IndexNode, OrderAnswer, OrderOutcome, Output};
 use crate::rollout_planner::{LOAD_TIMEOUT, Rollout, RolloutDecision, RolloutReplica, late_after};
 use crate::rollout_progress::{RolloutCounts, RolloutProgress};
 use crate::tracked_replica::{LoadOrder, TrackedReplica};
@@ -58,22 +58,17 @@
 }
 
 impl IndexNode {
-    /// Which weights an owned replica was ordered to load, and how far it is.
-    pub(crate) fn order_stage(&self, replica: &str) -> OrderStage {
-        let tracked = self.replicas.get(replica);
-        match tracked.and_then(|tracked| Some((tracked, tracked.order.as_ref()?))) {
-            Some((tracked, order)) => {
-                OrderStage { weights: order.weights.clone(), stage: self.stage_of(tracked, order) }
-            }
-            None => OrderStage::none(),
-        }
+    /// Which weights of a model a tracked replica was ordered to load, and how far it is.
+    pub(crate) fn order_stage(&self, tracked: &TrackedReplica, model: &str) -> OrderStage {
+        let Some(order) = tracked.orders.get(model) else { return OrderStage::none() };
+        OrderStage { weights: order.weights.clone(), stage: self.stage_of(tracked, model, order) }
     }
 
-    fn stage_of(&self, tracked: &TrackedReplica, order: &LoadOrder) -> u8 {
+    fn stage_of(&self, tracked: &TrackedReplica, model: &str, order: &LoadOrder) -> u8 {
         let load_time = self.now.saturating_sub(order.started_at);
         let says_that_it_loads = order.accepted && tracked.load.busy;
-        let is_late = || self.late_after(&order.weights).is_some_and(|late| load_time > late);
-        if order.done || tracked.table.weights() == order.weights {
+        let is_late = || self.late_after(model).is_some_and(|late| load_time > late);
+        if order.done || tracked.table.weights_of(model) == order.weights {
             stage::SERVING
         } else if order.failed_attempts >= MAX_FAILED_ATTEMPTS {
             stage::FAILED
@@ -86,45 +81,58 @@
         }
     }
 
-    /// How long a load of these weights may take before others need not wait for it.
-    fn late_after(&self, weights: &str) -> Option<Duration> {
-        let rollout = self.rollouts.values().find(|rollout| rollout.weights == weights)?;
-        late_after(rollout.longest_load_time)
+    /// How long a load of a model's wanted weights may take before others need not wait for it.
+    fn late_after(&self, model: &str) -> Option<Duration> {
+        late_after(self.rollouts.get(model)?.longest_load_time)
+    }
+
+    /// Whether a tracked replica was ordered to load weights of any model, and is not seen done.
+    pub(crate) fn carries_out_an_order(&self, replica: &str) -> bool {
+        let Some(tracked) = self.replicas.get(replica) else { return false };
+        tracked.orders.keys().any(|model| is_loading(self.order_stage(tracked, model).stage))
+    }
+
+    /// Whether a replica carries out an order for another of its models: it takes one order at a time.
+    fn loads_another_model(&self, replica: &str, model: &str) -> bool {
+        let others = self.models_of(replica).iter().filter(|other| *other != model);
+        others.into_iter().any(|other| is_loading(self.known_state(replica, other).order.stage))
     }
 
     /// All replicas of a model: those owned here as they are, the others as their owners reported lately.
     fn rollout_replicas(&self, model: &str, wanted: &str) -> Vec<RolloutReplica> {
-        let listed = self.fleet.replicas.iter().filter(|replica| replica.model == model);
-        listed.map(|replica| self.rollout_replica(replica, wanted)).collect()
+        let listed = self.fleet.replicas.iter().filter(|replica| replica.has_model(model));
+        listed.map(|replica| self.rollout_replica(replica, model, wanted)).collect()
     }
 
-    fn rollout_replica(&self, replica: &ReplicaInfo, wanted: &str) -> RolloutReplica {
-        let KnownState { weights, order, down, silent } = self.known_state(&replica.id);
+    fn rollout_replica(&self, replica: &ReplicaInfo, model: &str, wanted: &str) -> RolloutReplica {
+        let KnownState { weights, order, down, silent } = self.known_state(&replica.id, model);
         let stage = if order.weights == wanted { order.stage } else { stage::NONE };
         // A replica's word that it runs them may come before its report does.
         let weights = if stage == stage::SERVING { wanted.to_string() } else { weights };
         // One that loads other released weights is not ordered anew before it has served those.
-        let loads_other = [stage::LOADING, stage::LATE].contains(&order.stage) && order.weights != wanted;
-        let expired = !weights.is_empty() && !loads_other && self.has_expired(&replica.model, &weights);
+        let loads_other = is_loading(order.stage) && order.weights != wanted;
+        let expired = !weights.is_empty() && !loads_other && self.has_expired(model, &weights);
+        let not_ordered_now = silent || self.loads_another_model(&replica.id, model);
         let (id, draining) = (replica.id.clone(), replica.leaving);
-        RolloutReplica { id, weights, stage, down, draining, silent, expired }
+        RolloutReplica { id, weights, stage, down, draining, silent: not_ordered_now, expired }
     }
 
-    fn known_state(&self, replica: &str) -> KnownState {
+    fn known_state(&self, replica: &str, model: &str) -> KnownState {
         if self.active_fencing_token(replica).is_some()
             && let Some(tracked) = self.replicas.get(replica)
         {
-            let weights = tracked.table.weights().to_string();
-            return KnownState { weights, order: self.order_stage(replica), down: tracked.down, silent: false };
+            let weights = tracked.table.weights_of(model).to_string();
+            let order = self.order_stage(tracked, model);
+            return KnownState { weights, order, down: tracked.down, silent: false };
         }
         let Some(received) = self.peer_reports.get(replica) else {
             return KnownState { weights: String::new(), order: OrderStage::none(), down: false, silent: true };
         };
-        let report = &received.report;
+        let state = received.state_of(model);
         KnownState {
-            weights: report.weights.to_string(),
-            order: OrderStage { weights: report.order.to_string(), stage: report.stage },
-            down: report.down != 0,
+            weights: state.weights.to_string(),
+            order: OrderStage { weights: state.order.to_string(), stage: state.stage },
+            down: received.report.down != 0,
             silent: self.now.saturating_sub(received.received_at) > PEER_REPORT_TIMEOUT,
         }
     }
@@ -142,7 +150,7 @@
         }
         self.orders_resume_at = self.now + CATCH_UP_DELAY;
         for tracked in self.replicas.values_mut() {
-            tracked.order.take_if(|order| !order.sent);
+            tracked.orders.retain(|_, order| order.sent);
         }
     }
 
@@ -233,9 +241,10 @@
 
     /// Announces an order, and sends it once it was announced for long enough.
     fn announce_or_send_order(&mut self, owned: &OwnedReplica, model: &str, weights: &str) {
-        if self.is_releasing(&owned.id) {
+        if self.is_releasing(&owned.id) || self.loads_another_model(&owned.id, model) {
             return;
         }
+        let has_several_models = self.models_of(&owned.id).len() > 1;
         // A former owner may have sent an order just before it released the assignment or lost it, or may have been given
         // a lease after its expiry was on its way: two owners' orders are kept a lease apart.
         let waits_for_former_owner = self.taken_over.contains(&owned.id);
@@ -247,8 +256,9 @@
         if waits_for_former_owner && now.saturating_sub(tracked.tracked_since) < NODE_LEASE + TAKEOVER_MARGIN {
             return;
         }
-        let Some(order) = tracked.order.as_mut().filter(|order| order.weights == weights) else {
-            tracked.order = Some(LoadOrder::announced(weights, now, now + ANNOUNCEMENT_LEAD));
+        let Some(order) = tracked.orders.get_mut(model).filter(|order| order.weights == weights) else {
+            let order = LoadOrder::announced(weights, now, now + ANNOUNCEMENT_LEAD);
+            tracked.orders.insert(model.to_string(), order);
             return;
         };
         if order.done || now < order.next_attempt_at {
@@ -265,27 +275,29 @@
             at: owned.address.clone(),
             fence: owned.fencing_token,
             model: model.to_string(),
+            has_several_models,
             weights: weights.to_string(),
         });
     }
 
     /// A replica has answered an order, or could not be reached.
-    pub(crate) fn on_order_answered(&mut self, replica: &str, weights: &str, answered: Result<OrderOutcome, String>) {
+    pub(crate) fn on_order_answered(&mut self, answer: OrderAnswer) {
         let now = self.now;
-        let order = self.replicas.get_mut(replica).and_then(|tracked| tracked.order.as_mut());
+        let OrderAnswer { replica, model, weights, outcome } = answer;
+        let order = self.replicas.get_mut(&replica).and_then(|tracked| tracked.orders.get_mut(&model));
         let Some(order) = order.filter(|order| order.weights == weights) else { return };
-        let line = match answered {
+        let line = match outcome {
             Ok(OrderOutcome::Accepted) => {
                 if !std::mem::replace(&mut order.accepted, true) {
                     order.started_at = now;
                 }
                 order.failed_attempts = 0;
                 order.next_attempt_at = now + LOAD_TIMEOUT;
-                format!("{replica} was ordered to load {weights}")
+                format!("{replica} was ordered to load {weights} of {model}")
             }
             Ok(OrderOutcome::AlreadyLoaded) => {
                 order.done = true;
-                format!("{replica} runs {weights} already")
+                format!("{replica} runs {weights} of {model} already")
             }
             Ok(OrderOutcome::Busy) => {
                 order.next_attempt_at = now + BUSY_RETRY_DELAY;
@@ -293,10 +305,14 @@
             }
             Err(cause) => {
                 order.failed_attempts += 1;
-                format!("{replica} did not accept the order to load {weights}: {cause}")
+                format!("{replica} did not accept the order to load {weights} of {model}: {cause}")
             }
         };
         self.log(line);
         self.on_state_changed();
     }
 }
+
+fn is_loading(stage: u8) -> bool {
+    [stage::LOADING, stage::LATE].contains(&stage)
+}
--- a/crates/prefix-table/src/peer_requests.rs
+++ b/crates/prefix-table/src/peer_requests.rs
@@ -2,7 +2,7 @@
 use crate::index_node::{IndexNode, table_size};
 use crate::replica_reports::{changes_any_state, merge};
 use crate::table::PrefixTable;
-use fleet_common::rpc::{ReplicaReport, Request, Response, TableSnapshot, TransferReport, audit};
+use fleet_common::rpc::{Request, Response, StateReport, TableSnapshot, TransferReport, audit};
 use serde::Serialize;
 use std::time::Duration;
 
@@ -48,6 +48,10 @@
             Request::TablePull(replica) => self.answer_snapshot(replica.as_str()),
             Request::TablePush(snapshot) => self.accept_snapshot(&snapshot),
             Request::ReplicaReports(reports) => {
+                self.accept_reports(reports.into_items().into_iter().map(StateReport::from).collect());
+                Response::Done
+            }
+            Request::StateReports(reports) => {
                 self.accept_reports(reports.into_items());
                 Response::Done
             }
@@ -114,7 +118,7 @@
         Response::Done
     }
 
-    fn accept_reports(&mut self, reports: Vec<ReplicaReport>) {
+    fn accept_reports(&mut self, reports: Vec<StateReport>) {
         self.state_changed |= changes_any_state(&self.peer_reports, &reports);
         merge(&mut self.peer_reports, self.now, reports);
     }
--- a/crates/prefix-table/src/prompt_parts.rs
+++ b/crates/prefix-table/src/prompt_parts.rs
@@ -1,5 +1,6 @@
 //! Parts of prompts in a table, and the full listing of a replica's cache, where it gives one.
 use crate::event::{CacheEvent, CacheReport, parse_hashes};
+use crate::replica_weights::ReplicaWeights;
 use crate::table::PrefixTable;
 use std::collections::HashSet;
 use std::time::Duration;
@@ -14,6 +15,7 @@
     /// which the table is then rebuilt. Returns how many events were new.
     pub fn apply_report(&mut self, now: Duration, report: &CacheReport) -> u64 {
         let new_events = self.apply_with_loss(now, &report.batch, report.events_lost);
+        self.weights = ReplicaWeights::from_report(report);
         if let Some(listing) = &report.full_listing {
             self.rebuild(listing);
         }
--- a/crates/prefix-table/src/rollout_planner.rs
+++ b/crates/prefix-table/src/rollout_planner.rs
@@ -34,7 +34,8 @@
     pub down: bool,
     /// It finishes what it has and gets no more requests.
     pub draining: bool,
-    /// Whether its index node was not heard lately: nobody orders it now, so it holds no other replica up.
+    /// Whether nobody orders it now, so that it holds no other replica up: its index node was not heard lately, or it loads
+    /// weights of another model first.
     pub silent: bool,
     /// Whether routers use its weights no more, as newer ones were released too long ago: it is idle.
     pub expired: bool,
--- a/crates/prefix-table/src/table.rs
+++ b/crates/prefix-table/src/table.rs
@@ -3,6 +3,7 @@
 use crate::counting_filter::CountingFilter;
 use crate::event::{CacheEvent, EventBatch, parse_hashes};
 use crate::filter::BloomFilter;
+use crate::replica_weights::ReplicaWeights;
 use crate::table_size;
 use fleet_common::rpc::audit;
 use indexmap::{IndexMap, IndexSet};
@@ -56,7 +57,7 @@
     /// The largest number of tokens seen of each part.
     pub(crate) largest_tokens: HashMap<u64, u64>,
     pub(crate) incarnation: String,
-    pub(crate) weights: String,
+    pub(crate) weights: ReplicaWeights,
     pub(crate) next_sequence: u64,
     last_report_at: Duration,
     /// How many entries changed since the filter was last sent.
@@ -77,7 +78,7 @@
             recently_removed: IndexSet::new(),
             largest_tokens: HashMap::new(),
             incarnation: String::new(),
-            weights: String::new(),
+            weights: ReplicaWeights::default(),
             next_sequence: 0,
             last_report_at: now,
             changes_since_push: 0,
@@ -101,7 +102,7 @@
         if batch.incarnation != self.incarnation {
             self.start_incarnation(batch);
         }
-        self.weights = batch.weights.clone();
+        self.weights = ReplicaWeights::of_only_model(&batch.weights);
         let mut new_events = 0;
         for numbered in &batch.events {
             if numbered.sequence < self.next_sequence {
@@ -215,9 +216,14 @@
         NextEvent { incarnation: &self.incarnation, sequence: self.next_sequence }
     }
 
-    /// The weights that the replica runs, by its own report.
+    /// The weights of the replica's only model, by its own report; empty where it has several.
     pub fn weights(&self) -> &str {
-        &self.weights
+        self.weights.only()
+    }
+
+    /// The weights that the replica runs of a model, by its own report.
+    pub fn weights_of(&self, model: &str) -> &str {
+        self.weights.of(model)
     }
 
     /// How often events were missing.
--- a/crates/prefix-table/src/table_snapshot.rs
+++ b/crates/prefix-table/src/table_snapshot.rs
@@ -1,5 +1,6 @@
 //! Snapshots of a table, for the index node that shadows it and for the one that owns it next; and which versions of an
 //! owner's filters may be trusted.
+use crate::replica_weights::ReplicaWeights;
 use crate::table::{PrefixTable, TableSize};
 use fleet_common::rpc::TableSnapshot;
 use std::time::Duration;
@@ -15,7 +16,7 @@
             replica: replica.into(),
             fencing_token,
             incarnation: self.incarnation.as_str().into(),
-            weights: self.weights.as_str().into(),
+            weights: self.weights.only().into(),
             sequence: self.next_sequence,
             blocks: hashes(false).into(),
             doubtful: hashes(true).into(),
@@ -26,7 +27,7 @@
     pub fn from_snapshot(size: TableSize, now: Duration, snapshot: &TableSnapshot) -> Self {
         let mut table = PrefixTable::new(size, now);
         table.incarnation = snapshot.incarnation.to_string();
-        table.weights = snapshot.weights.to_string();
+        table.weights = ReplicaWeights::of_only_model(snapshot.weights.as_str());
         table.next_sequence = snapshot.sequence;
         for hash in snapshot.blocks.items() {
             table.store(*hash);
--- a/crates/prefix-table/src/tracked_replica.rs
+++ b/crates/prefix-table/src/tracked_replica.rs
@@ -1,11 +1,11 @@
 //! What an index node knows of one replica that it tracks, and how it is fed from the replica's events.
 use crate::event::CacheReport;
 use crate::index_node::{IndexNode, Output};
-use crate::replica_reports::same_state;
+use crate::replica_reports::same_states;
 use crate::table::{NextEvent, PrefixTable};
 use control_state::command::ReplicaInfo;
 use control_state::fleet::STORE_MODEL;
-use fleet_common::rpc::stage;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// A replica that could not be polled for so long is down.
@@ -93,8 +93,8 @@
     pub down: bool,
     /// How many transfers had each verdict, by the verdict's number.
     pub audit_counts: [u64; 4],
-    /// The order that it was given, if any.
-    pub order: Option<LoadOrder>,
+    /// The latest order for each model, by the model's name.
+    pub orders: BTreeMap<String, LoadOrder>,
     /// Since when it is owned, or when the snapshot was taken.
     pub tracked_since: Duration,
     /// When its filter was pushed last.
@@ -120,7 +120,7 @@
             load: ReplicaLoad::default(),
             down: false,
             audit_counts: [0; 4],
-            order: None,
+            orders: BTreeMap::new(),
             tracked_since: now,
             pushed_at: None,
             pushes: 0,
@@ -138,7 +138,7 @@
         self.tracked_since = now;
         self.failing_since = None;
         self.polled_at = None;
-        self.order = None;
+        self.orders.clear();
         self.down = false;
         self.reported = false;
         self.table.restart_versions();
@@ -153,13 +153,12 @@
     fn on_report(&mut self, now: Duration, report: &CacheReport) -> bool {
         // After a restart the replica knows of no order.
         if ![self.table.next_event().incarnation, ""].contains(&report.batch.incarnation.as_str()) {
-            self.order = None;
+            self.orders.clear();
         }
         self.table.apply_report(now, report);
         // Once it reports the weights itself its word for them counts no more: it may go back to others.
-        let reported_weights = self.table.weights();
-        if let Some(order) = self.order.as_mut().filter(|order| order.weights == reported_weights) {
-            order.done = false;
+        for (model, order) in &mut self.orders {
+            order.done &= order.weights != self.table.weights_of(model);
         }
         self.load = ReplicaLoad::from_report(report);
         self.reported = true;
@@ -208,7 +207,7 @@
     fn poll_if_due(&mut self, target: PollTarget) {
         let now = self.now;
         let Some(fence) = self.active_fencing_token(&target.replica) else { return };
-        let ordered = [stage::LOADING, stage::LATE].contains(&self.order_stage(&target.replica).stage);
+        let ordered = self.carries_out_an_order(&target.replica);
         let tracked = self.replicas.get_mut(&target.replica);
         let Some(tracked) = tracked.filter(|tracked| tracked.poll_is_due(now)) else { return };
         tracked.polled_at = Some(now);
@@ -235,7 +234,7 @@
             self.log(line);
         }
         let after = self.replica_report(replica, fencing_token);
-        if before.zip(after).is_some_and(|(before, after)| !same_state(&before, &after)) {
+        if before.zip(after).is_some_and(|(before, after)| !same_states(&before, &after)) {
             self.on_state_changed();
         }
         self.poll_replicas();
--- a/crates/prefix-table/tests/golden/index_node.rs
+++ b/crates/prefix-table/tests/golden/index_node.rs
@@ -4,7 +4,7 @@
 use control_state::fleet::STORE_MODEL;
 use fleet_common::rpc::{Filter, ReplicaReport, Request, Response, TransferReport, stage};
 use prefix_table::event::{CacheEvent, CacheReport};
-use prefix_table::index_node::{IndexNode, Input, OrderOutcome, Output};
+use prefix_table::index_node::{IndexNode, Input, OrderAnswer, OrderOutcome, Output};
 use prefix_table::rollout_progress::RolloutCounts;
 use std::time::Duration;
 
@@ -18,6 +18,11 @@
     others: String,
 }
 
+fn answered(replica: &str, outcome: OrderOutcome) -> Input {
+    let (model, weights) = ("m".into(), "w2".into());
+    Input::OrderAnswered(OrderAnswer { replica: replica.into(), model, weights, outcome: Ok(outcome) })
+}
+
 impl Course {
     fn new() -> Self {
         let replicas = vec![replica("r1", "m"), replica("r2", "m"), replica("s", STORE_MODEL)];
@@ -40,9 +45,10 @@
                         "{at_ms} poll {replica} at {at} fence {fence} incarnation {incarnation:?} from {from} {is_store} {ordered}\n"
                     );
                 }
-                Output::Order { replica, at, fence, model, weights } => {
+                Output::Order { replica, at, fence, model, has_several_models: false, weights } => {
                     self.others += &format!("{at_ms} order {replica} at {at} fence {fence}: {model} {weights}\n");
                 }
+                order @ Output::Order { .. } => panic!("replicas have one model each: {order:?}"),
                 Output::Command(replica, command) => {
                     self.others += &format!("{at_ms} command {replica:?} {}\n", sonic_rs::to_string(&command).unwrap());
                 }
@@ -98,8 +104,8 @@
         course.core.blueprint.models.get_mut("m").unwrap().weights = "w2".into();
         course.pull();
         course.ticks(30);
-        course.step(Input::OrderAnswered("r1".into(), "w2".into(), Ok(OrderOutcome::Accepted)));
-        course.step(Input::OrderAnswered("r2".into(), "w2".into(), Ok(OrderOutcome::Busy)));
+        course.step(answered("r1", OrderOutcome::Accepted));
+        course.step(answered("r2", OrderOutcome::Busy));
         course.ticks(20);
         course.hear("r1", report("w2", 0, 30, vec![CacheEvent::AllBlocksCleared]));
         course.ticks(30);
--- a/crates/prefix-table/tests/golden/replica_events.rs
+++ b/crates/prefix-table/tests/golden/replica_events.rs
@@ -39,6 +39,7 @@
 fn a_report_with_all_that_it_may_say() {
     let report = CacheReport {
         batch: batch(),
+        models: Default::default(),
         running: Some(4),
         waiting: Some(1),
         used_tokens: Some(70_000),
--- a/crates/prefix-table/tests/nodes/mod.rs
+++ b/crates/prefix-table/tests/nodes/mod.rs
@@ -34,6 +34,7 @@
         id: id.into(),
         at: id.into(),
         model: model.into(),
+        other_models: Vec::new(),
         zone: "a".into(),
         leaving: false,
         service: String::new(),
--- a/crates/prefix-table/tests/nodes/world.rs
+++ b/crates/prefix-table/tests/nodes/world.rs
@@ -3,7 +3,7 @@
 use control_state::process_instant::ProcessInstant;
 use control_state::release_clock::ReleaseClock;
 use prefix_table::event::CacheReport;
-use prefix_table::index_node::{IndexNode, Input, OrderOutcome, Output};
+use prefix_table::index_node::{IndexNode, Input, OrderAnswer, OrderOutcome, Output};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -178,7 +178,13 @@
             row.loading = Some((weights.clone(), now + takes));
         }
         if let Some(said) = said {
-            self.put(WIRE, Wire::To(at, Input::OrderAnswered(id, weights, Ok(said))));
+            self.put(
+                WIRE,
+                Wire::To(
+                    at,
+                    Input::OrderAnswered(OrderAnswer { replica: id, model: "m".into(), weights, outcome: Ok(said) }),
+                ),
+            );
         }
     }
 
--- a/crates/request-router/src/pages.rs
+++ b/crates/request-router/src/pages.rs
@@ -105,6 +105,9 @@
 #[derive(Serialize)]
 struct ReplicaRow {
     weights: String,
+    /// The weights of each model, of replicas with several.
+    #[serde(skip_serializing_if = "IndexMap::is_empty")]
+    models: IndexMap<String, String>,
     #[serde(rename = "leaving")]
     draining: bool,
     down: bool,
@@ -146,9 +149,12 @@
 
 fn replica_rows(state: &RouterState) -> IndexMap<String, ReplicaRow> {
     let statuses = state.replica_statuses().into_iter();
+    let reports = state.load_reports.read();
     let row = |seat: routing::session_placement::ReplicaStatus| {
+        let models = reports.get(&seat.id).map(|received| received.models.as_slice()).unwrap_or_default();
         let row = ReplicaRow {
             weights: seat.weights,
+            models: models.iter().map(|own| (own.model.to_string(), own.weights.to_string())).collect(),
             draining: seat.draining,
             down: seat.unavailable,
             load: seat.load,
--- a/crates/request-router/src/peer_requests.rs
+++ b/crates/request-router/src/peer_requests.rs
@@ -20,6 +20,11 @@
             state.load_reports.update(|known| replica_table::merge(known, now, reports.into_items()));
             Response::Done
         }
+        Request::StateReports(reports) => {
+            let now = state.now();
+            state.load_reports.update(|known| replica_table::merge(known, now, reports.into_items()));
+            Response::Done
+        }
         Request::Query(query) => answer_query(state, query.as_str()),
         _ => Response::Rejected("not a router's to answer".into()),
     }
--- a/crates/routing/src/placement.rs
+++ b/crates/routing/src/placement.rs
@@ -1,6 +1,6 @@
 //! Placement of an attempt: its replica, and the source of a prefix that the replica lacks, from all that a router knows.
 use crate::link_costs::{LearntCosts, LinkCosts};
-use crate::replica_table::{EjectedUntil, ReplicaReports, replica_statuses};
+use crate::replica_table::{EjectedUntil, ReplicaReports, replica_statuses_for};
 use crate::session_placement::{PlacementReason, ReplicaStatus, SessionRequest, choose_replica};
 use crate::transfer_source::{FilterCopies, TransferSource, cached_blocks, choose_source};
 use control_state::fleet::Fleet;
@@ -64,7 +64,7 @@
 
 /// Places an attempt among all replicas that the router knows; none where no replica may take it.
 pub fn find_placement(state: &FleetView, request: &PlacementRequest) -> Option<Placement> {
-    let replicas = replica_statuses(state.fleet, state.replica_reports, state.ejected, state.now);
+    let replicas = replica_statuses_for(request.model, state.fleet, state.replica_reports, state.ejected, state.now);
     find_placement_among(&replicas, SUPERSEDED_WEIGHTS_BOUND, state, request)
 }
 
--- a/crates/routing/src/replica_table.rs
+++ b/crates/routing/src/replica_table.rs
@@ -3,9 +3,9 @@
 use crate::session_placement::ReplicaStatus;
 use control_state::command::ReplicaInfo;
 use control_state::fleet::Fleet;
-use fleet_common::rpc::{NODE_LEASE, ReplicaReport, stage};
+use fleet_common::rpc::{NODE_LEASE, stage};
 use prefix_table::filter::FilterVersion;
-pub use prefix_table::replica_reports::{ReceivedReport, ReplicaReports, merge};
+pub use prefix_table::replica_reports::{ModelState, ReceivedReport, ReplicaReports, merge};
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -15,9 +15,9 @@
 /// No filter is as new as this: what is known of the replica is too old to trust one.
 pub const NO_TRUSTED_VERSION: FilterVersion = FilterVersion { fencing_token: u64::MAX, version: u64::MAX };
 
-/// Whether a replica was ordered, or is about to be, to load weights that it does not run yet.
-fn is_loading(report: &ReplicaReport) -> bool {
-    [stage::LOADING, stage::LATE].contains(&report.stage) && report.weights != report.order
+/// Whether a replica was ordered, or is about to be, to load weights of the model that it does not run yet.
+fn is_loading(state: &ModelState) -> bool {
+    [stage::LOADING, stage::LATE].contains(&state.stage) && state.weights != state.order
 }
 
 /// The oldest filter of a replica that is trusted. A filter counts only while the replica's index node is heard, and
@@ -36,27 +36,40 @@
     FilterVersion { fencing_token, version: current.report.minimum_version }
 }
 
-/// The replicas as they are now: listed by the platform, loaded and running as reported.
+/// The replicas as they are now, each for its first model: listed by the platform, loaded and running as reported.
 pub fn replica_statuses(
     fleet: &Fleet,
     reports: &ReplicaReports,
     ejected: &EjectedUntil,
     now: Duration,
+) -> Vec<ReplicaStatus> {
+    replica_statuses_for("", fleet, reports, ejected, now)
+}
+
+/// The replicas as they are now for requests that name a model; those that do not have it, for their first model.
+pub fn replica_statuses_for(
+    model: &str,
+    fleet: &Fleet,
+    reports: &ReplicaReports,
+    ejected: &EjectedUntil,
+    now: Duration,
 ) -> Vec<ReplicaStatus> {
     let status = |replica: &ReplicaInfo| {
         let received = reports.get(&replica.id);
-        let report = received.map(|received| &received.report);
+        let model = if replica.has_model(model) { model } else { &replica.model };
+        let state = received.map(|received| received.state_of(model)).unwrap_or_default();
+        let is_down = received.is_some_and(|received| received.report.down != 0);
         let is_ejected = ejected.get(&replica.id).is_some_and(|until| now < *until);
         ReplicaStatus {
             id: replica.id.clone(),
             address: replica.at.clone(),
             zone: replica.zone.clone(),
             service: replica.service.clone(),
-            model: replica.model.clone(),
-            weights: report.map(|report| report.weights.to_string()).unwrap_or_default(),
+            model: model.to_string(),
+            weights: state.weights.to_string(),
             draining: replica.leaving,
-            unavailable: is_ejected || report.is_some_and(|report| report.down != 0 || is_loading(report)),
-            load: report.map_or(0, |report| report.load),
+            unavailable: is_ejected || is_down || is_loading(&state),
+            load: received.map_or(0, |received| received.report.load),
             minimum_version: minimum_version(fleet, replica, received, now),
         }
     };
--- a/crates/routing/src/session_placement.rs
+++ b/crates/routing/src/session_placement.rs
@@ -14,13 +14,13 @@
     pub zone: String,
     /// The service that it belongs to, by the same list as its address.
     pub service: String,
-    /// The model.
+    /// The model: of a replica with several, the one that is asked about.
     pub model: String,
-    /// Empty where it has none, or nothing is known.
+    /// The weights of that model; empty where it has none, or nothing is known.
     pub weights: String,
     /// It finishes what it has and gets no more requests.
     pub draining: bool,
-    /// It could not be reached, or it loads weights.
+    /// It could not be reached, or it loads weights of the model.
     pub unavailable: bool,
     /// Requests that run or wait there, as the index reported to all routers alike.
     pub load: u64,
--- a/crates/routing/src/transfer_source.rs
+++ b/crates/routing/src/transfer_source.rs
@@ -3,7 +3,7 @@
 use crate::session_placement::ReplicaStatus;
 use control_state::fleet::STORE_MODEL;
 use control_state::fleet_config::ModelConfig;
-use fleet_common::rpc::Filter;
+use fleet_common::rpc::{Filter, SEVERAL_WEIGHTS};
 use indexmap::IndexMap;
 use prefix_table::filter::FilterCopy;
 use std::cmp::Reverse;
@@ -59,11 +59,11 @@
     blocks.iter().take_while(|block| copy.bits.contains(**block)).count()
 }
 
-/// The copy of a replica's filter, if it may be trusted and is of these weights. A store has blocks of many weights: the
-/// hashes themselves tell them apart.
+/// The copy of a replica's filter, if it may be trusted and is of these weights. A store, and a replica with several models,
+/// have blocks of many weights: the hashes themselves tell them apart.
 fn trusted_copy<'a>(copies: &'a FilterCopies, replica: &ReplicaStatus, weights: &str) -> Option<&'a FilterCopy> {
     let copy = copies.get(&replica.id)?;
-    let same_weights = copy.weights == weights || replica.model == STORE_MODEL;
+    let same_weights = [weights, SEVERAL_WEIGHTS].contains(&copy.weights.as_str()) || replica.model == STORE_MODEL;
     (copy.is_trusted(replica.minimum_version) && same_weights).then_some(copy)
 }
 
--- a/crates/stream-router/src/peer_requests.rs
+++ b/crates/stream-router/src/peer_requests.rs
@@ -1,7 +1,7 @@
 //! What index nodes and operators ask of a router by frames, and what follows from false hits.
 use crate::filter_copies::index_node_of;
 use crate::state::{RouterState, count};
-use fleet_common::rpc::{ReplicaReport, Request, Response};
+use fleet_common::rpc::{Request, Response, StateReport};
 use routing::replica_table;
 
 /// Answers a request: a pushed filter, load reports, or a query of the counters.
@@ -13,6 +13,10 @@
             if taken { Response::Done } else { Response::Rejected("an older filter".into()) }
         }
         Request::ReplicaReports(reports) => {
+            take_load_reports(state, reports.into_items().into_iter().map(StateReport::from).collect());
+            Response::Done
+        }
+        Request::StateReports(reports) => {
             take_load_reports(state, reports.into_items());
             Response::Done
         }
@@ -22,9 +26,9 @@
 }
 
 /// Takes reports of replicas' load. What this router sent before is included in them.
-fn take_load_reports(state: &RouterState, reports: Vec<ReplicaReport>) {
+fn take_load_reports(state: &RouterState, reports: Vec<StateReport>) {
     let now = state.now();
-    let replicas: Vec<String> = reports.iter().map(|report| report.replica.to_string()).collect();
+    let replicas: Vec<String> = reports.iter().map(|report| report.replica.replica.to_string()).collect();
     state.load_reports.update(|known| replica_table::merge(known, now, reports));
     let mut local_loads = state.local_loads();
     for replica in &replicas {
--- a/crates/stream-router/src/placement.rs
+++ b/crates/stream-router/src/placement.rs
@@ -97,7 +97,7 @@
     fleet: &'a Fleet,
     /// What index nodes report of the replicas.
     load_reports: &'a ReplicaReports,
-    /// All replicas and stores of `fleet`, by `load_reports`.
+    /// All replicas and stores of `fleet`, by `load_reports`, for the request's model.
     statuses: &'a [ReplicaStatus],
     /// Since the start of the router.
     now: Duration,
@@ -106,7 +106,7 @@
 /// Finds a replica for the next attempt of a request.
 pub fn place(state: &RouterState, context: &RequestContext) -> PlacementOutcome {
     let (fleet, load_reports) = (state.fleet.read(), state.load_reports.read());
-    let statuses = state.replica_statuses(&fleet, &load_reports);
+    let statuses = state.replica_statuses(&context.info.model, &fleet, &load_reports);
     let inputs =
         Inputs { state, context, fleet: &fleet, load_reports: &load_reports, statuses: &statuses, now: state.now() };
     let eligible = eligible_replicas(&inputs);
--- a/crates/stream-router/src/placement/eligible.rs
+++ b/crates/stream-router/src/placement/eligible.rs
@@ -30,12 +30,17 @@
     }
 }
 
-/// The replicas of the service that are not draining, were not attempted, and run usable weights.
+/// The replicas of the service that are not draining, were not attempted, have the model and run usable weights.
 fn replicas_that_may_take(inputs: &Inputs) -> Vec<usize> {
     let in_flight = inputs.state.in_flight();
+    let is_of_service = |status: &ReplicaStatus| status.service == inputs.context.service;
+    let has_model = |status: &ReplicaStatus| status.model == inputs.context.info.model;
+    // Where none has it, it is for the replica to say so.
+    let must_have_model = inputs.statuses.iter().any(|status| is_of_service(status) && has_model(status));
     let may_take = |index: &usize| {
         let status = &inputs.statuses[*index];
-        status.service == inputs.context.service
+        is_of_service(status)
+            && (!must_have_model || has_model(status))
             && !status.draining
             && !inputs.context.attempted_replicas.contains(&status.id)
             && runs_usable_weights(inputs, &in_flight, status)
--- a/crates/stream-router/src/replica_response.rs
+++ b/crates/stream-router/src/replica_response.rs
@@ -76,7 +76,7 @@
     /// Takes what the replica reports of itself.
     fn record_reports(&self, placement: &Placement, info: &ResponseInfo) {
         if let Some(weights) = &info.weights {
-            self.state.record_weights(&placement.replica, weights);
+            self.state.record_weights(&placement.replica, &placement.model, weights);
         }
         if let Some(load) = info.load {
             self.state.record_reported_load(&placement.replica, load.running.saturating_add(load.waiting));
--- a/crates/stream-router/src/state.rs
+++ b/crates/stream-router/src/state.rs
@@ -20,7 +20,7 @@
 use routing::lease::Lease;
 use routing::link_queues::LinkQueues;
 use routing::placement_cost::{CostModel, RecentPrompts};
-use routing::replica_table::{EjectedUntil, ReplicaReports, replica_statuses};
+use routing::replica_table::{EjectedUntil, ReplicaReports, replica_statuses_for};
 use routing::session_placement::ReplicaStatus;
 use std::collections::HashMap;
 use std::sync::atomic::AtomicU64;
@@ -54,9 +54,11 @@
     pub at: Duration,
 }
 
-/// The weights that a replica runs by its own report.
+/// The weights that a replica runs of a model by its own report.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReportedWeights {
+    /// The model.
+    pub model: String,
     /// The version of the weights.
     pub version: String,
     /// When it said so, since the start of the router.
@@ -81,8 +83,8 @@
     pub load_reports: Rcu<ReplicaReports>,
     /// Until when replicas that could not be reached are avoided.
     pub unreachable: Rcu<EjectedUntil>,
-    /// The weights that replicas said they run, which may be newer than the index's reports.
-    pub reported_weights: Rcu<HashMap<String, ReportedWeights>>,
+    /// The weights that replicas said they run of each model, which may be newer than the index's reports.
+    pub reported_weights: Rcu<HashMap<String, Vec<ReportedWeights>>>,
     /// Until when this router may work.
     pub lease: Lease,
     /// Idle connections to replicas.
@@ -190,15 +192,20 @@
         lock(&self.cost_model)
     }
 
-    /// The status of the replicas that this version of the fleet lists, by these reports of index nodes; their weights by
-    /// their own report where that is newer. Both are the caller's, so that all that it decides is by one version of each.
-    pub fn replica_statuses(&self, fleet: &Fleet, reports: &ReplicaReports) -> Vec<ReplicaStatus> {
+    /// The status of the replicas that this version of the fleet lists, by these reports of index nodes, for requests that
+    /// name this model; their weights by their own report where that is newer. Fleet and reports are the caller's, so that
+    /// all that it decides is by one version of each.
+    pub fn replica_statuses(&self, model: &str, fleet: &Fleet, reports: &ReplicaReports) -> Vec<ReplicaStatus> {
         let reported_weights = self.reported_weights.read();
-        let mut statuses = replica_statuses(fleet, reports, &self.unreachable.read(), self.now());
+        let mut statuses = replica_statuses_for(model, fleet, reports, &self.unreachable.read(), self.now());
         for status in &mut statuses {
             let index_reported_at = reports.get(&status.id).map(|received| received.received_at).unwrap_or_default();
+            // A request runs on the model that it names, whatever the list says.
+            let asked = if model.is_empty() { status.model.as_str() } else { model };
+            let of_model = |reported: &&ReportedWeights| reported.model == asked;
             let reported = reported_weights
                 .get(&status.id)
+                .and_then(|of_replica| of_replica.iter().find(of_model))
                 .filter(|report| report.at >= index_reported_at || status.weights.is_empty());
             if let Some(reported) = reported {
                 status.weights = reported.version.clone();
@@ -207,21 +214,27 @@
         statuses
     }
 
-    /// Records which weights a replica said it runs.
-    pub fn record_weights(&self, replica: &str, weights: &str) {
+    /// Records which weights of a model a replica said it runs.
+    pub fn record_weights(&self, replica: &str, model: &str, weights: &str) {
         let now = self.now();
         let is_recent = |reported: &ReportedWeights, within: Duration| now.saturating_sub(reported.at) < within;
-        let known = self
-            .reported_weights
-            .read()
-            .get(replica)
-            .is_some_and(|last| last.version == weights && is_recent(last, WEIGHTS_REPORT_INTERVAL));
-        if !known {
-            self.reported_weights.update(|reported_weights| {
-                reported_weights.retain(|_, last| is_recent(last, WEIGHTS_REPORT_KEPT));
-                reported_weights.insert(replica.to_string(), ReportedWeights { version: weights.to_string(), at: now })
-            });
+        let is_known = |last: &ReportedWeights| {
+            last.model == model && last.version == weights && is_recent(last, WEIGHTS_REPORT_INTERVAL)
+        };
+        let known = self.reported_weights.read().get(replica).is_some_and(|reported| reported.iter().any(is_known));
+        if known {
+            return;
         }
+        let report = ReportedWeights { model: model.to_string(), version: weights.to_string(), at: now };
+        self.reported_weights.update(|reported_weights| {
+            for reported in reported_weights.values_mut() {
+                reported.retain(|last| is_recent(last, WEIGHTS_REPORT_KEPT));
+            }
+            reported_weights.retain(|_, reported| !reported.is_empty());
+            let of_replica = reported_weights.entry(replica.to_string()).or_default();
+            of_replica.retain(|last| last.model != model);
+            of_replica.push(report.clone());
+        });
     }
 }
 
--- a/crates/stream-router/tests/state.rs
+++ b/crates/stream-router/tests/state.rs
@@ -18,7 +18,7 @@
 use stream_router::state::RouterState;
 
 fn statuses(router: &RouterState) -> Vec<ReplicaStatus> {
-    router.replica_statuses(&router.fleet.read(), &router.load_reports.read())
+    router.replica_statuses("", &router.fleet.read(), &router.load_reports.read())
 }
 
 fn context() -> RequestContext {
@@ -76,7 +76,7 @@
     let address: SocketAddr = "127.0.0.1:1".parse().unwrap();
     let router = router::configured(&[address]);
     assert_eq!(statuses(&router)[0].weights, "");
-    router.record_weights("r0", "2");
+    router.record_weights("r0", "m1", "2");
     assert_eq!(statuses(&router)[0].weights, "2");
 }
 
