A release of a model that no service of the configuration names is rolled out to the replicas that have it

Cause: index nodes roll out the models of the configuration. A release is acknowledged for any name; where replicas list the model and no service's `engine` names it, nobody looked for it. The same where a service names it only later.

Change: the configuration that routes stand for has the released models too. A model that no replica has is acknowledged all the same (PROTOCOL.md: a naming "is resent until a 2xx is received"), kept in the log, and ordered as soon as a replica appears that has an older version of it.

Evidence: `a_release_of_a_model_that_no_service_names_is_ordered` failed on (no order) and passes now.

--- a/crates/control-state/src/route_config/derived.rs
+++ b/crates/control-state/src/route_config/derived.rs
@@ -29,9 +29,11 @@
             prefill_us_per_block: PREFILL_US_PER_BLOCK,
         };
         let tenants = self.tenants.iter().map(|(name, item)| (name.clone(), tenant(item.value.isolated)));
+        // A release may be of a model that no service names: replicas may have it all the same, now or later.
+        let models = self.models().map(|(name, _)| name).chain(released_weights.keys().map(String::as_str));
         FleetConfig {
             tenants: tenants.collect(),
-            models: self.models().map(|(name, _)| (name.to_string(), model(name))).collect(),
+            models: models.map(|name| (name.to_string(), model(name))).collect(),
             request_classes: BTreeMap::new(),
             route_rules: Vec::new(),
             rules: Vec::new(),
