Models of the same replicas are rolled out together without more of them loading at once than a share allows

What callers would see: two models of the same replicas are released together; of one of them up to ten of 18 replicas load at once where five may, so that its requests find too few replicas.

Cause: a replica takes one order at a time, so the rollout of one model leaves out those that another's takes. Each index node left out what it knew of, and nodes know of each other's choices only once these are announced: the same replicas were left out here and counted there.

Change: the rollouts of one tick are decided in the order of the models, and whom one of them takes (owned here or not) is left out of those after it, which all nodes work out alike. What a node had announced for a replica with several models, and is over the limit once all have heard of each other, is withdrawn before it is sent. `RolloutChoices` works out whose turn it is once for all replicas of a rollout, not once for each.

Tests: `several_models` plays 18 replicas with one to four models and four index nodes: releases of all models within half a second, raced and repeated ones, eight crashes, replicas that come back with the first weights of one model, one that joins late. Judged: released weights run everywhere within 22.5 s, no order goes back or names a model that the replica lacks, one order and one load for each pair and release, the share that serves; a list that is cut to its first model is caught. It showed the fault before this change.

--- a/crates/prefix-table/src/load_orders.rs
+++ b/crates/prefix-table/src/load_orders.rs
@@ -8,6 +8,7 @@
 use control_state::fleet::{APP_MODEL, STORE_MODEL};
 use control_state::process_instant::ProcessInstant;
 use fleet_common::rpc::{NODE_LEASE, stage};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// An order that was not answered, or not accepted, is sent again after this.
@@ -165,18 +166,29 @@
         let models =
             configuration.models.iter().filter(|(model, _)| ![STORE_MODEL, APP_MODEL].contains(&model.as_str()));
         let models: Vec<(String, String)> = models.map(|(name, model)| (name.clone(), model.weights.clone())).collect();
+        let mut taken = BTreeSet::new();
         for (model, wanted) in &models {
-            self.advance_rollout(model, wanted, keep_serving_percent);
+            self.advance_rollout(model, wanted, keep_serving_percent, &mut taken);
         }
     }
 
-    fn advance_rollout(&mut self, model: &str, wanted: &str, keep_serving_percent: u64) {
-        let replicas = self.rollout_replicas(model, wanted);
+    /// Orders the replicas of a model whose turn it is. `taken` are those with several models that the rollout of a model
+    /// before this one takes first.
+    fn advance_rollout(&mut self, model: &str, wanted: &str, keep_serving_percent: u64, taken: &mut BTreeSet<String>) {
+        let mut replicas = self.rollout_replicas(model, wanted);
+        for replica in replicas.iter_mut().filter(|replica| taken.contains(&replica.id)) {
+            replica.silent |= !is_loading(replica.stage);
+        }
         self.track_progress(model, wanted, &replicas);
-        let rollout = Rollout { replicas: &replicas, wanted, keep_serving_percent };
+        let choices = Rollout { replicas: &replicas, wanted, keep_serving_percent }.choices();
         let mut halted = None;
-        for owned in self.owned_replicas(&replicas) {
-            match rollout.decide(&owned.id) {
+        for (owned, replica) in self.owned_replicas(&replicas) {
+            let has_several_models = self.models_of(&owned.id).len() > 1;
+            if has_several_models && choices.is_over_limit(replica) && self.withdraw_order(&owned.id, model) {
+                continue;
+            }
+            match choices.decide(replica) {
+                RolloutDecision::LoadNow if taken.contains(&owned.id) => {}
                 RolloutDecision::LoadNow => self.announce_or_send_order(&owned, model, wanted),
                 RolloutDecision::Halted { failed, up } => {
                     halted = Some(format!("{failed} of {up} replicas could not load {wanted}"));
@@ -185,13 +197,16 @@
             }
         }
         self.note_halt(model, halted);
+        let has_several = |replica: &&RolloutReplica| self.models_of(&replica.id).len() > 1;
+        let next = replicas.iter().filter(has_several).filter(|replica| choices.is_taken(replica));
+        taken.extend(next.map(|replica| replica.id.clone()));
     }
 
-    fn owned_replicas(&self, replicas: &[RolloutReplica]) -> Vec<OwnedReplica> {
-        let owned = |replica: &RolloutReplica| {
-            let listed = self.fleet.replicas.iter().find(|listed| listed.id == replica.id)?;
+    fn owned_replicas<'a>(&self, replicas: &'a [RolloutReplica]) -> Vec<(OwnedReplica, &'a RolloutReplica)> {
+        let owned = |replica: &'a RolloutReplica| {
             let fencing_token = self.owned_fencing_token(&replica.id)?;
-            Some(OwnedReplica { id: replica.id.clone(), address: listed.at.clone(), fencing_token })
+            let listed = self.fleet.replicas.iter().find(|listed| listed.id == replica.id)?;
+            Some((OwnedReplica { id: replica.id.clone(), address: listed.at.clone(), fencing_token }, replica))
         };
         replicas.iter().filter_map(owned).collect()
     }
@@ -239,6 +254,16 @@
             || self.fleet.index_nodes_by_preference(replica).first().is_none_or(|best| **best != self.me.name)
     }
 
+    /// Withdraws an order that was announced and not sent. Returns whether there was one.
+    fn withdraw_order(&mut self, replica: &str, model: &str) -> bool {
+        let Some(tracked) = self.replicas.get_mut(replica) else { return false };
+        let is_unsent = tracked.orders.get(model).is_some_and(|order| !order.sent);
+        if is_unsent {
+            tracked.orders.remove(model);
+        }
+        is_unsent
+    }
+
     /// Announces an order, and sends it once it was announced for long enough.
     fn announce_or_send_order(&mut self, owned: &OwnedReplica, model: &str, weights: &str) {
         if self.is_releasing(&owned.id) || self.loads_another_model(&owned.id, model) {
--- a/crates/prefix-table/src/rollout_planner.rs
+++ b/crates/prefix-table/src/rollout_planner.rs
@@ -3,6 +3,7 @@
 use control_state::release_clock::is_newer;
 use fleet_common::hash::rendezvous_weight;
 use fleet_common::rpc::stage;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// For how long after newer weights were released superseded ones may serve, where nothing else is set.
@@ -34,8 +35,8 @@
     pub down: bool,
     /// It finishes what it has and gets no more requests.
     pub draining: bool,
-    /// Whether nobody orders it now, so that it holds no other replica up: its index node was not heard lately, or it loads
-    /// weights of another model first.
+    /// Whether nobody orders it now, so that it holds no other replica up: its index node was not heard lately, or weights of
+    /// another model are loaded first.
     pub silent: bool,
     /// Whether routers use its weights no more, as newer ones were released too long ago: it is idle.
     pub expired: bool,
@@ -97,12 +98,54 @@
     weights.parse().unwrap_or(u64::MAX)
 }
 
-impl Rollout<'_> {
+impl<'a> Rollout<'a> {
     /// Whether a replica is to load the wanted weights now.
     pub fn decide(&self, id: &str) -> RolloutDecision {
-        let Some(replica) = self.replicas.iter().find(|replica| replica.id == id) else {
-            return RolloutDecision::Wait;
+        let replica = self.replicas.iter().find(|replica| replica.id == id);
+        replica.map_or(RolloutDecision::Wait, |replica| self.choices().decide(replica))
+    }
+
+    /// Whose turn it is, worked out once for all replicas.
+    pub fn choices(&self) -> RolloutChoices<'a> {
+        let up: Vec<&RolloutReplica> = self.replicas.iter().filter(|replica| replica.is_up()).collect();
+        let failed = up.iter().filter(|replica| replica.stage == stage::FAILED).count();
+        RolloutChoices { wanted: self.wanted, up: up.len(), failed, next: self.next_replicas(&up) }
+    }
+
+    /// The replicas that may load at once. Those that load already keep their places; all nodes fill what is left in the
+    /// same order.
+    fn next_replicas(&self, up: &[&'a RolloutReplica]) -> BTreeSet<&'a str> {
+        let is_waiting =
+            |replica: &&RolloutReplica| replica.weights != self.wanted && !replica.is_given_up() && !replica.silent;
+        let mut waiting: Vec<&RolloutReplica> = up.iter().copied().filter(is_waiting).collect();
+        let rank = |replica: &RolloutReplica| {
+            (
+                replica.stage != stage::LOADING,
+                version_number(&replica.weights),
+                rendezvous_weight(self.wanted, &replica.id),
+            )
         };
+        waiting.sort_by(|one, other| rank(one).cmp(&rank(other)).then_with(|| one.id.cmp(&other.id)));
+        let limit = max_loading(up.len(), self.keep_serving_percent);
+        waiting.into_iter().take(limit).map(|replica| replica.id.as_str()).collect()
+    }
+}
+
+/// Whose turn it is in a rollout.
+#[derive(Clone, Debug)]
+pub struct RolloutChoices<'a> {
+    wanted: &'a str,
+    /// How many replicas are up.
+    up: usize,
+    /// How many of these have failed.
+    failed: usize,
+    /// The ids of those that may load at once.
+    next: BTreeSet<&'a str>,
+}
+
+impl RolloutChoices<'_> {
+    /// Whether a replica of the rollout is to load the wanted weights now.
+    pub fn decide(&self, replica: &RolloutReplica) -> RolloutDecision {
         if replica.weights == self.wanted {
             return RolloutDecision::AlreadyServes;
         }
@@ -114,33 +157,26 @@
         if replica.expired && replica.is_up() {
             return RolloutDecision::LoadNow;
         }
-        let up: Vec<&RolloutReplica> = self.replicas.iter().filter(|replica| replica.is_up()).collect();
-        let failed = up.iter().filter(|replica| replica.stage == stage::FAILED).count();
         let has_nothing_to_lose = replica.weights.is_empty() || replica.was_ordered();
-        if failed >= up.len().div_ceil(HALT_FRACTION).max(HALT_MINIMUM) && !has_nothing_to_lose {
-            return RolloutDecision::Halted { failed, up: up.len() };
+        if self.failed >= self.up.div_ceil(HALT_FRACTION).max(HALT_MINIMUM) && !has_nothing_to_lose {
+            return RolloutDecision::Halted { failed: self.failed, up: self.up };
         }
-        if has_nothing_to_lose || self.is_among_next(&up, id) {
+        if has_nothing_to_lose || self.next.contains(replica.id.as_str()) {
             return RolloutDecision::LoadNow;
         }
         RolloutDecision::Wait
     }
 
-    /// Whether a replica is among those that may load at once. Those that load already keep their places; all nodes
-    /// fill what is left in the same order.
-    fn is_among_next(&self, up: &[&RolloutReplica], id: &str) -> bool {
-        let is_waiting =
-            |replica: &&RolloutReplica| replica.weights != self.wanted && !replica.is_given_up() && !replica.silent;
-        let mut waiting: Vec<&RolloutReplica> = up.iter().copied().filter(is_waiting).collect();
-        let rank = |replica: &RolloutReplica| {
-            (
-                replica.stage != stage::LOADING,
-                version_number(&replica.weights),
-                rendezvous_weight(self.wanted, &replica.id),
-            )
-        };
-        waiting.sort_by(|one, other| rank(one).cmp(&rank(other)).then_with(|| one.id.cmp(&other.id)));
-        let limit = max_loading(up.len(), self.keep_serving_percent);
-        waiting.iter().take(limit).any(|replica| replica.id == id)
+    /// Whether a replica that was told to load is one more than may load at once: index nodes that did not know yet of each
+    /// other's choices chose different replicas.
+    pub fn is_over_limit(&self, replica: &RolloutReplica) -> bool {
+        let may_load_anyway = replica.expired || replica.weights.is_empty();
+        replica.stage == stage::LOADING && !may_load_anyway && !self.next.contains(replica.id.as_str())
+    }
+
+    /// Whether a replica is to load the wanted weights before those of other models: it takes one order at a time, and
+    /// all index nodes must leave the same replicas out of the other models' rollouts.
+    pub fn is_taken(&self, replica: &RolloutReplica) -> bool {
+        replica.is_up() && !replica.is_given_up() && self.decide(replica) == RolloutDecision::LoadNow
     }
 }
