--- a/crates/control-state/src/route_config/change.rs
+++ b/crates/control-state/src/route_config/change.rs
@@ -1,5 +1,7 @@
 //! Changes of a configuration: a complete new one, or named items to set and to drop.
+use super::unknown_field::UnknownFieldPatch;
 use super::{Bounds, Item, Items, Route, RouteConfig, Service, Tenant};
+use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
 /// A change as an operator sends it.
@@ -33,6 +35,9 @@
     pub drop_services: Vec<String>,
     /// Names of tenants to drop.
     pub drop_tenants: Vec<String>,
+    /// Changes of fields that mean nothing here, by the name of the field.
+    #[serde(skip_serializing_if = "IndexMap::is_empty")]
+    pub unknown_fields: IndexMap<String, UnknownFieldPatch>,
 }
 
 /// Setting an item that is there replaces it at its position.
@@ -71,6 +76,12 @@
         if let Some(bounds) = &self.set_bounds {
             next.bounds = bounds.clone();
         }
+        for (name, change) in &self.unknown_fields {
+            let held = next.unknown_fields.get(name).map(String::as_str);
+            if let Some(text) = change.applied_to(held) {
+                next.unknown_fields.insert(name.clone(), text);
+            }
+        }
         next
     }
 }
--- a/crates/control-state/src/route_config/mod.rs
+++ b/crates/control-state/src/route_config/mod.rs
@@ -3,11 +3,13 @@
 //! can be read back as it was sent.
 mod change;
 mod derived;
+mod unknown_field;
 mod validation;
 
 pub use change::{Change, RouteConfigPatch};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
+pub use unknown_field::UnknownFieldPatch;
 pub use validation::RouteConfigError;
 
 /// Items of one kind by name, in the operator's order.
--- a/crates/control-state/tests/golden_state/commands.rs
+++ b/crates/control-state/tests/golden_state/commands.rs
@@ -126,6 +126,7 @@
 /// A change of named items with every field filled.
 pub fn named_items(revision: u64) -> Change {
     Change::Patch(Box::new(RouteConfigPatch {
+        unknown_fields: Default::default(),
         revision,
         set_routes: items("r", Route { priority: 5, ..route() }, "rank: 5"),
         set_services: services(),
--- a/crates/control-state/tests/route_config_model.rs
+++ b/crates/control-state/tests/route_config_model.rs
@@ -97,6 +97,7 @@
             ..RouteConfig::default()
         })),
         Wanted::Named { set, drop: [routes, services, tenants] } => Change::Patch(Box::new(RouteConfigPatch {
+            unknown_fields: Default::default(),
             revision: set.revision,
             set_routes: items(&set.routes),
             set_services: items(&set.services),
