request-router's golden test tries other addresses where one that was free is taken before the router listens

Cause: the test finds three free addresses, lets them go and starts a router there. Beside other programs that open many connections on loopback one may be taken in between; the router then ends with exit code 66, and the test waited 30 s for its pages.

Change: a router that ends with 66 is started again at other addresses; any other end fails at once, with its status.

--- a/crates/request-router/tests/golden/process.rs
+++ b/crates/request-router/tests/golden/process.rs
@@ -2,6 +2,7 @@
 use super::agent;
 use super::mask::{mask_response, mask_start};
 use super::replica::Replica;
+use std::cell::RefCell;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command};
@@ -16,7 +17,7 @@
     callers: SocketAddr,
     pages: SocketAddr,
     pub frames: SocketAddr,
-    start: std::cell::RefCell<String>,
+    start: RefCell<String>,
     child: Child,
 }
 
@@ -57,17 +58,34 @@
     Ok(String::from_utf8(response).unwrap())
 }
 
+/// The exit code of a process that cannot listen on an address.
+const ADDRESS_TAKEN: i32 = 66;
+/// Addresses that were found free may be taken before the process listens there: so often others are tried.
+const MAX_STARTS: usize = 10;
+
 impl Router {
     fn start(agent: SocketAddr) -> Router {
+        let started = (0..MAX_STARTS).find_map(|_| Router::start_once(agent));
+        started.expect("three addresses that stay free")
+    }
+
+    /// A router whose pages answer; none where one of its addresses was taken meanwhile.
+    fn start_once(agent: SocketAddr) -> Option<Router> {
         let [callers, pages, frames] = free_addresses();
         let mut command = Command::new(env!("CARGO_BIN_EXE_request-router"));
         let set = |name: &str, value: &str| ["--set".to_string(), format!("{name}={value}")];
         command.args(set("name", "edge-1")).args(set("district", "a"));
         command.args(set("listen", &callers.to_string())).args(set("http", &pages.to_string()));
         command.args(set("frames", &frames.to_string())).args(set("agent", &agent.to_string()));
-        let router = Router { callers, pages, frames, start: Default::default(), child: command.spawn().unwrap() };
-        until("the pages answer", || exchange(pages, "GET /health HTTP/1.1\r\nHost: h\r\n\r\n").is_ok());
-        router
+        let child = RefCell::new(command.spawn().unwrap());
+        let answers = || exchange(pages, "GET /health HTTP/1.1\r\nHost: h\r\n\r\n").is_ok();
+        let ended = || child.borrow_mut().try_wait().unwrap();
+        until("the pages answer", || ended().is_some() || answers());
+        if let Some(status) = ended() {
+            assert_eq!(status.code(), Some(ADDRESS_TAKEN), "the router ended");
+            return None;
+        }
+        Some(Router { callers, pages, frames, start: Default::default(), child: child.into_inner() })
     }
 
     pub fn without_agent() -> Router {
