The test of broken frames bears that the server is the first to end the connection

Cause: the test sends a broken frame, shuts its side and reads that nothing comes. A server that has read the frame by then closes the connection with bytes unread, which resets it; the shutdown then fails with "not connected". The comment in the test says already that a reset is as good as a close.

Change: the shutdown may fail with exactly that error. What is judged stays: no byte comes on any of these connections, and the server answers the next caller.

--- a/crates/fleet-common/tests/edges.rs
+++ b/crates/fleet-common/tests/edges.rs
@@ -115,7 +115,10 @@
         let mut stream = TcpStream::connect(at).unwrap();
         stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
         stream.write_all(&bad).unwrap();
-        stream.shutdown(std::net::Shutdown::Write).unwrap();
+        // The server may have reset the connection by now, which ends it as well.
+        if let Err(error) = stream.shutdown(std::net::Shutdown::Write) {
+            assert_eq!(error.kind(), std::io::ErrorKind::NotConnected);
+        }
         let mut rest = Vec::new();
         // Closed cleanly or reset: either way without an answer.
         let _ = stream.read_to_end(&mut rest);
