The log tells when a process starts, why it ends, what panicked and how much memory it used

Cause: none of the hypotheses of docs/incidents/processes-ended.md could be told apart from a log: the ring is lost with its process, a start and an end by a signal left no line, and neither did a panic or the memory in use.

--- a/crates/fleet-common/src/lib.rs
+++ b/crates/fleet-common/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod node;
 pub mod packed;
 pub mod peer_error;
+pub mod process;
 pub mod rcu;
 pub mod ring;
 pub mod rpc;
--- a/crates/fleet-common/src/peer_error.rs
+++ b/crates/fleet-common/src/peer_error.rs
@@ -34,6 +34,8 @@
     Query,
     /// A check of what must always hold.
     Check,
+    /// Running a thread, which panicked.
+    Thread,
 }
 
 impl fmt::Display for Step {
--- /dev/null
+++ b/crates/fleet-common/src/process.rs
@@ -0,0 +1,46 @@
+//! What a process says of its own start and end, so that a log tells how often it started, and why it ended.
+use crate::ring;
+use std::mem::MaybeUninit;
+use std::time::Instant;
+
+const BYTES_PER_KIB: u64 = 1024;
+const BYTES_PER_MIB: u64 = 1 << 20;
+
+/// The most memory that this process has had resident so far, in bytes; 0 where the system does not say.
+/// ```
+/// assert!(fleet_common::process::peak_memory_bytes() > 0);
+/// ```
+pub fn peak_memory_bytes() -> u64 {
+    let mut usage = MaybeUninit::<libc::rusage>::zeroed();
+    if unsafe { libc::getrusage(libc::RUSAGE_SELF, usage.as_mut_ptr()) } != 0 {
+        return 0;
+    }
+    // Filled by the call, and all zeros are valid as well.
+    let usage = unsafe { usage.assume_init() };
+    usage.ru_maxrss as u64 * BYTES_PER_KIB
+}
+
+/// One life of this process, announced in the log at its start and at its end.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessLife {
+    started_at: Instant,
+}
+
+impl ProcessLife {
+    /// Announces the start of a program.
+    /// ```
+    /// let life = fleet_common::process::ProcessLife::start("demo 1.0");
+    /// life.announce_end("told to stop");
+    /// assert!(fleet_common::ring::lines().iter().any(|line| line.contains("ends: told to stop")));
+    /// ```
+    pub fn start(program: &str) -> ProcessLife {
+        ring::announce(&format!("starts: {program}, process {}", std::process::id()));
+        ProcessLife { started_at: Instant::now() }
+    }
+
+    /// Announces the end, with its cause.
+    pub fn announce_end(&self, cause: &str) {
+        let (lived, peak) = (self.started_at.elapsed(), peak_memory_bytes() / BYTES_PER_MIB);
+        ring::announce(&format!("ends: {cause}, after {:.3} s, {peak} MiB of memory at the most", lived.as_secs_f64()));
+    }
+}
--- a/crates/fleet-common/src/ring.rs
+++ b/crates/fleet-common/src/ring.rs
@@ -1,8 +1,9 @@
 //! The log: a ring in memory, written out when something goes wrong, and little else.
-use crate::PeerError;
+use crate::{PeerError, Step};
 use logforth::append::Append;
 use std::collections::VecDeque;
 use std::io::Write;
+use std::panic::PanicHookInfo;
 use std::sync::{Mutex, OnceLock};
 
 const LINES: usize = 512;
@@ -36,7 +37,7 @@
     RING.get_or_init(|| Mutex::new(Ring { program: "coursebend".into(), lines: VecDeque::new(), written_out: 0 }))
 }
 
-/// Names the program and puts the ring behind the `log` macros.
+/// Names the program, puts the ring behind the `log` macros, and has panics of any thread logged as errors.
 /// ```
 /// fleet_common::ring::start("request-router");
 /// ```
@@ -45,6 +46,12 @@
     let _ = logforth::starter_log::builder().dispatch(|d| d.append(IntoRing)).try_apply();
     // Libraries tell every step they take; only their warnings are worth a line of the ring.
     log::set_max_level(log::LevelFilter::Warn);
+    std::panic::set_hook(Box::new(log_panic));
+}
+
+fn log_panic(panic: &PanicHookInfo) {
+    let thread = std::thread::current().name().unwrap_or("without a name").to_string();
+    error(&PeerError::at(Step::Thread, thread, panic));
 }
 
 /// Keeps a line in the ring.
@@ -61,6 +68,18 @@
     ring.lines.push_back(format!("{}.{:03} {line}", at.as_secs(), at.subsec_millis()));
 }
 
+/// Keeps a line in the ring, and writes it to standard error at once: for what must be known of a process that is gone.
+/// ```
+/// fleet_common::ring::announce("starts");
+/// assert!(fleet_common::ring::lines().iter().any(|line| line.ends_with("starts")));
+/// ```
+pub fn announce(line: &str) {
+    info(line);
+    let program = ring().lock().unwrap_or_else(|held| held.into_inner()).program.clone();
+    // A standard error that is closed or full must not end the process.
+    let _ = writeln!(std::io::stderr().lock(), "{program} {line}");
+}
+
 /// The lines held now, oldest first.
 /// ```
 /// let _held: Vec<String> = fleet_common::ring::lines();
--- a/crates/stream-router/src/server.rs
+++ b/crates/stream-router/src/server.rs
@@ -2,7 +2,7 @@
 use crate::dialect::Dialect;
 use crate::state::{RouterSettings, RouterState};
 use crate::{agent_client, announcements, peer_requests, phases, transfer_audit};
-use fleet_common::{frame, threads};
+use fleet_common::{frame, process, threads};
 use http_streams::inbound::{Inbound, Limits, ReadOutcome};
 use http_streams::serve::{Server, serve};
 use std::net::TcpListener;
@@ -51,11 +51,16 @@
     RunningRouter { state, clients }
 }
 
+/// What of the machine's limits this process uses.
+fn process_gauges() -> String {
+    let (threads, peak_bytes) = (threads::live(), process::peak_memory_bytes());
+    format!("coursebend_router_threads {threads}\ncoursebend_router_peak_memory_bytes {peak_bytes}\n")
+}
+
 /// Answers readiness probes, and with the counters where these are asked for.
 fn serve_readiness(state: &RouterState, mut inbound: Inbound) {
     while let ReadOutcome::Request(head, _) = inbound.read_request(&Limits::default()) {
-        let gauge = || format!("coursebend_router_threads {}\n", threads::live());
-        let counters = head.target.ends_with("metrics").then(|| state.counters.words() + &gauge());
+        let counters = head.target.ends_with("metrics").then(|| state.counters.words() + &process_gauges());
         let is_ready = state.is_ready();
         let (status, reason) = if is_ready { (200, "OK") } else { (503, "Service Unavailable") };
         let is_probe = counters.is_none();
