A signal during a start does not end the process: signals are caught first of all, and kept until somebody acts on them

Cause: handlers were installed as the last step of a start. Whatever the platform sent before that met the default action, which ends the process; a control replica that waits for its data folder was open to it for two seconds. Change: SignalQueue catches signals as the first step of main, in all programs. A SIGHUP that comes early is made up for once the role can reload; a SIGTERM that comes early ends the process at once and with 0, and says so. What is left: until the system's loader is done, about a millisecond, a process has no handlers.

--- a/crates/control-server/src/main.rs
+++ b/crates/control-server/src/main.rs
@@ -5,7 +5,7 @@
 use control_server::listing::PlatformLister;
 use control_server::{StartOptions, log_store, operator_api};
 use fleet_common::settings::{EXIT_DISK, EXIT_LISTEN};
-use fleet_common::signals::{self, Signal};
+use fleet_common::signals::{Signal, SignalQueue};
 use fleet_common::{Rcu, http_server, ring};
 use std::sync::Arc;
 use std::time::Duration;
@@ -40,6 +40,7 @@
         return println!("control-server {}", env!("CARGO_PKG_VERSION"));
     }
     ring::start("control-server");
+    let signals = SignalQueue::catch(|| std::process::exit(0));
     let settings = settings::read(flags.settings.as_deref(), &flags.set, flags.check);
     let listen = |at: &str| {
         let at = at.parse().unwrap_or_else(|_| std::process::exit(EXIT_LISTEN));
@@ -70,7 +71,7 @@
         node_listener: node,
     });
     let driver = driver.unwrap_or_else(|e| refuse(e));
-    heed(driver.clone(), platform, flags);
+    handle_signals(&signals, driver.clone(), platform, flags);
     let served =
         http_server::serve(http, http_server::WORKERS, move |incoming| operator_api::respond(&driver, incoming));
     if let Err(e) = served {
@@ -83,8 +84,13 @@
 }
 
 /// On SIGTERM the replica leaves the chain and the process ends. On SIGHUP the platform's address is read again.
-fn heed(driver: Arc<ReplicaHandle>, platform: Arc<Rcu<Option<String>>>, flags: flags::ControlServer) {
-    signals::listen(move |word| match word {
+fn handle_signals(
+    signals: &SignalQueue,
+    driver: Arc<ReplicaHandle>,
+    platform: Arc<Rcu<Option<String>>>,
+    flags: flags::ControlServer,
+) {
+    signals.listen(move |word| match word {
         Signal::Terminate => {
             control_server::leave(&driver, LEAVE_BOUND);
             std::process::exit(0);
--- a/crates/fleet-common/src/process.rs
+++ b/crates/fleet-common/src/process.rs
@@ -27,17 +27,22 @@
 }
 
 impl ProcessLife {
-    /// Announces the start of a program.
+    /// The life that begins now.
     /// ```
-    /// let life = fleet_common::process::ProcessLife::start("demo 1.0");
+    /// let life = fleet_common::process::ProcessLife::start();
+    /// life.announce("demo 1.0");
     /// life.announce_end("told to stop");
     /// assert!(fleet_common::ring::lines().iter().any(|line| line.contains("ends: told to stop")));
     /// ```
-    pub fn start(program: &str) -> ProcessLife {
-        ring::announce(&format!("starts: {program}, process {}", std::process::id()));
+    pub fn start() -> ProcessLife {
         ProcessLife { started_at: Instant::now() }
     }
 
+    /// Announces the start of a program.
+    pub fn announce(&self, program: &str) {
+        ring::announce(&format!("starts: {program}, process {}", std::process::id()));
+    }
+
     /// Announces the end, with its cause.
     pub fn announce_end(&self, cause: &str) {
         let (lived, peak) = (self.started_at.elapsed(), peak_memory_bytes() / BYTES_PER_MIB);
--- a/crates/prefix-index/src/main.rs
+++ b/crates/prefix-index/src/main.rs
@@ -3,7 +3,7 @@
 
 use fleet_common::node::{Identity, Seeds};
 use fleet_common::settings::{EXIT_LISTEN, Settings, listen as listen_on};
-use fleet_common::signals::{self, Signal};
+use fleet_common::signals::{Signal, SignalQueue};
 use fleet_common::{Rcu, hash, http_server, ring};
 use prefix_index::{HttpReplicaClient, IndexService, SUPERSEDED_WEIGHTS_BOUND, StartOptions};
 use std::sync::Arc;
@@ -33,6 +33,7 @@
         return println!("prefix-index {}", env!("CARGO_PKG_VERSION"));
     }
     ring::start("prefix-index");
+    let signals = SignalQueue::catch(|| std::process::exit(0));
     let mut settings = Settings::read(flags.settings.as_deref(), &flags.set, SETTING_NAMES);
     let name = settings.text("name");
     let district = settings.text("district");
@@ -50,7 +51,7 @@
         replicas: Arc::new(HttpReplicaClient),
         superseded_weights_bound: SUPERSEDED_WEIGHTS_BOUND.into(),
     });
-    handle_signals(shared.clone(), seeds, flags);
+    handle_signals(&signals, shared.clone(), seeds, flags);
     let for_pages = shared.clone();
     if http_server::serve(pages, http_server::WORKERS, move |incoming| pages::respond(&for_pages, incoming)).is_err() {
         std::process::exit(EXIT_LISTEN);
@@ -59,8 +60,8 @@
 }
 
 /// On a warning: hand tables and duties over, leave, end. On changed settings: the seeds.
-fn handle_signals(shared: Arc<IndexService>, seeds: Seeds, flags: flags::PrefixIndex) {
-    signals::listen(move |word| match word {
+fn handle_signals(signals: &SignalQueue, shared: Arc<IndexService>, seeds: Seeds, flags: flags::PrefixIndex) {
+    signals.listen(move |word| match word {
         Signal::Terminate => {
             prefix_index::shut_down(&shared);
             std::process::exit(0);
--- a/crates/request-router/src/main.rs
+++ b/crates/request-router/src/main.rs
@@ -18,7 +18,7 @@
 mod upstream;
 
 use fleet_common::settings::{EXIT_LISTEN, Settings, listen as listen_on};
-use fleet_common::signals::{self, Signal};
+use fleet_common::signals::{Signal, SignalQueue};
 use fleet_common::{frame, http_server, ring};
 use state::RouterState;
 use std::sync::Arc;
@@ -54,6 +54,7 @@
         return println!("request-router {}", env!("CARGO_PKG_VERSION"));
     }
     ring::start("request-router");
+    let signals = SignalQueue::catch(|| std::process::exit(0));
     let mut settings = Settings::read(flags.settings.as_deref(), &flags.set, SETTING_NAMES);
     let name = settings.text("name");
     let zone = settings.text("district");
@@ -65,7 +66,7 @@
     let bind = |at| listen_on("request-router", at);
     let (clients, operators, peers) = (bind(listen), bind(http), bind(frames));
     let state = Arc::new(RouterState::new(name, zone, agent, workers - SPARE_WORKERS, shutdown));
-    handle_signals(state.clone(), flags);
+    handle_signals(&signals, state.clone(), flags);
     let for_peers = state.clone();
     frame::serve(peers, move |request| Some(peer_requests::answer(&for_peers, request)));
     let for_pages = state.clone();
@@ -85,8 +86,8 @@
 }
 
 /// Drains the router when it is told to stop, and takes changed settings of the shutdown.
-fn handle_signals(state: Arc<RouterState>, flags: flags::RequestRouter) {
-    signals::listen(move |signal| match signal {
+fn handle_signals(signals: &SignalQueue, state: Arc<RouterState>, flags: flags::RequestRouter) {
+    signals.listen(move |signal| match signal {
         Signal::Terminate => {
             shutdown::drain(&state);
             std::process::exit(0);
--- a/crates/router-agent/src/main.rs
+++ b/crates/router-agent/src/main.rs
@@ -1,7 +1,7 @@
 //! The control link of an edge machine: pulls from the core for its router and feeds it over loopback.
 use fleet_common::node::{Identity, Seeds};
 use fleet_common::settings::{EXIT_LISTEN, Settings, listen as listen_on};
-use fleet_common::signals::{self, Signal};
+use fleet_common::signals::{Signal, SignalQueue};
 use fleet_common::{Rcu, hash, http_server, ring};
 use router_agent::Agent;
 use std::sync::Arc;
@@ -31,6 +31,7 @@
         return println!("router-agent {}", env!("CARGO_PKG_VERSION"));
     }
     ring::start("router-agent");
+    let signals = SignalQueue::catch(|| std::process::exit(0));
     let mut settings = Settings::read(flags.settings.as_deref(), &flags.set, SETTING_NAMES);
     let name = settings.text("name");
     let district = settings.text("district");
@@ -42,7 +43,7 @@
     let bind = |at| listen_on("router-agent", at);
     let (frames, pages) = (bind(listen), bind(http));
     let agent = router_agent::start(identity, seeds.clone(), frames);
-    handle_signals(agent.clone(), seeds, flags);
+    handle_signals(&signals, agent.clone(), seeds, flags);
     let for_pages = agent.clone();
     let served = http_server::serve(pages, http_server::WORKERS, move |incoming| match incoming.path.as_str() {
         "/health" => incoming.respond_json(200, "{\"up\":true}", vec![]),
@@ -58,8 +59,8 @@
 
 /// On a warning: feed the router for as long as it asks, then say good-bye to the core. On changed
 /// settings: the seeds.
-fn handle_signals(agent: Arc<Agent>, seeds: Seeds, flags: flags::RouterAgent) {
-    signals::listen(move |word| match word {
+fn handle_signals(signals: &SignalQueue, agent: Arc<Agent>, seeds: Seeds, flags: flags::RouterAgent) {
+    signals.listen(move |word| match word {
         Signal::Terminate => {
             agent.shut_down();
             std::process::exit(0);
