An address that somebody still has does not end a process: it is asked for until it can be had

Cause: each role listened once on each of its addresses and ended with 66 where one was taken. A predecessor that is killed or drains, or a connection to which the system gave that very port, has it for a moment or for its whole grace; the platform starts the process again, and it ends again. Three ends are soon reached. Change: startup::listen tries again after 20 to 250 ms and says so in the log. A router's datagram socket is bound later where it cannot be at once; before, the router went on without announcements for good. Connections of ours allow the reuse of their address, so that none of them keeps a process from listening. The product's own programs keep their documented exit code 66 (pinned by golden tests).

--- a/crates/fleet-common/src/cancellable_http.rs
+++ b/crates/fleet-common/src/cancellable_http.rs
@@ -116,7 +116,7 @@
 
     fn connect(&self, details: &ConnectionDetails, _: Option<()>) -> Result<Option<Gated>, Error> {
         self.0.pass()?;
-        let stream = TcpStream::connect_timeout(&self.0.to, CONNECT_WAIT)?;
+        let stream = crate::socket::connect(self.0.to, CONNECT_WAIT)?;
         stream.set_nodelay(true)?;
         stream.set_write_timeout(Some(WRITE_WAIT))?;
         self.0.shutter.hold(&stream)?;
--- a/crates/fleet-common/src/frame.rs
+++ b/crates/fleet-common/src/frame.rs
@@ -1,6 +1,6 @@
 //! Frames between our own processes: length, checksum, then a message packed by `deku`.
 use crate::threads::{self, STACK};
-use crate::{PeerError, Step, hash, ring};
+use crate::{PeerError, Step, hash, ring, socket};
 use deku::{DekuContainerRead, DekuContainerWrite};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -99,7 +99,7 @@
 /// ```
 pub fn connect(to: SocketAddr, read_wait: Duration) -> Result<TcpStream, PeerError> {
     let fault = |e| PeerError::at(Step::Connect, to, e);
-    let stream = TcpStream::connect_timeout(&to, CONNECT_WAIT.min(read_wait)).map_err(fault)?;
+    let stream = socket::connect(to, CONNECT_WAIT.min(read_wait)).map_err(fault)?;
     stream.set_nodelay(true).map_err(fault)?;
     stream.set_read_timeout(Some(read_wait)).map_err(fault)?;
     stream.set_write_timeout(Some(WRITE_WAIT)).map_err(fault)?;
--- a/crates/fleet-common/src/lib.rs
+++ b/crates/fleet-common/src/lib.rs
@@ -18,6 +18,8 @@
 pub mod rpc;
 pub mod settings;
 pub mod signals;
+pub mod socket;
+pub mod startup;
 pub mod threads;
 
 pub use packed::{Bytes, List, Text};
--- a/crates/http-streams/src/outbound.rs
+++ b/crates/http-streams/src/outbound.rs
@@ -5,6 +5,7 @@
 use crate::head::{self, ResponseHead};
 pub use crate::outcome::{ResponsePart, SendError};
 use crate::wait::{WaitOutcome, close_with_reset, is_idle, read_available, set_socket_options, wait_readable};
+use fleet_common::socket;
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
@@ -62,7 +63,7 @@
     /// assert!(Outbound::connect("127.0.0.1:1".parse().unwrap(), std::time::Duration::from_millis(50)).is_err());
     /// ```
     pub fn connect(to: SocketAddr, timeout: Duration) -> io::Result<Self> {
-        let stream = TcpStream::connect_timeout(&to, timeout.max(MIN_CONNECT_TIMEOUT))?;
+        let stream = socket::connect(to, timeout.max(MIN_CONNECT_TIMEOUT))?;
         set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT);
         stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
         Ok(Outbound {
--- a/crates/stream-router/src/gossip.rs
+++ b/crates/stream-router/src/gossip.rs
@@ -1,8 +1,9 @@
 //! Gossip between routers: each announces what it sends to which replica, by UDP. A lost datagram only makes a
 //! replica look a little less busy for a moment.
 use deku::{DekuContainerRead, DekuContainerWrite};
-use fleet_common::List;
+use fleet_common::{List, startup};
 use std::net::{SocketAddr, UdpSocket};
+use std::sync::OnceLock;
 
 fleet_common::messages! {
     /// A prompt was sent to a replica.
@@ -77,22 +78,31 @@
 
 /// The socket for announcements.
 pub struct GossipSocket {
-    socket: Option<UdpSocket>,
+    address: SocketAddr,
+    /// Empty until the address could be bound.
+    socket: OnceLock<UdpSocket>,
 }
 
 impl GossipSocket {
-    /// Binds the address at which other routers reach this one. Where that fails, nothing is announced or received.
+    /// Binds the address at which other routers reach this one. Where it is taken, nothing is announced or received until
+    /// [`GossipSocket::receive`] could bind it.
     /// ```
     /// let _sharing = stream_router::gossip::GossipSocket::bind("127.0.0.1:0".parse().unwrap());
     /// ```
-    pub fn bind(at: SocketAddr) -> Self {
-        let socket = UdpSocket::bind(at).inspect_err(|e| fleet_common::ring::info(&format!("datagrams at {at}: {e}")));
-        GossipSocket { socket: socket.ok() }
+    pub fn bind(address: SocketAddr) -> Self {
+        let socket = UdpSocket::bind(address).map(OnceLock::from).unwrap_or_default();
+        GossipSocket { address, socket }
     }
 
-    /// Receives announcements for ever, and gives each to `apply`. Returns at once where there is no socket.
+    fn bound(&self) -> &UdpSocket {
+        self.socket.get_or_init(|| {
+            startup::until_ready(&format!("datagrams at {}", self.address), || UdpSocket::bind(self.address))
+        })
+    }
+
+    /// Receives announcements for ever, and gives each to `apply`.
     pub fn receive(&self, mut apply: impl FnMut(&Announcement)) {
-        let Some(socket) = &self.socket else { return };
+        let socket = self.bound();
         let mut bytes = [0u8; MAX_DATAGRAM_BYTES];
         loop {
             let Ok((length, _)) = socket.recv_from(&mut bytes) else {
@@ -112,7 +122,7 @@
     /// sharing.send(&[], &Announcement::PrefillDone(RequestRef { replica: 7, id: 1 }));
     /// ```
     pub fn send(&self, others: &[SocketAddr], announcement: &Announcement) {
-        let (Some(socket), Ok(bytes)) = (&self.socket, announcement.to_bytes()) else { return };
+        let (Some(socket), Ok(bytes)) = (self.socket.get(), announcement.to_bytes()) else { return };
         for to in others {
             let _ = socket.send_to(&bytes, to);
         }
