A control replica that is killed and then loses power starts again: what a log could be read from stays until it is rewritten

What users may see: after a kill in the moment in which a log is rewritten or formatted, and a loss of power soon after, the control replica refuses to start (the state on disk is damaged: its mark cannot be read, or segment N is gone). After a loss of power of all machines the system does not start (FAULT). Cause: a restarted process took what it read for durable. It removed the segment that was, before the rewritten one was durable, and wrote the other slot of the watermark while the one it relied on was in the page cache alone. Change: the slot in use is written and synced first; older segments are removed once the rewritten log is durable.

--- a/crates/control-server/src/log_store.rs
+++ b/crates/control-server/src/log_store.rs
@@ -111,15 +111,31 @@
         if names.iter().any(|name| name == PROBE_FILE) {
             store.files.remove(PROBE_FILE)?;
         }
-        for segment in segments.into_iter().filter(|segment| *segment != kept) {
-            store.files.remove(&segment_name(segment))?;
-        }
-        // The log is rewritten: what could be read need not be durable yet, nor ever become so after a sync that
-        // failed.
+        // What was read need not be durable yet, as the process that wrote it may have been killed before its sync, nor ever
+        // become so after a sync that failed. So the log is rewritten, and all that it could be read from instead stays
+        // until that is durable. Newer segments could not be read, and take room.
+        let (former, unreadable): (Vec<u64>, Vec<u64>) =
+            segments.into_iter().filter(|segment| *segment != kept).partition(|segment| *segment < kept);
+        store.remove_segments(&unreadable)?;
+        store.rewrite_watermark()?;
         store.rewrite(kept)?;
+        store.remove_segments(&former)?;
         Ok((store, found))
     }
 
+    fn remove_segments(&mut self, segments: &[u64]) -> io::Result<()> {
+        segments.iter().try_for_each(|segment| self.files.remove(&segment_name(*segment)))
+    }
+
+    /// Makes the valid slot of the watermark durable, before the other one is written.
+    fn rewrite_watermark(&mut self) -> io::Result<()> {
+        let Some(slot) = self.valid_slot else { return Ok(()) };
+        let mark = self.files.read(WATERMARK_FILE)?;
+        let Some((segment, length)) = decode_slot(&mark, SLOT_OFFSETS[slot]) else { return Ok(()) };
+        self.files.write(WATERMARK_FILE, SLOT_OFFSETS[slot], &encode_slot(segment, length))?;
+        self.files.sync(WATERMARK_FILE)
+    }
+
     /// The records of the log, folded together, synced or not.
     /// ```no_run
     /// # fn example(store: control_server::log_store::LogStore) {
--- a/crates/control-server/tests/power_loss.rs
+++ b/crates/control-server/tests/power_loss.rs
@@ -132,39 +132,59 @@
     }
 }
 
-/// One run: formatted, worked on, the power lost at the so manieth step, and again soon after; then all
-/// is worked on once more. Gives how many steps there were.
-fn run(seed: u64, cut: usize, again: usize, loss: u64, honesty: Honesty) -> usize {
+/// How the work on a disk ends.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum End {
+    /// The process is killed: what it wrote is seen on, synced or not.
+    Kill,
+    PowerLoss,
+}
+
+/// Work that ends at the so manieth step of the disk.
+#[derive(Clone, Copy, Debug)]
+struct Round {
+    steps: usize,
+    end: End,
+}
+
+/// One run: formatted, worked on and ended at a step, and again soon after, as the rounds say; then all is worked on once
+/// more, and the power is lost. Gives how many steps the last work took.
+fn run(seed: u64, rounds: &[Round], loss: u64, honesty: Honesty) -> usize {
     let mut rng = SeededRng::new(seed);
     let mut books = Books { models: vec![], synced: 0, next: 0 };
     let disk = Recorded::new(honesty);
     let mut losses = SeededRng::new(loss);
-    for (round, steps) in [cut, again, usize::MAX].into_iter().enumerate() {
-        disk.power_until(steps);
-        let what = format!("seed {seed}, cut {cut}, then {again}, loss {loss}, round {round}");
+    let last = Round { steps: usize::MAX, end: End::PowerLoss };
+    let mut steps = 0;
+    for (number, round) in rounds.iter().chain([&last]).enumerate() {
+        disk.power_until(round.steps);
+        let what = format!("seed {seed}, {rounds:?}, loss {loss}, round {number}");
         if let Some(mut store) = reopen(&disk, &mut books, &what) {
             work(&mut store, &mut rng, &mut books, 30);
         }
-        if round < 2 {
+        steps = disk.steps();
+        if round.end == End::PowerLoss {
             disk.lose_power(&mut losses);
         }
     }
-    let steps = disk.steps();
-    disk.lose_power(&mut losses);
     disk.power_until(usize::MAX);
-    reopen(&disk, &mut books, &format!("seed {seed}, cut {cut}, loss {loss}, at the end")).expect("it opens");
+    reopen(&disk, &mut books, &format!("seed {seed}, {rounds:?}, loss {loss}, at the end")).expect("it opens");
     steps
 }
 
+fn power_losses(cut: usize, again: usize) -> [Round; 2] {
+    [cut, again].map(|steps| Round { steps, end: End::PowerLoss })
+}
+
 #[test]
 fn nothing_synced_is_lost_whenever_the_power_goes() {
     let mut runs = 0;
     for seed in 0..6 {
-        let steps = run(seed, usize::MAX, usize::MAX, 0, Honesty::Honest);
+        let steps = run(seed, &[], 0, Honesty::Honest);
         for cut in 0..steps.min(130) {
             for loss in 0..8 {
                 for again in [0, 1, 2, 3, 4, 5, 6, 9, 20] {
-                    run(seed, cut, again, loss, Honesty::Honest);
+                    run(seed, &power_losses(cut, again), loss, Honesty::Honest);
                     runs += 1;
                 }
             }
@@ -173,12 +193,35 @@
     println!("{runs} runs, each with three losses of power");
 }
 
+/// A killed process leaves a log of which a part, or all, was never synced: its successor must not trust to it.
+#[test]
+fn nothing_synced_is_lost_when_a_kill_comes_before_the_power_goes() {
+    let kill = |steps| Round { steps, end: End::Kill };
+    let power_loss = |steps| Round { steps, end: End::PowerLoss };
+    let mut runs = 0;
+    for seed in 0..6 {
+        let steps = run(seed, &[], 0, Honesty::Honest);
+        for cut in 0..steps.min(130) {
+            for loss in 0..4 {
+                for again in [0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 20] {
+                    run(seed, &[kill(cut), power_loss(again)], loss, Honesty::Honest);
+                    run(seed, &[kill(cut), kill(again), power_loss(again / 2)], loss, Honesty::Honest);
+                    runs += 2;
+                }
+            }
+        }
+    }
+    println!("{runs} runs, each with one kill or two before the power is lost");
+}
+
 /// The check has teeth: a disk whose syncs do nothing is found out, and one that forgets names.
 #[test]
 fn disks_that_lie_are_found_out() {
     let quiet = std::panic::take_hook();
     std::panic::set_hook(Box::new(|_| {}));
-    let found = (0..60).filter(|cut| std::panic::catch_unwind(|| run(1, *cut, 20, 3, Honesty::Lying)).is_err()).count();
+    let found = (0..60)
+        .filter(|cut| std::panic::catch_unwind(|| run(1, &power_losses(*cut, 20), 3, Honesty::Lying)).is_err())
+        .count();
     std::panic::set_hook(quiet);
     println!("{found} of 60 runs show it");
     assert!(found > 0, "a disk that lies was not found out");
