--- a/crates/control-server/src/disk_thread.rs
+++ b/crates/control-server/src/disk_thread.rs
@@ -28,18 +28,30 @@
     first: Option<(Box<dyn RecordStore>, RecoveredDisk)>,
 }
 
+/// What to do where a log cannot be opened for a reason that time alone does not mend: it is damaged, or not ours.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnusableLog {
+    /// The program is to end, and says why.
+    Fail,
+    /// The control replica stays out until somebody has repaired or replaced the disk.
+    WaitForRepair,
+}
+
 impl ReopeningStore {
-    /// Opens the log. An I/O error is retried later; damage is an error at once.
+    /// Opens the log. An I/O error is retried later; other errors as `unusable` says.
     /// ```
-    /// use control_server::{log_store::OpenError, disk_thread::ReopeningStore};
-    /// assert!(ReopeningStore::open(Box::new(|| Err(OpenError::Damaged("its mark cannot be read".into())))).is_err());
-    /// assert!(ReopeningStore::open(Box::new(|| Err(OpenError::Io(std::io::ErrorKind::StorageFull.into())))).is_ok());
+    /// use control_server::{log_store::OpenError, disk_thread::{ReopeningStore, UnusableLog}};
+    /// let damaged = || Err(OpenError::Damaged("its mark cannot be read".into()));
+    /// assert!(ReopeningStore::open(UnusableLog::Fail, Box::new(damaged)).is_err());
+    /// assert!(ReopeningStore::open(UnusableLog::WaitForRepair, Box::new(damaged)).is_ok());
+    /// let full = || Err(OpenError::Io(std::io::ErrorKind::StorageFull.into()));
+    /// assert!(ReopeningStore::open(UnusableLog::Fail, Box::new(full)).is_ok());
     /// ```
-    pub fn open(mut open: Box<dyn FnMut() -> OpenResult + Send>) -> Result<Self, OpenError> {
+    pub fn open(unusable: UnusableLog, mut open: Box<dyn FnMut() -> OpenResult + Send>) -> Result<Self, OpenError> {
         let first = match open() {
             Ok(first) => Some(first),
-            Err(OpenError::Io(e)) => {
-                ring::error(&PeerError::at(Step::Disk, "own disk", e));
+            Err(fault) if unusable == UnusableLog::WaitForRepair || matches!(fault, OpenError::Io(_)) => {
+                ring::error(&PeerError::at(Step::Disk, "own disk", fault));
                 None
             }
             Err(fault) => return Err(fault),
@@ -49,9 +61,9 @@
 
     /// What was recovered, if the disk could be opened at once.
     /// ```
-    /// use control_server::{log_store::OpenError, disk_thread::ReopeningStore};
-    /// let disk = ReopeningStore::open(Box::new(|| Err(OpenError::Io(std::io::ErrorKind::StorageFull.into())))).unwrap();
-    /// assert!(disk.recovered().is_none());
+    /// use control_server::{log_store::OpenError, disk_thread::{ReopeningStore, UnusableLog}};
+    /// let full = || Err(OpenError::Io(std::io::ErrorKind::StorageFull.into()));
+    /// assert!(ReopeningStore::open(UnusableLog::Fail, Box::new(full)).unwrap().recovered().is_none());
     /// ```
     pub fn recovered(&self) -> Option<&RecoveredDisk> {
         self.first.as_ref().map(|(_, found)| found)
--- a/crates/control-server/src/lib.rs
+++ b/crates/control-server/src/lib.rs
@@ -19,11 +19,12 @@
 use chain_replication::recovery::StartError;
 use chain_replication::step::RecoveredDisk;
 use chain_replication::view::{Member, MemberAddress};
-use disk_thread::ReopeningStore;
+use disk_thread::{ReopeningStore, UnusableLog};
 use event_loop::ReplicaHandle;
 use fleet_common::rpc::{Request, Response};
 use fleet_common::{frame, hash, ring};
 use listing::ReplicaLister;
+use log_store::OpenError;
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -45,6 +46,8 @@
     pub data: PathBuf,
     /// How many members may be lost at once together with their disks.
     pub tolerance: u32,
+    /// What to do where the log is damaged or of another release.
+    pub unusable_log: UnusableLog,
     /// How the listing of model servers is fetched.
     pub lister: Box<dyn ReplicaLister>,
     /// Accepts connections of other members.
@@ -67,6 +70,7 @@
 /// let seeds = vec![address.clone()];
 /// let driver = start(StartOptions {
 ///     address, seeds, found_cluster: true, self_registering: true, data, tolerance: 0, lister,
+///     unusable_log: control_server::disk_thread::UnusableLog::Fail,
 ///     peer_listener: chain, node_listener: node,
 /// }).unwrap();
 /// assert_eq!(driver.role().as_deref(), Some("head"));
@@ -80,6 +84,7 @@
         self_registering: open,
         data,
         tolerance,
+        unusable_log,
         lister: listing,
         peer_listener: chain,
         node_listener: node,
@@ -87,22 +92,28 @@
     if open {
         seeds.sort_by_key(|seed| seed.id);
     }
-    let founds = found && seeds.iter().any(|seed| seed.id == me.id);
+    let mut may_found = found && seeds.iter().any(|seed| seed.id == me.id);
     let known = seeds.clone();
-    let disk = ReopeningStore::open(Box::new(move || {
-        let founds = founds && !log_store::is_initialized(&data);
-        log_store::open(&data, founds.then_some(tolerance), &known).map(|(store, found)| (Box::new(store) as _, found))
-    }));
-    let disk = disk.map_err(|fault| fault.to_string())?;
     let make = move |now: Duration, found: RecoveredDisk| -> Result<ControlReplica, StartError> {
         let incarnation = found.hard_state.as_ref().map_or(0, |meta| meta.incarnation);
         let core = ControlReplica::start(now, Member { id: me.id, incarnation }, seeds.clone(), found)?;
         let core = core.with_process_id(hash::unique_id());
         Ok(if open { core.with_announced_address(me.clone()) } else { core })
     };
-    if let Some(found) = disk.recovered() {
-        make(Duration::ZERO, found.clone()).map_err(|error| format!("the state on disk is damaged: {error}"))?;
-    }
+    let check = make.clone();
+    let disk = ReopeningStore::open(
+        unusable_log,
+        Box::new(move || {
+            // A disk that had a log once is founded on no more, though it is emptied while this process runs.
+            may_found &= !log_store::is_initialized(&data);
+            let opened = log_store::open(&data, may_found.then_some(tolerance), &known);
+            may_found &= opened.is_err();
+            let (store, found) = opened?;
+            check(Duration::ZERO, found.clone()).map_err(|error| OpenError::Damaged(error.to_string()))?;
+            Ok((Box::new(store) as _, found))
+        }),
+    );
+    let disk = disk.map_err(|fault| fault.to_string())?;
     let (polls, polled) = crossbeam::channel::bounded(4);
     let driver = Arc::new(event_loop::start(disk, Box::new(make), polls));
     let inbox = driver.clone();
--- a/crates/control-server/src/main.rs
+++ b/crates/control-server/src/main.rs
@@ -1,6 +1,7 @@
 //! The program of a control replica: settings, listeners and signals around the library.
 mod settings;
 
+use control_server::disk_thread::UnusableLog;
 use control_server::event_loop::ReplicaHandle;
 use control_server::listing::PlatformLister;
 use control_server::{StartOptions, log_store, operator_api};
@@ -66,6 +67,7 @@
         self_registering: false,
         data: settings.data.clone(),
         tolerance: TOLERANCE,
+        unusable_log: UnusableLog::Fail,
         lister: Box::new(PlatformLister(platform.clone())),
         peer_listener: chain,
         node_listener: node,
--- a/crates/control-server/tests/driver.rs
+++ b/crates/control-server/tests/driver.rs
@@ -2,7 +2,7 @@
 use chain_replication::control_replica::ControlReplica;
 use chain_replication::view::{Member, MemberAddress};
 use control_server::directory::{LocalDirectory, LogDirectory};
-use control_server::disk_thread::ReopeningStore;
+use control_server::disk_thread::{ReopeningStore, UnusableLog};
 use control_server::event_loop::{ReplicaHandle, start};
 use control_server::log_store::LogStore;
 use control_state::command::{Command, CommandRequest};
@@ -70,11 +70,14 @@
     let cores = vec![at];
     let seeds = cores.clone();
     let mut begun = false;
-    let disk = ReopeningStore::open(Box::new(move || {
-        let files = Troubled(LocalDirectory::open(&folder)?, trouble.clone());
-        let founds = (!std::mem::replace(&mut begun, true)).then_some(0);
-        LogStore::open(Box::new(files), founds, &cores).map(|(store, found)| (Box::new(store) as _, found))
-    }));
+    let disk = ReopeningStore::open(
+        UnusableLog::Fail,
+        Box::new(move || {
+            let files = Troubled(LocalDirectory::open(&folder)?, trouble.clone());
+            let founds = (!std::mem::replace(&mut begun, true)).then_some(0);
+            LogStore::open(Box::new(files), founds, &cores).map(|(store, found)| (Box::new(store) as _, found))
+        }),
+    );
     let make = move |now, found: chain_replication::step::RecoveredDisk| {
         let incarnation = found.hard_state.as_ref().unwrap().incarnation;
         ControlReplica::start(now, Member { id: 1, incarnation }, seeds.clone(), found)
--- a/crates/control-server/tests/silent_majority.rs
+++ b/crates/control-server/tests/silent_majority.rs
@@ -8,7 +8,7 @@
 use chain_replication::step::RecoveredDisk;
 use chain_replication::view::{Member, MemberAddress, View};
 use control_server::directory::LocalDirectory;
-use control_server::disk_thread::ReopeningStore;
+use control_server::disk_thread::{ReopeningStore, UnusableLog};
 use control_server::event_loop::{ReplicaHandle, start};
 use control_server::log_store::LogStore;
 use control_state::command::{Command, CommandRequest};
@@ -43,10 +43,13 @@
         .collect();
     assert_eq!(View::founding(cores.clone(), 1).chain.items().len(), 3);
     let (path, known) = (folder.clone(), cores.clone());
-    let disk = ReopeningStore::open(Box::new(move || {
-        let files = LocalDirectory::open(&path)?;
-        LogStore::open(Box::new(files), Some(1), &known).map(|(store, found)| (Box::new(store) as _, found))
-    }));
+    let disk = ReopeningStore::open(
+        UnusableLog::Fail,
+        Box::new(move || {
+            let files = LocalDirectory::open(&path)?;
+            LogStore::open(Box::new(files), Some(1), &known).map(|(store, found)| (Box::new(store) as _, found))
+        }),
+    );
     let make = move |now: Duration, found: RecoveredDisk| {
         let incarnation = found.hard_state.as_ref().unwrap().incarnation;
         ControlReplica::start(now, Member { id, incarnation }, cores.clone(), found)
--- a/crates/prefix-index/tests/golden/process.rs
+++ b/crates/prefix-index/tests/golden/process.rs
@@ -74,6 +74,7 @@
         self_registering: false,
         data,
         tolerance: 0,
+        unusable_log: control_server::disk_thread::UnusableLog::Fail,
         lister: listing,
         peer_listener: chain,
         node_listener: node,
