--- a/crates/chain-replication/src/listing.rs
+++ b/crates/chain-replication/src/listing.rs
@@ -25,10 +25,12 @@
 /// What came of a poll: the rows, or why there are none.
 pub type ListingResult = Result<Vec<ReplicaInfo>, ListingError>;
 
+/// Limit on polls without a result: older ones count for nothing.
+const MAX_PENDING_POLLS: usize = 64;
+
 /// A poll without a result.
 #[derive(Clone, Copy, Debug)]
 struct PendingPoll {
-    number: u64,
     sent_at: Duration,
     /// The version of the list that was held then.
     version: u64,
@@ -38,7 +40,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ListingFollower {
     last_number: u64,
-    pending: Option<PendingPoll>,
+    /// The polls whose results may still be used, by their numbers.
+    pending: BTreeMap<u64, PendingPoll>,
     last_poll_at: Option<Duration>,
     /// Since when each row that is held back has been missing.
     missing_since: BTreeMap<String, Duration>,
@@ -76,15 +79,20 @@
 }
 
 impl ListingFollower {
-    /// The number of the poll that is due, if one is. There is one at a time.
+    /// The number of the poll that is due, if one is. The next one follows a result, or is made where none has come in
+    /// time; the result of the one before is used all the same, as a list of many pages may take longer.
     pub fn poll_due(&mut self, now: Duration, version: u64) -> Option<u64> {
-        let is_pending = self.pending.is_some_and(|poll| now.saturating_sub(poll.sent_at) < POLL_TIMEOUT);
-        if is_pending || self.last_poll_at.is_some_and(|at| now.saturating_sub(at) < POLL_INTERVAL) {
+        let newest = self.pending.get(&self.last_number);
+        let is_awaited = newest.is_some_and(|poll| now.saturating_sub(poll.sent_at) < POLL_TIMEOUT);
+        if is_awaited || self.last_poll_at.is_some_and(|at| now.saturating_sub(at) < POLL_INTERVAL) {
             return None;
         }
         self.last_number += 1;
         self.last_poll_at = Some(now);
-        self.pending = Some(PendingPoll { number: self.last_number, sent_at: now, version });
+        self.pending.insert(self.last_number, PendingPoll { sent_at: now, version });
+        if self.pending.len() > MAX_PENDING_POLLS {
+            self.pending.pop_first();
+        }
         Some(self.last_number)
     }
 
@@ -93,7 +101,8 @@
         *self = ListingFollower { last_number: self.last_number, ..ListingFollower::default() };
     }
 
-    /// Takes the result of a poll. `None` when it is no longer waited for, or the list that is held has changed since.
+    /// Takes the result of a poll. `None` where that of a later one was used already, or the list that is held has changed
+    /// since the poll.
     pub fn take(
         &mut self,
         now: Duration,
@@ -102,7 +111,7 @@
         held: &[ReplicaInfo],
         version: u64,
     ) -> Option<ListingChange> {
-        let poll = self.pending.take_if(|poll| poll.number == number)?;
+        let poll = self.pending.remove(&number)?;
         if poll.version != version {
             return None;
         }
@@ -115,6 +124,8 @@
             }
         };
         self.error = None;
+        // What an earlier poll brings from now on may be older than this.
+        self.pending = self.pending.split_off(&number);
         self.hold_back_missing(now, &mut rows, held);
         rows.sort_by(|one, other| one.id.cmp(&other.id));
         if rows == held {
--- a/crates/chain-replication/src/timing.rs
+++ b/crates/chain-replication/src/timing.rs
@@ -55,7 +55,7 @@
 
 /// How often the platform is polled for its list of replicas.
 pub const POLL_INTERVAL: Duration = Duration::from_millis(250);
-/// A poll without a result is given up after so long.
+/// Where a poll has no result after so long, the next one is made.
 pub(crate) const POLL_TIMEOUT: Duration = Duration::from_millis(1500);
 /// A list that lost most of its replicas must stay so for this long before they are dropped.
 pub const SHRINK_CONFIRMATION: Duration = Duration::from_secs(10);
--- a/crates/chain-replication/tests/listing.rs
+++ b/crates/chain-replication/tests/listing.rs
@@ -45,3 +45,41 @@
     assert_eq!(change, Some(ListingChange::Unchanged));
     assert_eq!(follower.status().held_back, 0);
 }
+
+/// Guards against review/6: a list that takes longer than the time after which it is polled again was never taken.
+#[test]
+fn a_list_that_comes_later_than_the_next_poll_is_taken() {
+    const LISTING_TIME: Duration = Duration::from_millis(1800);
+    const TICK: Duration = Duration::from_millis(20);
+    let (mut follower, mut now) = (ListingFollower::default(), Duration::ZERO);
+    // One poll at a time is carried out, and the newest of those that wait comes next.
+    let (mut running, mut waiting) = (None::<(u64, Duration)>, None);
+    let taken = std::iter::repeat_with(|| {
+        now += TICK;
+        waiting = follower.poll_due(now, 0).or(waiting);
+        let done = running.take_if(|(_, begun)| now - *begun >= LISTING_TIME);
+        running = running.or_else(|| waiting.take().map(|number| (number, now)));
+        done.and_then(|(number, _)| follower.take(now, number, Ok(vec![row("r1")]), &[], 0))
+    });
+    let change = taken.take(500).flatten().next();
+    assert_eq!(change, Some(ListingChange::Replace { replicas: vec![row("r1")], over_version: 0 }));
+}
+
+#[test]
+fn the_result_of_an_earlier_poll_is_not_taken_after_that_of_a_later_one() {
+    let mut follower = ListingFollower::default();
+    let late = Duration::from_secs(2);
+    let (first, second) = (follower.poll_due(Duration::ZERO, 0).unwrap(), follower.poll_due(late, 0).unwrap());
+    assert!(follower.take(late, second, Ok(vec![]), &[], 0).is_some());
+    assert!(follower.take(late, first, Ok(vec![row("r1")]), &[], 0).is_none());
+}
+
+#[test]
+fn an_error_of_a_later_poll_leaves_the_earlier_one_its_chance() {
+    let mut follower = ListingFollower::default();
+    let late = Duration::from_secs(2);
+    let (first, second) = (follower.poll_due(Duration::ZERO, 0).unwrap(), follower.poll_due(late, 0).unwrap());
+    let down = Err(ListingError::Unavailable { reason: "down".into() });
+    assert!(matches!(follower.take(late, second, down, &[], 0), Some(ListingChange::Rejected { .. })));
+    assert!(follower.take(late, first, Ok(vec![row("r1")]), &[], 0).is_some());
+}
--- a/crates/control-server/src/event_loop.rs
+++ b/crates/control-server/src/event_loop.rs
@@ -83,7 +83,7 @@
                         let _ = sender.try_send(response);
                     }
                 }
-                Output::PollReplicas { poll } => _ = self.polls.try_send(poll),
+                Output::PollReplicas { poll } => _ = self.polls.send(poll),
                 Output::Log(line) => ring::info(&line),
             }
         }
@@ -112,7 +112,7 @@
 /// Starts the threads of a control replica whose disk is opened by `disk`, now or as soon as it can be.
 /// ```no_run
 /// # fn example(disk: control_server::disk_thread::ReopeningStore, make: control_server::event_loop::ReplicaFactory) {
-/// let (polls, _polled) = crossbeam::channel::bounded(4);
+/// let (polls, _polled) = crossbeam::channel::unbounded();
 /// let driver = control_server::event_loop::start(disk, make, polls);
 /// # }
 /// ```
--- a/crates/control-server/src/lib.rs
+++ b/crates/control-server/src/lib.rs
@@ -114,7 +114,7 @@
         }),
     );
     let disk = disk.map_err(|fault| fault.to_string())?;
-    let (polls, polled) = crossbeam::channel::bounded(4);
+    let (polls, polled) = crossbeam::channel::unbounded();
     let driver = Arc::new(event_loop::start(disk, Box::new(make), polls));
     let inbox = driver.clone();
     frame::serve(chain, move |sent: PeerMessage| {
