--- a/crates/chain-replication/src/control_replica/background.rs
+++ b/crates/chain-replication/src/control_replica/background.rs
@@ -1,7 +1,10 @@
 //! What the head does unasked: it follows the platform's list of replicas, and counts the minutes after which old
 //! once-claims are forgotten. Both by its monotonic clock alone.
+use super::relayed_polls::RELAYED_POLLS;
 use super::{BackgroundWork, ControlReplica};
 use crate::listing::{ListingChange, ListingResult};
+use crate::listing_pollers::{Poller, PollerChoice};
+use crate::message::Message;
 use crate::step::Output;
 use crate::timing::MINUTE;
 use control_state::command::{Command, CommandRequest};
@@ -11,6 +14,7 @@
     /// What was begun as head counts no more.
     fn stop(&mut self) {
         self.listing.forget();
+        self.pollers = PollerChoice::default();
         self.minute_started = None;
     }
 }
@@ -31,8 +35,11 @@
 
     fn poll_replicas(&mut self) {
         let version = self.replicator.state.versions[REPLICAS];
-        if let Some(poll) = self.background.listing.poll_due(self.now, version) {
-            self.outputs.push(Output::PollReplicas { poll });
+        let Some(poll) = self.background.listing.poll_due(self.now, version) else { return };
+        let peers = self.reachable_members();
+        match self.background.pollers.choose(poll, &peers) {
+            Poller::Own => self.outputs.push(Output::PollReplicas { poll }),
+            Poller::Peer(id) => self.send(id, Message::PollReplicas(poll)),
         }
     }
 
@@ -49,9 +56,20 @@
     }
 
     pub(super) fn on_replicas_listed(&mut self, poll: u64, result: ListingResult) {
+        match poll.checked_sub(RELAYED_POLLS) {
+            Some(_) => self.relay_listing(poll, result),
+            None => self.take_listing(poll, Poller::Own, result),
+        }
+    }
+
+    /// Takes what a poller brought, while this replica is head.
+    pub(super) fn take_listing(&mut self, poll: u64, poller: Poller, result: ListingResult) {
         if !self.is_head() || self.health.disk_failed {
             return;
         }
+        if result.is_ok() {
+            self.background.pollers.record_success(poll, poller);
+        }
         let state = &self.replicator.state;
         let version = state.versions[REPLICAS];
         match self.background.listing.take(self.now, poll, result, &state.replicas, version) {
--- a/crates/chain-replication/src/control_replica/mod.rs
+++ b/crates/chain-replication/src/control_replica/mod.rs
@@ -13,6 +13,7 @@
 //! | `view_install` | taking on a view |
 //! | `requests`, `pulls`, `queries` | answers to operators and nodes |
 //! | `background` | what the head does unasked |
+//! | `relayed_polls` | polls of the platform that one replica carries out for another |
 //! | `releases` | telling when weights were released |
 //! | `fingerprint` | telling states apart in an exhaustive search |
 mod background;
@@ -21,6 +22,7 @@
 mod links;
 mod pulls;
 mod queries;
+mod relayed_polls;
 mod releases;
 mod replication;
 mod requests;
@@ -35,6 +37,7 @@
 use crate::lease::{GrantedLease, HeldLease};
 use crate::link_reports::LinkReports;
 use crate::listing::ListingFollower;
+use crate::listing_pollers::PollerChoice;
 use crate::log::ReplicationLog;
 use crate::membership::{FaultyLink, Observations};
 use crate::message::{Message, PeerMessage};
@@ -66,9 +69,20 @@
 #[derive(Clone, Default)]
 struct BackgroundWork {
     listing: ListingFollower,
+    pollers: PollerChoice,
+    /// The poll that this replica carries out for a head.
+    relayed_poll: Option<RelayedPoll>,
     minute_started: Option<Duration>,
 }
 
+/// A poll that another replica, the head, asked for.
+#[derive(Clone, Copy)]
+struct RelayedPoll {
+    head: u32,
+    /// The head's number of it.
+    poll: u64,
+}
+
 /// One control replica.
 #[derive(Clone)]
 pub struct ControlReplica {
@@ -265,6 +279,8 @@
             Message::ReleaseAges(announced) => self.on_release_ages(from, &announced),
             Message::LinkReport(report) => self.links.record(self.now, from, report),
             Message::Command(bytes) => self.on_forwarded_command(bytes.as_slice()),
+            Message::PollReplicas(poll) => self.on_poll_request(from, poll),
+            Message::ReplicasListed(listing) => self.on_relayed_listing(from, listing),
         }
     }
 
--- a/crates/chain-replication/src/lib.rs
+++ b/crates/chain-replication/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`lease`] | the tail's lease, by the tail and by the voters |
 //! | [`write_queue`], [`recovery`] | writes that are not yet durable; starting from a disk |
 //! | [`node_status`], [`listing`] | what is known of nodes, and of the platform's list of replicas |
+//! | [`listing_pollers`] | which replica polls the platform for that list |
 //! | `releases`, `pending` | when weights were released; requests that wait for a commit |
 //! | [`timing`] | every duration |
 
@@ -26,6 +27,7 @@
 pub mod lease;
 pub mod link_reports;
 pub mod listing;
+pub mod listing_pollers;
 pub mod log;
 pub mod membership;
 pub mod message;
--- a/crates/chain-replication/src/message.rs
+++ b/crates/chain-replication/src/message.rs
@@ -5,7 +5,7 @@
 use crate::snapshot_transfer::{SnapshotPart, SnapshotProgress};
 use crate::view::{AcceptedView, MemberAddress, View};
 use fleet_common::rpc::ReleaseAges;
-use fleet_common::{Bytes, List};
+use fleet_common::{Bytes, List, Text};
 
 fleet_common::messages! {
     /// Whether a replica can do its part in the chain.
@@ -134,6 +134,16 @@
         pub reachable: List<ReachablePeer>,
     }
 
+    /// What came of a poll that the sender carried out for the head.
+    pub struct RelayedListing {
+        /// The head's number of the poll.
+        pub poll: u64,
+        /// The list, as JSON; empty where there is none.
+        pub replicas: Bytes,
+        /// Why there is none; empty where there is one.
+        pub error: Text,
+    }
+
     /// Everything that control replicas tell each other.
     pub enum Message {
         /// A sign of life.
@@ -168,6 +178,10 @@
         15 = ReleaseAges(ProcessReleaseAges),
         /// Whose heartbeats the sender receives.
         16 = LinkReport(LinkReport),
+        /// The head, which has no list of replicas from the platform, asks for a poll of this number.
+        17 = PollReplicas(u64),
+        /// What came of it.
+        18 = ReplicasListed(RelayedListing),
     }
 
     /// A message with its sender's id and incarnation.
@@ -192,6 +206,7 @@
             }
             Message::SnapshotPart(part) => part.bytes.as_slice().len(),
             Message::Command(bytes) => bytes.as_slice().len(),
+            Message::ReplicasListed(listing) => listing.replicas.as_slice().len(),
             _ => 0,
         };
         SMALL_MESSAGE + content
--- a/crates/chain-replication/tests/golden_protocol/messages.rs
+++ b/crates/chain-replication/tests/golden_protocol/messages.rs
@@ -5,7 +5,7 @@
 use chain_replication::log::{Entry, Position, Snapshot};
 use chain_replication::message::{
     Accept, Accepted, Ack, Append, Condition, Heartbeat, Lease, LinkReport, Message, PeerMessage, Prepare,
-    ProcessReleaseAges, Promise, ReachablePeer,
+    ProcessReleaseAges, Promise, ReachablePeer, RelayedListing,
 };
 use chain_replication::snapshot_transfer::{SnapshotPart, SnapshotProgress};
 use chain_replication::view::{AcceptedView, Member, MemberAddress, View};
@@ -112,9 +112,16 @@
         ("lease_end", Message::LeaseEnd(lease())),
         ("naming_ages", Message::ReleaseAges(naming_ages())),
         ("link_report", Message::LinkReport(link_report())),
+        ("poll_replicas", Message::PollReplicas(0x0102_0304)),
+        ("replicas_listed", Message::ReplicasListed(relayed_listing("[]", ""))),
+        ("replicas_not_listed", Message::ReplicasListed(relayed_listing("", "down"))),
     ]
 }
 
+fn relayed_listing(replicas: &str, error: &str) -> RelayedListing {
+    RelayedListing { poll: 7, replicas: replicas.as_bytes().to_vec().into(), error: error.into() }
+}
+
 /// Every message is listed above; a new one does not compile until it is.
 fn is_listed(message: &Message) -> bool {
     match message {
@@ -130,6 +137,7 @@
         | Message::LeaseRequest(_) => true,
         Message::LeaseGrant(_) | Message::Command(_) | Message::Announce(_) | Message::LeaseEnd(_) => true,
         Message::ReleaseAges(_) | Message::LinkReport(_) => true,
+        Message::PollReplicas(_) | Message::ReplicasListed(_) => true,
     }
 }
 
--- a/crates/chain-replication/tests/sim/mod.rs
+++ b/crates/chain-replication/tests/sim/mod.rs
@@ -59,6 +59,8 @@
     disks: Disks,
     /// What the platform lists now, if there is one, and how long its answers may take at the most.
     pub platform: Option<(Vec<ReplicaInfo>, u64)>,
+    /// Cores that the platform does not answer.
+    pub without_platform: BTreeSet<u32>,
     /// The guard switched off: an answer is put to the core as a bare command, whoever is head by then.
     pub bare_listing: bool,
     /// What cores are told of each other beforehand, and whether they make themselves known.
@@ -113,6 +115,7 @@
             next_token: 0,
             disks,
             platform: None,
+            without_platform: BTreeSet::new(),
             bare_listing: false,
             seeds: places(),
             tolerance: 1,
--- a/crates/chain-replication/tests/sim/platform.rs
+++ b/crates/chain-replication/tests/sim/platform.rs
@@ -8,6 +8,9 @@
     /// The platform is asked: it says what holds now, and the answer may be long on its way.
     pub(super) fn poll(&mut self, id: u32, boot: u64, number: u64) {
         let Some((rows, slowest)) = self.platform.clone() else { return };
+        if self.without_platform.contains(&id) {
+            return;
+        }
         let took = ms(1 + self.rng.next(slowest.max(1)));
         let when = self.now + took;
         self.at(when, Event::Listed(id, boot, number, rows));
