--- a/crates/fleet-common/src/node.rs
+++ b/crates/fleet-common/src/node.rs
@@ -34,42 +34,47 @@
 /// Seed addresses, which a changed settings file may replace.
 pub type Seeds = Arc<Rcu<Vec<SocketAddr>>>;
 
+/// Where the members of the control side are reached, as far as pulls told. All clients of a node share it: whatever one of
+/// them learns holds for the others, which would only know the seeds otherwise.
+pub type KnownMembers = Arc<Rcu<Vec<SocketAddr>>>;
+
 /// The link: knows the cores and which of them answered last.
 pub struct ControlClient {
     identity: Identity,
     seeds: Seeds,
-    cores: Vec<SocketAddr>,
+    members: KnownMembers,
     turn: usize,
     caller: Option<Client>,
 }
 
 impl ControlClient {
-    /// Prepares a link from seeds.
+    /// Prepares a link from seeds and the members that the node's other links have learned of.
     /// ```
     /// use fleet_common::node::{Identity, ControlClient};
     /// let me = Identity { name: "e1".into(), kind: "edge", incarnation: 1, address: "".into(), zone: "a".into() };
     /// let seeds = std::sync::Arc::new(fleet_common::Rcu::new(vec!["127.0.0.1:1".parse().unwrap()]));
-    /// let _link = ControlClient::new(me, seeds);
+    /// let _link = ControlClient::new(me, seeds, Default::default());
     /// ```
-    pub fn new(identity: Identity, seeds: Seeds) -> Self {
-        ControlClient { identity, seeds, cores: Vec::new(), turn: 0, caller: None }
+    pub fn new(identity: Identity, seeds: Seeds, members: KnownMembers) -> Self {
+        ControlClient { identity, seeds, members, turn: 0, caller: None }
     }
 
     /// Learns the list of control machines from the `cores` source (a JSON array of addresses).
     /// ```
     /// # use fleet_common::node::{Identity, ControlClient};
     /// # let me = Identity { name: "e1".into(), kind: "edge", incarnation: 1, address: "".into(), zone: "a".into() };
-    /// let mut link = ControlClient::new(me, Default::default());
+    /// let mut link = ControlClient::new(me, Default::default(), Default::default());
     /// link.learn_members(br#"["127.0.0.1:9"]"#);
     /// ```
     pub fn learn_members(&mut self, value: &[u8]) {
         if let Ok(list) = sonic_rs::from_slice::<Vec<String>>(value) {
-            self.cores = list.iter().filter_map(|a| a.parse().ok()).collect();
+            let addresses: Vec<SocketAddr> = list.iter().filter_map(|at| at.parse().ok()).collect();
+            self.members.update(|members| *members = addresses.clone());
         }
     }
 
     fn next_core(&mut self) -> Option<SocketAddr> {
-        let all: Vec<_> = self.cores.iter().chain(self.seeds.read().iter()).copied().collect();
+        let all: Vec<_> = self.members.read().iter().chain(self.seeds.read().iter()).copied().collect();
         self.turn += 1;
         all.get(self.turn % all.len().max(1)).copied()
     }
@@ -78,7 +83,7 @@
     /// ```
     /// # use fleet_common::{rpc::Request, node::{Identity, ControlClient}};
     /// # let me = Identity { name: "e1".into(), kind: "edge", incarnation: 1, address: "".into(), zone: "a".into() };
-    /// assert!(ControlClient::new(me, Default::default()).call(&Request::Query("holds".into())).is_err());
+    /// assert!(ControlClient::new(me, Default::default(), Default::default()).call(&Request::Query("holds".into())).is_err());
     /// ```
     pub fn call(&mut self, ask: &Request) -> Result<Response, PeerError> {
         for _ in 0..4 {
@@ -110,7 +115,7 @@
     /// ```
     /// # use fleet_common::node::{Identity, ControlClient};
     /// # let me = Identity { name: "e1".into(), kind: "edge", incarnation: 1, address: "".into(), zone: "a".into() };
-    /// assert!(ControlClient::new(me, Default::default()).pull([0; 8], [0; 8], true, 10).is_err());
+    /// assert!(ControlClient::new(me, Default::default(), Default::default()).pull([0; 8], [0; 8], true, 10).is_err());
     /// ```
     pub fn pull(
         &mut self,
@@ -150,7 +155,7 @@
 /// ```no_run
 /// # use fleet_common::node::{Identity, ControlClient, follow};
 /// # let me = Identity { name: "i1".into(), kind: "index", incarnation: 1, address: "".into(), zone: "a".into() };
-/// follow(ControlClient::new(me, Default::default()), |_sent, _pulled| [0; 8]);
+/// follow(ControlClient::new(me, Default::default(), Default::default()), |_sent, _pulled| [0; 8]);
 /// ```
 pub fn follow(mut link: ControlClient, mut apply: impl FnMut(Instant, PullResponse) -> VersionVector) {
     let mut have: VersionVector = [0; SOURCES.len()];
--- a/crates/prefix-index/src/lib.rs
+++ b/crates/prefix-index/src/lib.rs
@@ -60,7 +60,7 @@
 /// # }
 /// ```
 pub fn pull_forever(shared: &Arc<IndexService>) {
-    let link = ControlClient::new(shared.identity.clone(), shared.seeds.clone());
+    let link = ControlClient::new(shared.identity.clone(), shared.seeds.clone(), shared.control_members.clone());
     fleet_common::node::follow(link, |sent, pulled| shared.apply_pull(sent, pulled))
 }
 
--- a/crates/prefix-index/src/service.rs
+++ b/crates/prefix-index/src/service.rs
@@ -4,7 +4,7 @@
 use crate::replica_client::{OrderRequest, PollRequest, ReplicaApi};
 use crate::tasks::{self, Task, Watch, Watcher};
 use crossbeam::channel::{Receiver, Sender, TrySendError, unbounded};
-use fleet_common::node::{ControlClient, Identity, Seeds};
+use fleet_common::node::{ControlClient, Identity, KnownMembers, Seeds};
 use fleet_common::ring;
 use fleet_common::rpc::{PullResponse, Request, Response, VersionVector};
 use fleet_common::threads::{self, STACK};
@@ -25,7 +25,9 @@
     pub(crate) identity: Identity,
     pub(crate) seeds: Seeds,
     pub(crate) replicas: Arc<dyn ReplicaApi>,
+    /// For commands; pulls have a link of their own.
     pub(crate) link: Mutex<ControlClient>,
+    pub(crate) control_members: KnownMembers,
     tasks: (Sender<Task>, Receiver<Task>),
     peer_senders: Mutex<HashMap<String, Sender<Request>>>,
     watchers: Mutex<HashMap<String, Watcher>>,
@@ -33,9 +35,11 @@
 
 impl IndexService {
     pub(crate) fn new(identity: Identity, seeds: Seeds, replicas: Arc<dyn ReplicaApi>, index_node: IndexNode) -> Self {
+        let control_members = KnownMembers::default();
         IndexService {
             started: Instant::now(),
-            link: Mutex::new(ControlClient::new(identity.clone(), seeds.clone())),
+            link: Mutex::new(ControlClient::new(identity.clone(), seeds.clone(), control_members.clone())),
+            control_members,
             index_node: Mutex::new(index_node),
             identity,
             seeds,
--- a/crates/router-agent/src/agent.rs
+++ b/crates/router-agent/src/agent.rs
@@ -1,7 +1,7 @@
 //! The control link beside a router: pulls from the core for it, feeds it, and passes its commands on.
 use crate::shared_relay::SharedRelay;
 use control_state::command::{Command, CommandRequest};
-use fleet_common::node::{ControlClient, Identity, Seeds};
+use fleet_common::node::{ControlClient, Identity, KnownMembers, Seeds};
 use fleet_common::rpc::{Request, Response};
 use fleet_common::{frame, ring};
 use std::net::TcpListener;
@@ -17,6 +17,7 @@
 pub struct Agent {
     identity: Identity,
     seeds: Seeds,
+    control_members: KnownMembers,
     relay: SharedRelay,
     idle_clients: Mutex<Vec<ControlClient>>,
 }
@@ -29,7 +30,8 @@
 /// assert!(agent.status_json().contains("\"pullAgeMs\":null"));
 /// ```
 pub fn start(identity: Identity, seeds: Seeds, frames: TcpListener) -> Arc<Agent> {
-    let agent = Arc::new(Agent { identity, seeds, relay: SharedRelay::default(), idle_clients: Mutex::default() });
+    let (control_members, relay, idle_clients) = Default::default();
+    let agent = Arc::new(Agent { identity, seeds, control_members, relay, idle_clients });
     let for_router = agent.clone();
     frame::serve(frames, move |ask: Request| Some(for_router.respond(&ask)));
     agent
@@ -52,12 +54,13 @@
         }
     }
 
+    fn control_client(&self) -> ControlClient {
+        ControlClient::new(self.identity.clone(), self.seeds.clone(), self.control_members.clone())
+    }
+
     fn forward(&self, ask: &Request) -> Response {
         let idle = self.idle_clients.lock().unwrap_or_else(|held| held.into_inner()).pop();
-        let mut link = idle.unwrap_or_else(|| ControlClient::new(self.identity.clone(), self.seeds.clone()));
-        if let Some(cores) = self.relay.control_members() {
-            link.learn_members(&cores);
-        }
+        let mut link = idle.unwrap_or_else(|| self.control_client());
         match link.call(ask) {
             Ok(answer) => {
                 self.idle_clients.lock().unwrap_or_else(|held| held.into_inner()).push(link);
@@ -79,7 +82,7 @@
     /// agent.pull_forever();
     /// ```
     pub fn pull_forever(&self) -> ! {
-        let mut link = ControlClient::new(self.identity.clone(), self.seeds.clone());
+        let mut link = self.control_client();
         loop {
             let plan = self.relay.plan();
             match link.pull(plan.have, plan.confirmed, plan.holding, plan.wait_ms) {
--- a/crates/router-agent/src/shared_relay.rs
+++ b/crates/router-agent/src/shared_relay.rs
@@ -55,10 +55,6 @@
         self.lock().router_may_hold_lease(self.now())
     }
 
-    pub fn control_members(&self) -> Option<Vec<u8>> {
-        self.lock().control_addresses()
-    }
-
     pub fn apply(&self, sent: Instant, holding: bool, pulled: PullResponse) {
         self.lock().on_pull_response(sent.saturating_duration_since(self.started), holding, pulled);
         self.changed.notify_all();
