Stacks and heaps leave room in a bounded address space

What users may see: on a machine that bounds a process's address space by its memory, a router with some 300 connections ends by an allocation that fails (abort). Cause: each connection's thread has a stack of 256 KiB, up to 1,664 threads, and the allocator opens a heap of 64 MiB of address space for each few threads, up to eight for each processor that the machine has. Nothing looked at the bound. Change: with a bound on address space the stacks may take a third of it; beyond that connections wait or are rejected, as where the system gives no thread. There are two heaps, unless MALLOC_ARENA_MAX says otherwise, so that memory does not grow with the processors of a machine.

--- a/crates/fleet-common/src/process.rs
+++ b/crates/fleet-common/src/process.rs
@@ -20,6 +20,35 @@
     usage.ru_maxrss as u64 * BYTES_PER_KIB
 }
 
+/// Heaps of the allocator. More of them, one for each few threads and processor as is its custom, each keep what their threads
+/// have freed, so that the memory of a process would grow with the processors of its machine.
+#[cfg(target_env = "gnu")]
+const HEAPS: libc::c_int = 2;
+/// With this variable an operator chooses the number of heaps.
+#[cfg(target_env = "gnu")]
+const HEAPS_VARIABLE: &str = "MALLOC_ARENA_MAX";
+
+/// Bounds the heaps of the C library's allocator, unless its own variable does. To be called before other threads start.
+/// ```
+/// fleet_common::process::bound_heaps();
+/// ```
+pub fn bound_heaps() {
+    #[cfg(target_env = "gnu")]
+    if std::env::var_os(HEAPS_VARIABLE).is_none() {
+        unsafe { libc::mallopt(libc::M_ARENA_MAX, HEAPS) };
+    }
+}
+
+/// The address space that this process may use, in bytes; `None` where it is not bounded.
+/// ```
+/// assert!(fleet_common::process::address_space_bytes().is_none_or(|bytes| bytes > 0));
+/// ```
+pub fn address_space_bytes() -> Option<u64> {
+    let mut limit = libc::rlimit { rlim_cur: libc::RLIM_INFINITY, rlim_max: libc::RLIM_INFINITY };
+    let is_known = unsafe { libc::getrlimit(libc::RLIMIT_AS, &mut limit) } == 0;
+    (is_known && limit.rlim_cur != libc::RLIM_INFINITY).then_some(limit.rlim_cur)
+}
+
 /// One life of this process, announced in the log at its start and at its end.
 #[derive(Clone, Copy, Debug)]
 pub struct ProcessLife {
--- a/crates/fleet-common/src/threads.rs
+++ b/crates/fleet-common/src/threads.rs
@@ -1,6 +1,6 @@
 //! Threads with a name, a bounded stack and a bounded count. `std::thread::spawn` panics where no thread can be had;
 //! here that is an error, so that whoever wanted one can shed load or try again.
-use crate::ring;
+use crate::{process, ring};
 use std::io;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -11,6 +11,8 @@
 pub const SMALL_STACK: usize = 256 << 10;
 /// The stack of any other thread, in bytes.
 pub const STACK: usize = 2 << 20;
+/// Stacks take one part of so many of a bounded address space: an allocation for which none is left ends the process.
+const STACKS_SHARE: u64 = 3;
 /// How long `start` waits before it asks for a thread again.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -38,14 +40,15 @@
     },
 }
 
-/// Bounds how many threads of this module this process may have at once. Without a call there is no bound but the
-/// machine's.
+/// Bounds how many threads of this module this process may have at once. Where its address space is bounded, their stacks
+/// may take no more than a part of that. Without a call there is no bound but the machine's.
 /// ```
 /// fleet_common::threads::set_limit(600);
-/// assert_eq!(fleet_common::threads::limit(), 600);
+/// assert!(fleet_common::threads::limit() <= 600);
 /// ```
 pub fn set_limit(limit: usize) {
-    LIMIT.store(limit, Ordering::Release);
+    let fitting = process::address_space_bytes().map(|bytes| (bytes / STACKS_SHARE) as usize / SMALL_STACK);
+    LIMIT.store(limit.min(fitting.unwrap_or(limit)), Ordering::Release);
 }
 
 /// The bound on threads of this process.
