Bodies of requests that exceed a router's memory are rejected

Cause: limits/memory_mb was read by no line of code, and bodies were held without a bound on their sum. A request for which nothing is left gets 503 with Retry-After before it was read to its end, so it has not run. The readiness address has a page /process with the peak of the memory.

--- a/crates/http-streams/src/error.rs
+++ b/crates/http-streams/src/error.rs
@@ -53,6 +53,9 @@
     /// The body did not arrive within the time-out.
     #[error("the body did not come in time")]
     BodyTimeout,
+    /// The bodies of all requests together take as much memory as they may.
+    #[error("no memory is left for the body")]
+    OutOfMemory,
 }
 
 impl RequestError {
@@ -63,6 +66,7 @@
             RequestError::HeadTimeout | RequestError::BodyTimeout => 408,
             RequestError::BodyTooLarge => 413,
             RequestError::HeadTooLarge => 431,
+            RequestError::OutOfMemory => 503,
         }
     }
 }
--- a/crates/http-streams/src/inbound.rs
+++ b/crates/http-streams/src/inbound.rs
@@ -4,6 +4,7 @@
 use crate::head::{self, RequestHead};
 use crate::latch::Latch;
 pub use crate::limits::{Limits, LimitsSource};
+use crate::memory_budget::Reservation;
 pub use crate::outcome::ReadOutcome;
 use crate::wait::{WaitOutcome, read_available, reset_on_close, set_socket_options, wait_readable};
 use std::io::{self, Write};
@@ -52,6 +53,8 @@
     head_only: bool,
     /// When the first bytes of the current request arrived.
     request_began: Instant,
+    /// The memory of the current request's body, until the response is written.
+    body_memory: Option<Reservation>,
 }
 
 impl Inbound {
@@ -67,7 +70,14 @@
     pub fn new(stream: TcpStream) -> Self {
         set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT);
         let _ = stream.set_write_timeout(Some(WRITE_TIMEOUT));
-        Inbound { stream, buffer: Vec::new(), chunked_open: false, head_only: false, request_began: Instant::now() }
+        Inbound {
+            stream,
+            buffer: Vec::new(),
+            chunked_open: false,
+            head_only: false,
+            request_began: Instant::now(),
+            body_memory: None,
+        }
     }
 
     /// The socket, to watch whether the client disconnects.
@@ -199,6 +209,7 @@
         if !self.head_only {
             out.extend_from_slice(body);
         }
+        self.body_memory = None;
         self.write_all(&out)
     }
 
@@ -241,6 +252,7 @@
 
     /// Sends the last chunk and finishes the response.
     pub fn finish_chunked(&mut self, last: &[u8]) -> io::Result<()> {
+        self.body_memory = None;
         if self.head_only {
             return Ok(());
         }
--- a/crates/http-streams/src/inbound/body.rs
+++ b/crates/http-streams/src/inbound/body.rs
@@ -3,8 +3,12 @@
 use crate::error::RequestError;
 use crate::framing::{Framing, request_framing};
 use crate::head::RequestHead;
+use crate::memory_budget::Reservation;
 use std::time::Instant;
 
+/// A body is in memory twice while it is sent to a replica.
+const COPIES: usize = 2;
+
 /// Lets a client that sent `Expect: 100-continue` send its body.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -21,12 +25,16 @@
         }
         let deadline = Instant::now() + limits.now().body_timeout;
         let mut body = Vec::new();
+        self.body_memory = limits.source.body_memory().map(Reservation::new);
         let mut may_send = !head.headers.contains_token("expect", "100-continue");
         loop {
             framing.take(&mut self.buffer, &mut body)?;
             if body.len() > limits.now().body_bytes {
                 return Err(RequestError::BodyTooLarge);
             }
+            if self.body_memory.as_mut().is_some_and(|memory| !memory.grow_to(body.capacity() * COPIES)) {
+                return Err(RequestError::OutOfMemory);
+            }
             if framing == Framing::Ended {
                 return Ok(Some(body));
             }
--- a/crates/http-streams/src/limits.rs
+++ b/crates/http-streams/src/limits.rs
@@ -1,5 +1,6 @@
 //! Limits on what clients send.
 use crate::latch::Latch;
+use crate::memory_budget::MemoryBudget;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -60,6 +61,11 @@
     fn next_change(&self) -> Option<Arc<Latch>> {
         None
     }
+
+    /// The memory that the bodies of all requests share. `None` where it is not bounded.
+    fn body_memory(&self) -> Option<&Arc<MemoryBudget>> {
+        None
+    }
 }
 
 /// Limits that never change.
--- a/crates/stream-router/src/phases.rs
+++ b/crates/stream-router/src/phases.rs
@@ -7,12 +7,16 @@
 use crate::request_policy::{self, RETRY_AFTER};
 use crate::state::{RouterState, count};
 use control_state::fleet::Fleet;
+use http_streams::error::RequestError;
 use http_streams::inbound::{Inbound, ReadOutcome};
 use routing::shutdown::Admission;
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// `Retry-After` of a request that there was no memory for.
+const OUT_OF_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Counts a request as running until it is dropped.
 struct RunningRequest<'a>(&'a RouterState);
@@ -38,7 +42,7 @@
         match connection.next_request(&mut inbound, &**state) {
             ReadOutcome::Ended => return,
             ReadOutcome::Rejected(error) => {
-                let _ = send_reply(&mut inbound, &LocalReply::new(error.status(), error), true);
+                let _ = send_reply(&mut inbound, &unread_reply(&error), true);
                 return;
             }
             ReadOutcome::Request(head, body) => {
@@ -53,6 +57,14 @@
     }
 }
 
+/// The reply to a request that was not read to its end.
+fn unread_reply(error: &RequestError) -> LocalReply {
+    match error {
+        RequestError::OutOfMemory => LocalReply::unavailable(error, OUT_OF_MEMORY_RETRY_AFTER),
+        _ => LocalReply::new(error.status(), error),
+    }
+}
+
 fn send_reply(inbound: &mut Inbound, reply: &LocalReply, close: bool) -> std::io::Result<()> {
     let (headers, body) = reply.headers_and_body();
     inbound.respond(reply.status, reply.reason(), &headers, body.as_bytes(), close)
--- a/crates/stream-router/src/server.rs
+++ b/crates/stream-router/src/server.rs
@@ -51,20 +51,23 @@
     RunningRouter { state, clients }
 }
 
-/// What of the machine's limits this process uses.
-fn process_gauges() -> String {
-    let (threads, peak_bytes) = (threads::live(), process::peak_memory_bytes());
-    format!("coursebend_router_threads {threads}\ncoursebend_router_peak_memory_bytes {peak_bytes}\n")
+/// The page that is asked for in place of a readiness probe, if one is.
+fn requested_page(state: &RouterState, target: &str) -> Option<String> {
+    if target.ends_with("metrics") {
+        return Some(format!("{}coursebend_router_threads {}\n", state.counters.words(), threads::live()));
+    }
+    let peak_bytes = || format!("coursebend_process_peak_memory_bytes {}\n", process::peak_memory_bytes());
+    target.ends_with("process").then(peak_bytes)
 }
 
-/// Answers readiness probes, and with the counters where these are asked for.
+/// Answers readiness probes, and with a page where one is asked for: the counters, or what the process uses.
 fn serve_readiness(state: &RouterState, mut inbound: Inbound) {
     while let ReadOutcome::Request(head, _) = inbound.read_request(&Limits::default()) {
-        let counters = head.target.ends_with("metrics").then(|| state.counters.words() + &process_gauges());
+        let page = requested_page(state, &head.target);
         let is_ready = state.is_ready();
         let (status, reason) = if is_ready { (200, "OK") } else { (503, "Service Unavailable") };
-        let is_probe = counters.is_none();
-        let body = counters.unwrap_or_default();
+        let is_probe = page.is_none();
+        let body = page.unwrap_or_default();
         if inbound.respond(status, reason, &[], body.as_bytes(), false).is_err() {
             return;
         }
--- a/crates/stream-router/src/settings.rs
+++ b/crates/stream-router/src/settings.rs
@@ -30,6 +30,8 @@
     pub patience: ClientPatience,
     /// The times of a graceful shutdown.
     pub shutdown: ShutdownLimits,
+    /// The memory that the bodies of all requests may take together, in bytes.
+    pub body_memory_bytes: usize,
 }
 
 /// How long clients wait for the next event of a stream: the longest of a minimum, a multiple of the route's latency
--- a/crates/stream-router/src/state.rs
+++ b/crates/stream-router/src/state.rs
@@ -15,6 +15,7 @@
 use fleet_common::{Rcu, hash};
 use http_streams::latch::Latch;
 use http_streams::limits::{Limits, LimitsSource};
+use http_streams::memory_budget::MemoryBudget;
 use http_streams::pool::{Pool, RECENTLY_USED};
 use routing::in_flight_table::InFlightTable;
 use routing::lease::Lease;
@@ -93,6 +94,8 @@
     pub counters: Counters,
     /// The graceful shutdown.
     pub shutdown: ShutdownCoordinator,
+    /// The memory of the bodies of all requests.
+    body_memory: Arc<MemoryBudget>,
     /// Requests of clients that are being served.
     pub requests_running: AtomicU64,
     retry_budget: Mutex<RetryBudget>,
@@ -132,6 +135,7 @@
             pool: Pool::new(RECENTLY_USED),
             counters: Counters::default(),
             shutdown: ShutdownCoordinator::new(settings.shutdown),
+            body_memory: MemoryBudget::new(settings.body_memory_bytes),
             settings,
             requests_running: 0.into(),
             retry_budget: Mutex::new(retry_budget),
@@ -247,4 +251,8 @@
     fn next_change(&self) -> Option<Arc<Latch>> {
         Some(self.limits_watch.next_change())
     }
+
+    fn body_memory(&self) -> Option<&Arc<MemoryBudget>> {
+        Some(&self.body_memory)
+    }
 }
--- a/crates/stream-router/tests/golden/router.rs
+++ b/crates/stream-router/tests/golden/router.rs
@@ -91,6 +91,7 @@
             not_ready_answers: 2,
             transit: Duration::from_millis(120),
         },
+        body_memory_bytes: 64 << 20,
     }
 }
 
