--- a/crates/control-server/src/disk_thread.rs
+++ b/crates/control-server/src/disk_thread.rs
@@ -6,6 +6,7 @@
 use crossbeam::channel::{Receiver, Sender};
 use fleet_common::threads::{self, STACK};
 use fleet_common::{PeerError, Step, ring};
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::time::{Duration, Instant};
 
 const RETRY_DELAY: Duration = Duration::from_millis(300);
@@ -20,6 +21,17 @@
     pub records: Vec<Record>,
 }
 
+/// What the disk's thread is asked for.
+pub(crate) enum DiskRequest {
+    /// Make records durable.
+    Write(WriteRequest),
+    /// Read all from the disk again: the replica of this opening cannot go on.
+    Reopen {
+        /// The number of the opening.
+        opening: u64,
+    },
+}
+
 type OpenResult = Result<(Box<dyn RecordStore>, RecoveredDisk), OpenError>;
 
 /// A log that can be opened again after its disk failed.
@@ -69,7 +81,7 @@
         self.first.as_ref().map(|(_, found)| found)
     }
 
-    pub(crate) fn spawn(mut self, jobs: Receiver<WriteRequest>, inbox: Sender<Event>) {
+    pub(crate) fn spawn(mut self, jobs: Receiver<DiskRequest>, inbox: Sender<Event>) {
         let first = self.first.take().map(|(store, found)| {
             let _ = inbox.send(Event::Opened(1, found));
             store
@@ -109,20 +121,34 @@
     }
 }
 
-/// Makes writes durable until the disk fails; `false` when nobody sends any more.
+/// As [`write_until_failure`]; a panic counts as a failure of the disk.
 fn write_batches(
+    store: Box<dyn RecordStore>,
+    opening: u64,
+    jobs: &Receiver<DiskRequest>,
+    inbox: &Sender<Event>,
+) -> bool {
+    catch_unwind(AssertUnwindSafe(|| write_until_failure(store, opening, jobs, inbox))).unwrap_or(true)
+}
+
+/// Makes writes durable until the disk fails; `false` when nobody sends any more.
+fn write_until_failure(
     mut store: Box<dyn RecordStore>,
     opening: u64,
-    jobs: &Receiver<WriteRequest>,
+    jobs: &Receiver<DiskRequest>,
     inbox: &Sender<Event>,
 ) -> bool {
     while let Ok(first) = jobs.recv() {
         let (mut last, mut kept) = (None, Ok(()));
         let mut next = Some(first);
         while let (Some(job), Ok(())) = (&next, &kept) {
-            if job.opening == opening {
-                kept = store.append(&job.records);
-                last = Some(job.write_id);
+            match job {
+                DiskRequest::Write(write) if write.opening == opening => {
+                    kept = store.append(&write.records);
+                    last = Some(write.write_id);
+                }
+                DiskRequest::Reopen { opening: of } if *of == opening => return true,
+                DiskRequest::Write(_) | DiskRequest::Reopen { .. } => {}
             }
             next = jobs.try_recv().ok();
         }
--- a/crates/control-server/src/event_loop.rs
+++ b/crates/control-server/src/event_loop.rs
@@ -1,6 +1,6 @@
 //! The thread that runs a control replica's state machine: it takes events from a queue and carries out the outputs.
 //! When the disk failed and was opened again, the replica restarts from what was recovered.
-use crate::disk_thread::{ReopeningStore, WriteRequest};
+use crate::disk_thread::{DiskRequest, ReopeningStore, WriteRequest};
 use crate::handle::Event;
 pub use crate::handle::ReplicaHandle;
 use crate::peer_connections::PeerConnections;
@@ -11,6 +11,7 @@
 use fleet_common::rpc::Response;
 use fleet_common::{PeerError, Step, ring};
 use std::collections::HashMap;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::time::{Duration, Instant};
 
 const TICK: Duration = Duration::from_millis(20);
@@ -20,12 +21,14 @@
 struct EventLoop {
     make_replica: ReplicaFactory,
     replica: Option<ControlReplica>,
+    /// A step panicked: the replica waits until it is started again from its disk.
+    is_halted: bool,
     opening: u64,
     started: Instant,
     peers: PeerConnections,
     pending_responses: HashMap<u64, Sender<Response>>,
     last_token: u64,
-    writes: Sender<WriteRequest>,
+    writes: Sender<DiskRequest>,
     polls: Sender<u64>,
 }
 
@@ -39,6 +42,7 @@
                 self.pending_responses.clear();
                 match (self.make_replica)(self.started.elapsed(), found) {
                     Ok(replica) => {
+                        self.is_halted = false;
                         self.replica = Some(match &self.replica {
                             Some(former) => replica.restarted_from(former),
                             None => replica,
@@ -51,7 +55,7 @@
             Event::Synced(opening, up_to, true) if opening == self.opening => Input::Synced { up_to },
             Event::Synced(opening, _, false) if opening == self.opening => Input::DiskFailed,
             Event::Synced(..) => return None,
-            Event::Requested(_, sender) if self.replica.is_none() => {
+            Event::Requested(_, sender) if self.replica.is_none() || self.is_halted => {
                 let _ = sender.try_send(Response::Redirect("".into()));
                 return None;
             }
@@ -66,6 +70,9 @@
     }
 
     fn step(&mut self, input: Input) {
+        if self.is_halted {
+            return;
+        }
         let Some(replica) = self.replica.as_mut() else { return };
         for output in replica.step(self.started.elapsed(), input) {
             match output {
@@ -76,7 +83,8 @@
                     }
                 }
                 Output::Write { id: write_id, records } => {
-                    _ = self.writes.send(WriteRequest { opening: self.opening, write_id, records })
+                    let write = WriteRequest { opening: self.opening, write_id, records };
+                    _ = self.writes.send(DiskRequest::Write(write));
                 }
                 Output::Respond { token, response } => {
                     if let Some(sender) = self.pending_responses.remove(&token) {
@@ -89,21 +97,31 @@
         }
     }
 
+    /// Takes a step. After a panic nothing is known of the replica but what is on its disk, so it starts from there, as after a
+    /// failure of the disk: the others see a member that was away.
+    fn without_panic(&mut self, step: impl FnOnce(&mut Self)) {
+        if catch_unwind(AssertUnwindSafe(|| step(self))).is_err() {
+            self.is_halted = true;
+            self.pending_responses.clear();
+            _ = self.writes.send(DiskRequest::Reopen { opening: self.opening });
+        }
+    }
+
     fn run(mut self, receiver: Receiver<Event>) {
         let mut ticked = Instant::now();
         loop {
             match receiver.recv_timeout(TICK.saturating_sub(ticked.elapsed())) {
-                Ok(inbox) => {
-                    if let Some(input) = self.input(inbox) {
-                        self.step(input);
+                Ok(event) => self.without_panic(|running| {
+                    if let Some(input) = running.input(event) {
+                        running.step(input);
                     }
-                }
+                }),
                 Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
             if ticked.elapsed() >= TICK {
                 ticked = Instant::now();
-                self.step(Input::Tick);
+                self.without_panic(|running| running.step(Input::Tick));
             }
         }
     }
@@ -123,6 +141,7 @@
     let running = EventLoop {
         make_replica: make,
         replica: None,
+        is_halted: false,
         opening: 0,
         started: Instant::now(),
         peers: PeerConnections::default(),
--- a/crates/control-server/src/listing.rs
+++ b/crates/control-server/src/listing.rs
@@ -58,7 +58,7 @@
 
 /// Fetches the listing whenever the control replica wants it.
 pub(crate) fn spawn(driver: Arc<ReplicaHandle>, listing: Box<dyn ReplicaLister>, polls: Receiver<u64>) {
-    threads::start("listing", STACK, move || {
+    threads::start_restarting("listing", STACK, move || {
         polls.iter().for_each(|first| {
             // Polls that became due during the one before ask for the same list: the newest stands for all of them.
             let number = polls.try_iter().last().unwrap_or(first);
--- a/crates/control-server/src/peer_connections.rs
+++ b/crates/control-server/src/peer_connections.rs
@@ -1,7 +1,7 @@
 //! Connections to the other members: one sender thread each, with a bounded queue. Messages beyond it are dropped, as
 //! the protocol sends them again.
 use chain_replication::message::PeerMessage;
-use crossbeam::channel::{Sender, bounded};
+use crossbeam::channel::{Sender, TrySendError, bounded};
 use fleet_common::threads::{self, STACK, ThreadError};
 use fleet_common::{frame, ring};
 use std::collections::HashMap;
@@ -32,8 +32,11 @@
         };
         if waiting.load(Ordering::Relaxed) + bytes <= QUEUED_BYTES_MAX {
             waiting.fetch_add(bytes, Ordering::Relaxed);
-            if sender.try_send(sent).is_err() {
-                waiting.fetch_sub(bytes, Ordering::Relaxed);
+            match sender.try_send(sent) {
+                Ok(()) => {}
+                Err(TrySendError::Full(_)) => _ = waiting.fetch_sub(bytes, Ordering::Relaxed),
+                // Its thread panicked: the next message has another one.
+                Err(TrySendError::Disconnected(_)) => _ = self.connections.remove(&to),
             }
         }
     }
--- a/crates/control-server/tests/driver.rs
+++ b/crates/control-server/tests/driver.rs
@@ -147,3 +147,32 @@
     assert!(taken(&driver, 3).accepted());
     std::fs::remove_dir_all(path).unwrap();
 }
+
+#[test]
+fn a_control_replica_whose_step_panics_starts_again_from_its_disk() {
+    let path = std::env::temp_dir().join(format!("coursebend-driver-{}-panic", std::process::id()));
+    let _ = std::fs::remove_dir_all(&path);
+    let cores = vec![MemberAddress { id: 1, peers: "".into(), nodes: "".into(), operators: "".into() }];
+    let (folder, seeds) = (path.clone(), cores.clone());
+    let disk = ReopeningStore::open(
+        UnusableLog::Fail,
+        Box::new(move || {
+            let founds = (!control_server::log_store::is_initialized(&folder)).then_some(0);
+            control_server::log_store::open(&folder, founds, &cores).map(|(store, found)| (Box::new(store) as _, found))
+        }),
+    );
+    let mut starts = 0;
+    let make = move |now, found: chain_replication::step::RecoveredDisk| {
+        starts += 1;
+        assert_ne!(starts, 1, "the first start panics");
+        let incarnation = found.hard_state.as_ref().unwrap().incarnation;
+        ControlReplica::start(now, Member { id: 1, incarnation }, seeds.clone(), found)
+    };
+    let (polls, _polled) = crossbeam::channel::unbounded();
+    let driver = start(disk.unwrap(), Box::new(make), polls);
+    let begun = Instant::now();
+    while driver.role().as_deref() != Some("head") {
+        assert!(begun.elapsed() < Duration::from_secs(30), "it does not start again");
+    }
+    let _ = std::fs::remove_dir_all(path);
+}
--- a/crates/fleet-common/src/frame.rs
+++ b/crates/fleet-common/src/frame.rs
@@ -168,7 +168,23 @@
     B: DekuContainerWrite + 'static,
 {
     let answer = Arc::new(answer);
-    threads::start("frame listener", STACK, move || accept(&listener, &answer));
+    threads::start_restarting("frame listener", STACK, move || accept(&listener, &answer));
+}
+
+/// One of the streams that a listener may serve at once, until it is dropped, by a panic too.
+struct StreamPlace(Arc<AtomicUsize>);
+
+impl StreamPlace {
+    fn take(open: &Arc<AtomicUsize>) -> Option<StreamPlace> {
+        let place = StreamPlace(open.clone());
+        (open.fetch_add(1, Ordering::Relaxed) < STREAMS_MAX).then_some(place)
+    }
+}
+
+impl Drop for StreamPlace {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 fn accept<A, B>(listener: &TcpListener, answer: &Arc<impl Fn(A) -> Option<B> + Send + Sync + 'static>)
@@ -183,18 +199,14 @@
             std::thread::sleep(ACCEPT_AGAIN);
             continue;
         };
-        if open.fetch_add(1, Ordering::Relaxed) >= STREAMS_MAX {
-            open.fetch_sub(1, Ordering::Relaxed);
-            continue;
-        }
-        let (answer, held) = (answer.clone(), open.clone());
+        let Some(place) = StreamPlace::take(&open) else { continue };
+        let answer = answer.clone();
         let served = threads::spawn_named("frame stream", STACK, move || {
+            let _place = place;
             serve_stream(stream, &*answer);
-            held.fetch_sub(1, Ordering::Relaxed);
         });
         // Without a thread the stream is closed, and its other side opens another one later.
         if let Err(error) = served {
-            open.fetch_sub(1, Ordering::Relaxed);
             ring::info(&error.to_string());
         }
     }
--- a/crates/fleet-common/src/threads.rs
+++ b/crates/fleet-common/src/threads.rs
@@ -2,6 +2,7 @@
 //! here that is an error, so that whoever wanted one can shed load or try again.
 use crate::{process, ring};
 use std::io;
+use std::panic::AssertUnwindSafe;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::{Builder, JoinHandle};
@@ -131,3 +132,33 @@
         }
     }
 }
+
+/// Calls `body` until it returns: a panic is logged, and the body called again after a while. For what a process cannot do
+/// without, where a step that fails leaves nothing behind that the next one relies on.
+/// ```
+/// let mut left = 2;
+/// fleet_common::threads::restart_on_panic(|| {
+///     left -= 1;
+///     assert_eq!(left, 0, "panics once");
+/// });
+/// ```
+pub fn restart_on_panic(mut body: impl FnMut()) {
+    while std::panic::catch_unwind(AssertUnwindSafe(&mut body)).is_err() {
+        std::thread::sleep(RETRY_AFTER);
+    }
+}
+
+/// As [`start`], with a body that is called again after a panic.
+/// ```
+/// let (tell, told) = std::sync::mpsc::channel();
+/// let mut left = 2;
+/// fleet_common::threads::start_restarting("teller", fleet_common::threads::STACK, move || {
+///     left -= 1;
+///     assert_eq!(left, 0, "panics once");
+///     tell.send(7).unwrap();
+/// });
+/// assert_eq!(told.recv(), Ok(7));
+/// ```
+pub fn start_restarting(name: &str, stack: usize, body: impl FnMut() + Send + 'static) {
+    start(name, stack, move || restart_on_panic(body));
+}
--- a/crates/prefix-index/src/service.rs
+++ b/crates/prefix-index/src/service.rs
@@ -161,8 +161,10 @@
                 Err(error) => return ring::info(&error.to_string()),
             }
         }
-        if let Some(sender) = senders.get(at) {
-            let _ = sender.try_send(ask);
+        let Some(sender) = senders.get(at) else { return };
+        if matches!(sender.try_send(ask), Err(TrySendError::Disconnected(_))) {
+            // Its thread panicked: the next request has another one.
+            senders.remove(at);
         }
     }
 
@@ -182,14 +184,14 @@
 pub(crate) fn spawn_threads(shared: &Arc<IndexService>) {
     for _ in 0..WORKER_COUNT {
         let shared = shared.clone();
-        threads::start("index worker", STACK, move || {
+        threads::start_restarting("index worker", STACK, move || {
             while let Ok(job) = shared.tasks.1.recv() {
                 tasks::run_task(&shared, job);
             }
         });
     }
     let shared = shared.clone();
-    threads::start("index clock", STACK, move || {
+    threads::start_restarting("index clock", STACK, move || {
         loop {
             std::thread::sleep(TICK);
             shared.step(Input::Tick);
--- a/crates/stream-router/src/announcements.rs
+++ b/crates/stream-router/src/announcements.rs
@@ -12,7 +12,7 @@
 
 /// Starts the thread that receives what other routers announce.
 pub(crate) fn start(state: Arc<RouterState>) {
-    threads::start("load gossip", STACK, move || {
+    threads::start_restarting("load gossip", STACK, move || {
         state.gossip.receive(|announcement| state.apply_announcement(announcement));
     });
 }
