--- a/crates/local-fleet/src/child.rs
+++ b/crates/local-fleet/src/child.rs
@@ -17,6 +17,8 @@
     /// The largest file it may write, in bytes: a disk that is full beyond it.
     pub file_max: Option<u64>,
     child: Option<Child>,
+    /// Processes that were told to stop and whose successors were started already.
+    former: Vec<Child>,
     log: PathBuf,
 }
 
@@ -51,6 +53,7 @@
             http,
             file_max: None,
             child: None,
+            former: Vec::new(),
             log: logs.join(format!("{name}.log")),
         }
     }
@@ -103,13 +106,26 @@
         }
     }
 
+    /// Tells it to stop and starts its successor at once, while it still drains.
+    /// ```
+    /// # let mut process = local_fleet::child::Process::new("x", "no-such-program", vec![], "127.0.0.1:1".parse().unwrap(), "/tmp".into());
+    /// process.succeed();
+    /// ```
+    pub fn succeed(&mut self) {
+        self.signal(libc::SIGTERM);
+        self.former.extend(self.child.take());
+        // Those that have ended are not to stay as zombies.
+        self.former.retain_mut(|former| !matches!(former.try_wait(), Ok(Some(_))));
+        self.start();
+    }
+
     /// Kills it outright.
     /// ```
     /// # let mut process = local_fleet::child::Process::new("x", "control-server", vec![], "127.0.0.1:1".parse().unwrap(), "/tmp".into());
     /// process.kill();
     /// ```
     pub fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
+        for mut child in self.child.take().into_iter().chain(self.former.drain(..)) {
             let _ = child.kill();
             let _ = child.wait();
         }
