--- a/crates/http-streams/src/outbound.rs
+++ b/crates/http-streams/src/outbound.rs
@@ -220,6 +220,11 @@
         }
     }
 
+    /// Whether more of a response, or the end of the connection, has arrived than was taken, without waiting.
+    pub fn has_unread(&self) -> bool {
+        !self.buffer.is_empty() || !is_idle(&self.stream)
+    }
+
     /// Whether the body is complete already, without waiting.
     pub fn is_complete(&self) -> bool {
         self.framing == Framing::Ended
--- a/crates/stream-router/src/replica_response.rs
+++ b/crates/stream-router/src/replica_response.rs
@@ -170,7 +170,11 @@
         read: fn(&mut Outbound, Option<&TcpStream>, Instant) -> ResponsePart,
     ) -> ResponsePart {
         loop {
-            self.attempt.last_wait = Instant::now();
+            let looked_at = Instant::now();
+            // What arrived while this process was suspended may have started before: only silence says that it had not.
+            if !connection.has_unread() {
+                self.attempt.last_wait = looked_at;
+            }
             let start_deadline = self.start_deadline(placement);
             let last = start_deadline.map_or(deadline, |start| start.min(deadline));
             let until = last.min(Instant::now() + SUPERSEDED_CHECK_INTERVAL);
