--- a/crates/control-server/src/event_loop.rs
+++ b/crates/control-server/src/event_loop.rs
@@ -92,7 +92,7 @@
                     }
                 }
                 Output::PollReplicas { poll } => _ = self.polls.send(poll),
-                Output::Log(line) => ring::info(&line),
+                Output::Log(line) => ring::announce(&line),
             }
         }
     }
--- a/crates/stream-router/src/fleet_updates.rs
+++ b/crates/stream-router/src/fleet_updates.rs
@@ -51,6 +51,7 @@
     }
 
     fn prune(&self) {
+        self.log_readiness();
         drop_unlisted(self);
     }
 }
--- a/crates/stream-router/src/lib.rs
+++ b/crates/stream-router/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod peer_requests;
 pub mod phases;
 pub mod placement;
+pub mod readiness_log;
 mod replica_response;
 pub mod request_context;
 mod request_policy;
--- a/crates/stream-router/src/state.rs
+++ b/crates/stream-router/src/state.rs
@@ -6,13 +6,14 @@
 use crate::dialect::Dialect;
 use crate::filter_copies::FilterCopies;
 use crate::gossip::GossipSocket;
+use crate::readiness_log::{Readiness, ReadinessLog};
 use crate::retry_budget::RetryBudget;
 pub use crate::settings::{ClientPatience, RouterSettings};
 use crate::shutdown::ShutdownCoordinator;
 use crate::subsets::Subsets;
 use crate::transfer_attempt::TransferAttempt;
 use control_state::fleet::Fleet;
-use fleet_common::{Rcu, hash};
+use fleet_common::{Rcu, hash, ring};
 use http_streams::latch::Latch;
 use http_streams::limits::{Limits, LimitsSource};
 use http_streams::memory_budget::MemoryBudget;
@@ -109,6 +110,7 @@
     pub(crate) subsets: Rcu<Subsets>,
     local_loads: Mutex<HashMap<String, LocalLoad>>,
     cost_model: Mutex<CostModel>,
+    readiness_log: Mutex<ReadinessLog>,
     /// Transfers that wait for their audit.
     pub(crate) transfer_attempts: AuditQueue<TransferAttempt>,
 }
@@ -147,6 +149,7 @@
             subsets: Rcu::default(),
             local_loads: Mutex::default(),
             cost_model: Mutex::default(),
+            readiness_log: Mutex::default(),
             transfer_attempts: AuditQueue::new(MAX_PENDING_AUDITS),
         }
     }
@@ -166,6 +169,30 @@
         !self.shutdown.is_draining() && self.holds_lease() && self.fleet.read().route_config.is_some()
     }
 
+    /// Whether this router can serve, or what it lacks.
+    pub fn readiness(&self) -> Readiness {
+        let fleet = self.fleet.read();
+        if self.shutdown.is_draining() {
+            Readiness::Draining
+        } else if !self.holds_lease() {
+            Readiness::NoLease
+        } else if fleet.route_config.is_none() {
+            Readiness::NoConfiguration
+        } else if fleet.replicas.is_empty() {
+            Readiness::NoReplicas
+        } else {
+            Readiness::Ready
+        }
+    }
+
+    /// Writes to the log whether this router serves, where that has changed.
+    pub(crate) fn log_readiness(&self) {
+        let line = lock(&self.readiness_log).observe(self.now(), self.readiness());
+        if let Some(line) = line {
+            ring::announce(&line);
+        }
+    }
+
     /// The retry budget.
     pub fn retry_budget(&self) -> MutexGuard<'_, RetryBudget> {
         lock(&self.retry_budget)
