A log that nobody reads holds no thread up

Seen on real processes whose standard error is a pipe that nobody reads: after 738 to 773 errors each thread that had another one stood still for good, in all four roles; the process ran on, and nothing told.

Cause: the log was written by the thread that had something to say, with a write that waits for room. The class: waiting without a bound for somebody outside.

Now a line is written only if it is taken at once; others are dropped and counted in the next line that is taken. A pipe is opened once more for it, as a look before a write is not enough where others share it, and as not waiting must not become their property. a_log_that_nobody_reads_holds_no_thread_up: failed for each role before (frames 747 to 765), passes now.

--- a/crates/fleet-common/src/lib.rs
+++ b/crates/fleet-common/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod http_client;
 pub mod http_server;
 pub mod json;
+pub mod log_output;
 pub mod memory_watch;
 pub mod node;
 pub mod packed;
--- a/crates/fleet-common/src/ring.rs
+++ b/crates/fleet-common/src/ring.rs
@@ -1,8 +1,7 @@
 //! The log: a ring in memory, written out when something goes wrong, and little else.
-use crate::{PeerError, Step};
+use crate::{PeerError, Step, log_output};
 use logforth::append::Append;
 use std::collections::VecDeque;
-use std::io::Write;
 use std::panic::PanicHookInfo;
 use std::sync::{Mutex, OnceLock};
 
@@ -76,8 +75,7 @@
 pub fn announce(line: &str) {
     info(line);
     let program = ring().lock().unwrap_or_else(|held| held.into_inner()).program.clone();
-    // A standard error that is closed or full must not end the process.
-    let _ = writeln!(std::io::stderr().lock(), "{program} {line}");
+    log_output::standard_error().write_line(&program, line);
 }
 
 /// The lines held now, oldest first.
@@ -100,8 +98,7 @@
         ring.written_out += 1;
         (ring.program.clone(), ring.lines.drain(..).collect::<Vec<_>>())
     };
-    let mut out = std::io::stderr().lock();
     for line in lines {
-        let _ = writeln!(out, "{program} {line}");
+        log_output::standard_error().write_line(&program, &line);
     }
 }
