--- a/crates/fleet-common/src/lib.rs
+++ b/crates/fleet-common/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod http_server;
 pub mod json;
 pub mod log_output;
+pub mod memory_budget;
 pub mod memory_watch;
 pub mod node;
 pub mod packed;
--- a/crates/http-streams/src/inbound/body.rs
+++ b/crates/http-streams/src/inbound/body.rs
@@ -3,7 +3,7 @@
 use crate::error::RequestError;
 use crate::framing::{Framing, request_framing};
 use crate::head::RequestHead;
-use crate::memory_budget::Reservation;
+use fleet_common::memory_budget::Reservation;
 use std::time::Instant;
 
 /// A body is in memory twice while it is sent to a replica.
--- a/crates/http-streams/src/lib.rs
+++ b/crates/http-streams/src/lib.rs
@@ -12,7 +12,6 @@
 pub mod inbound;
 pub mod latch;
 pub mod limits;
-pub mod memory_budget;
 pub mod outbound;
 mod outcome;
 pub mod pool;
--- a/crates/http-streams/src/limits.rs
+++ b/crates/http-streams/src/limits.rs
@@ -1,6 +1,6 @@
 //! Limits on what clients send.
 use crate::latch::Latch;
-use crate::memory_budget::MemoryBudget;
+use fleet_common::memory_budget::MemoryBudget;
 use std::sync::Arc;
 use std::time::Duration;
 
