Frames beyond a machine's memory are rejected

60 frames of 63 MB at a port of any role took it to 3,784 to 3,794 MB, on and on, where machines have 256 and 260.

Cause: a frame was bounded by 64 MB, the frames of all streams by nothing.

Frames of 8 KiB and less always have room.

--- a/crates/fleet-common/src/frame.rs
+++ b/crates/fleet-common/src/frame.rs
@@ -1,14 +1,21 @@
 //! Frames between our own processes: length, checksum, then a message packed by `deku`.
+use crate::memory_budget::{MemoryBudget, Reservation};
 use crate::threads::{self, STACK};
 use crate::{PeerError, Step, hash, ring, socket};
 use deku::{DekuContainerRead, DekuContainerWrite};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 const FRAME_MAX: usize = 64 << 20;
+/// A frame and the message that is read from it are in memory at the same time.
+const COPIES: usize = 2;
+/// What each served stream may take for a frame in any case, in bytes, so that small frames do not wait for large ones.
+const STREAM_ALLOWANCE_BYTES: usize = 16 << 10;
+/// How much of a frame is read at once, in bytes.
+const READ_BYTES: usize = 64 << 10;
 const STREAMS_MAX: usize = 512;
 const WRITE_WAIT: Duration = Duration::from_secs(3);
 /// A peer that does not accept a connection for so long is not reached.
@@ -56,6 +63,45 @@
     out.write_all(&frame).and_then(|_| out.flush()).map_err(|e| PeerError::at(Step::Send, peer, e))
 }
 
+static MEMORY: OnceLock<Arc<MemoryBudget>> = OnceLock::new();
+
+/// Bounds the memory that the frames of all served streams of this process take together, in bytes. What exceeds it ends its
+/// stream, which its other side opens again. To be called before the first stream is served; later calls change nothing.
+/// ```
+/// fleet_common::frame::set_memory(32 << 20);
+/// ```
+pub fn set_memory(bytes: usize) {
+    let _ = MEMORY.set(MemoryBudget::with_allowance(bytes, STREAM_ALLOWANCE_BYTES));
+}
+
+/// The memory that frames of served streams share; as good as unbounded where nobody bounded it.
+fn memory() -> &'static Arc<MemoryBudget> {
+    MEMORY.get_or_init(|| MemoryBudget::new(usize::MAX))
+}
+
+/// Reads the body of a frame, in memory that is reserved as it comes: what is announced and not sent takes none.
+fn read_body(
+    input: &mut impl Read,
+    length: usize,
+    peer: &str,
+    reservation: &mut Reservation,
+) -> Result<Vec<u8>, PeerError> {
+    let mut body = Vec::new();
+    while body.len() < length {
+        let wanted = READ_BYTES.min(length - body.len());
+        // Doubling, as a vector grows, takes the old and the new room at once.
+        if !reservation.grow_to((body.len() + wanted) * COPIES) {
+            return Err(PeerError::at(Step::Receive, peer, format!("no memory for a frame of {length} bytes")));
+        }
+        let read = input.by_ref().take(wanted as u64).read_to_end(&mut body);
+        let count = read.map_err(|error| PeerError::at(Step::Receive, peer, error))?;
+        if count == 0 {
+            break;
+        }
+    }
+    Ok(body)
+}
+
 /// Reads one frame; `None` when the stream ended between frames.
 /// ```
 /// use fleet_common::{Text, frame};
@@ -64,6 +110,15 @@
 /// assert!(frame::read::<Text>(&mut &packed[..9], "x").is_err());
 /// ```
 pub fn read<M: for<'a> DekuContainerRead<'a>>(input: &mut impl Read, peer: &str) -> Result<Option<M>, PeerError> {
+    read_within(&MemoryBudget::new(usize::MAX), input, peer)
+}
+
+/// Reads one frame within a bound on memory.
+fn read_within<M: for<'a> DekuContainerRead<'a>>(
+    memory: &Arc<MemoryBudget>,
+    input: &mut impl Read,
+    peer: &str,
+) -> Result<Option<M>, PeerError> {
     let fault = |e: std::io::Error| PeerError::at(Step::Receive, peer, e);
     let mut head = [0u8; 8];
     let mut got = 0;
@@ -83,8 +138,8 @@
     if length > FRAME_MAX {
         return Err(PeerError::at(Step::Decode, peer, format!("frame of {length} bytes")));
     }
-    let mut body = Vec::new();
-    input.take(length as u64).read_to_end(&mut body).map_err(fault)?;
+    let mut reservation = Reservation::new(memory);
+    let body = read_body(input, length, peer, &mut reservation)?;
     if body.len() != length || hash::bytes(3, &body) as u32 != sum {
         return Err(PeerError::at(Step::Decode, peer, "frame cut or damaged"));
     }
@@ -221,7 +276,7 @@
     let _ = stream.set_nodelay(true);
     let _ = stream.set_write_timeout(Some(WRITE_WAIT));
     loop {
-        match read::<A>(&mut stream, &from) {
+        match read_within::<A>(memory(), &mut stream, &from) {
             Ok(Some(ask)) => {
                 if let Some(reply) = answer(ask)
                     && write(&mut stream, &reply, &from).is_err()
@@ -231,8 +286,9 @@
             }
             Ok(None) => return,
             Err(error) => {
-                if error.step == Step::Decode {
-                    ring::error(&error);
+                match error.step {
+                    Step::Decode => ring::error(&error),
+                    _ => ring::info(&error.to_string()),
                 }
                 return;
             }
