--- a/crates/fleet-common/src/http_client.rs
+++ b/crates/fleet-common/src/http_client.rs
@@ -34,6 +34,9 @@
     }
 }
 
+/// The longest answer of a call that does not say another bound, in bytes.
+const ANSWER_MAX_BYTES: u64 = 64 << 20;
+
 /// Header names and values to send.
 pub type Headers<'a> = &'a [(&'a str, String)];
 
@@ -83,7 +86,7 @@
     Ok(StreamedResponse { status: status.as_u16(), headers, body: Body { reader, left } })
 }
 
-/// Sends a request and reads the whole answer, at most 64 MiB of it.
+/// Sends a request and reads the whole answer; one of over 64 MiB is an error.
 /// ```
 /// use fleet_common::http_client;
 /// assert!(http_client::send("GET", "http://127.0.0.1:1/", &[], &[], std::time::Duration::from_millis(100)).is_err());
@@ -95,9 +98,25 @@
     body: &[u8],
     wait: Duration,
 ) -> Result<(u16, Vec<u8>), PeerError> {
-    let opened = open(method, url, headers, body, wait)?;
+    read_whole(open(method, url, headers, body, wait)?, url, ANSWER_MAX_BYTES)
+}
+
+/// Gets a whole answer of so many bytes at the most; a longer one is an error.
+/// ```
+/// use fleet_common::http_client;
+/// assert!(http_client::get("http://127.0.0.1:1/", 1 << 20, std::time::Duration::from_millis(100)).is_err());
+/// ```
+pub fn get(url: &str, max_bytes: u64, wait: Duration) -> Result<(u16, Vec<u8>), PeerError> {
+    read_whole(open("GET", url, &[], &[], wait)?, url, max_bytes)
+}
+
+fn read_whole(opened: StreamedResponse, url: &str, max_bytes: u64) -> Result<(u16, Vec<u8>), PeerError> {
     let mut whole = Vec::new();
-    opened.body.take(64 << 20).read_to_end(&mut whole).map_err(|e| PeerError::at(Step::Receive, url, e))?;
+    let read = opened.body.take(max_bytes.saturating_add(1)).read_to_end(&mut whole);
+    read.map_err(|e| PeerError::at(Step::Receive, url, e))?;
+    if whole.len() as u64 > max_bytes {
+        return Err(PeerError::at(Step::Receive, url, format!("an answer of over {max_bytes} bytes")));
+    }
     Ok((opened.status, whole))
 }
 
