Short leases are renewed before they end

Cause: the agent parks its pull for up to 500 ms, the router its own for up to 400; what a router knows of a confirmation is up to 1.4 s old, and a lease of `revoke_ms` less 500 ms was shorter than that.

Leases of 3 s wait as before. a_short_lease_is_renewed_before_it_ends states the relation for leases from 100 ms; the former waits break it below 2.1 s.

--- a/crates/control-state/src/relay.rs
+++ b/crates/control-state/src/relay.rs
@@ -7,13 +7,27 @@
 /// A router that is silent certainly holds no lease so long after the length of one.
 pub const LEASE_MARGIN: Duration = Duration::from_millis(300);
 
-/// How long a pull may wait for an update, in milliseconds.
-const WAIT_MS: u32 = 500;
+/// How long a pull may wait for an update.
+const WAIT: Duration = Duration::from_millis(500);
+/// The pulls that wait one after the other until a router knows of a confirmation: the agent's, the router's and the agent's
+/// next one. Twice as many fit into a lease, so that it is renewed before it ends.
+const WAITS_PER_LEASE: u32 = 6;
 /// The same where the router is about to confirm what it has: the control replicas are told soon.
 const WAIT_FOR_CONFIRMATION_MS: u32 = 15;
 /// The same where the router holds no lease.
 const WAIT_WITHOUT_LEASE_MS: u32 = 100;
 
+/// How long a pull may wait where leases have this length, and it would wait for `longest` otherwise.
+/// ```
+/// use control_state::relay::wait_within;
+/// use std::time::Duration;
+/// assert_eq!(wait_within(Duration::from_secs(3), Duration::from_millis(400)), Duration::from_millis(400));
+/// assert_eq!(wait_within(Duration::from_millis(300), Duration::from_millis(400)), Duration::from_millis(50));
+/// ```
+pub fn wait_within(lease: Duration, longest: Duration) -> Duration {
+    longest.min(lease / WAITS_PER_LEASE)
+}
+
 /// How the next pull is to be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PullPlan {
@@ -30,6 +44,8 @@
 /// The agent's side of a router's lease.
 #[derive(Clone, Debug, Default)]
 pub struct RouterRelay {
+    /// How long the router's lease lasts, where that is shorter than other nodes' leases.
+    short_lease: Option<Duration>,
     sources: [Option<SourceUpdate>; SOURCES.len()],
     /// When the pull was sent that the control replicas last confirmed.
     confirmed_at: Option<Duration>,
@@ -48,6 +64,11 @@
         RouterRelay { lease_given_at: Some(now), ..RouterRelay::default() }
     }
 
+    /// The same beside a router whose lease ends sooner than those of other nodes.
+    pub fn with_lease(self, lease: Duration) -> Self {
+        RouterRelay { short_lease: Some(lease), ..self }
+    }
+
     /// The versions that are kept here.
     pub fn versions(&self) -> VersionVector {
         std::array::from_fn(|source| self.sources[source].as_ref().map_or(0, |kept| kept.version))
@@ -82,7 +103,7 @@
         }
         let (have, confirmed) = (self.versions(), self.router_has);
         let wait_ms = match (holding, confirmed == have) {
-            (true, true) => WAIT_MS,
+            (true, true) => wait_within(self.short_lease.unwrap_or(NODE_LEASE), WAIT).as_millis() as u32,
             (true, false) => WAIT_FOR_CONFIRMATION_MS,
             (false, _) => WAIT_WITHOUT_LEASE_MS,
         };
--- a/crates/control-state/tests/router_relay.rs
+++ b/crates/control-state/tests/router_relay.rs
@@ -1,5 +1,5 @@
 //! What an agent keeps for its router, alone.
-use control_state::relay::RouterRelay;
+use control_state::relay::{RouterRelay, wait_within};
 use fleet_common::rpc::PullResponse;
 use std::time::Duration;
 
@@ -60,3 +60,18 @@
     relay.on_router_shutdown(1);
     assert!(!relay.router_may_hold_lease(Duration::ZERO) && relay.has_shut_down(1));
 }
+
+/// The longest that a router lets its agent delay an answer.
+const ROUTER_WAIT: Duration = Duration::from_millis(400);
+
+/// Guards against routers that serve nothing for most of the time, as their leases end before they are renewed.
+#[test]
+fn a_short_lease_is_renewed_before_it_ends() {
+    for lease_ms in [100, 300, 500, 1000, 1500, 3000] {
+        let lease = Duration::from_millis(lease_ms);
+        let mut relay = RouterRelay::starting(Duration::ZERO).with_lease(lease);
+        let agent_wait = Duration::from_millis(relay.plan(Duration::ZERO).wait_ms.into());
+        let oldest = agent_wait * 2 + wait_within(lease, ROUTER_WAIT);
+        assert!(oldest * 3 <= lease * 2, "a lease of {lease:?} is confirmed by pulls {oldest:?} ago");
+    }
+}
--- a/crates/router-agent/src/agent.rs
+++ b/crates/router-agent/src/agent.rs
@@ -2,7 +2,7 @@
 use crate::shared_relay::SharedRelay;
 use control_state::command::{Command, CommandRequest};
 use fleet_common::node::{ControlClient, Identity, KnownMembers, Seeds};
-use fleet_common::rpc::{Request, Response};
+use fleet_common::rpc::{NODE_LEASE, Request, Response};
 use fleet_common::{frame, ring};
 use std::net::TcpListener;
 use std::sync::{Arc, Mutex};
@@ -30,7 +30,13 @@
 /// assert!(agent.status_json().contains("\"pullAgeMs\":null"));
 /// ```
 pub fn start(identity: Identity, seeds: Seeds, frames: TcpListener) -> Arc<Agent> {
-    let (control_members, relay, idle_clients) = Default::default();
+    start_for_lease(NODE_LEASE, identity, seeds, frames)
+}
+
+/// As [`start`], beside a router whose lease lasts for `lease`, so that it is renewed in time.
+pub fn start_for_lease(lease: Duration, identity: Identity, seeds: Seeds, frames: TcpListener) -> Arc<Agent> {
+    let relay = SharedRelay::starting(lease);
+    let (control_members, idle_clients) = Default::default();
     let agent = Arc::new(Agent { identity, seeds, control_members, relay, idle_clients });
     let for_router = agent.clone();
     frame::serve(frames, move |ask: Request| Some(for_router.respond(&ask)));
--- a/crates/router-agent/src/lib.rs
+++ b/crates/router-agent/src/lib.rs
@@ -3,4 +3,4 @@
 mod agent;
 mod shared_relay;
 
-pub use agent::{Agent, start};
+pub use agent::{Agent, start, start_for_lease};
--- a/crates/router-agent/src/shared_relay.rs
+++ b/crates/router-agent/src/shared_relay.rs
@@ -27,17 +27,13 @@
     changed: Condvar,
 }
 
-impl Default for SharedRelay {
-    fn default() -> Self {
-        SharedRelay {
-            started: Instant::now(),
-            relay: Mutex::new(RouterRelay::starting(Duration::ZERO)),
-            changed: Condvar::new(),
-        }
+impl SharedRelay {
+    /// The relay of a router whose lease lasts so long.
+    pub fn starting(lease: Duration) -> SharedRelay {
+        let relay = RouterRelay::starting(Duration::ZERO).with_lease(lease);
+        SharedRelay { started: Instant::now(), relay: Mutex::new(relay), changed: Condvar::new() }
     }
-}
 
-impl SharedRelay {
     fn lock(&self) -> MutexGuard<'_, RouterRelay> {
         self.relay.lock().unwrap_or_else(|held| held.into_inner())
     }
--- a/crates/stream-router/src/fleet_updates.rs
+++ b/crates/stream-router/src/fleet_updates.rs
@@ -6,14 +6,15 @@
 use crate::state::RouterState;
 use crate::subsets::{Router, Subsets};
 use control_state::fleet::Fleet;
+use control_state::relay::wait_within;
 use fleet_common::Rcu;
 use routing::lease::Lease;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// How long the agent may delay an answer while nothing has changed, in milliseconds.
-const MAX_PULL_WAIT_MS: u32 = 400;
+/// How long the agent may delay an answer while nothing has changed.
+const MAX_PULL_WAIT: Duration = Duration::from_millis(400);
 /// The kind of node that a router is.
 const ROUTER_KIND: &str = "edge";
 
@@ -24,7 +25,7 @@
             zone: &self.settings.zone,
             incarnation: self.incarnation,
             agent: self.settings.agent_address,
-            max_wait_ms: MAX_PULL_WAIT_MS,
+            max_wait_ms: wait_within(self.settings.lease, MAX_PULL_WAIT).as_millis() as u32,
         }
     }
 
