A router without descriptors starts no threads

Cause: a worker whose accept failed counted as busy while it waited, so another one was started, whose accept failed as well, up to the limit.

Now a worker that cannot accept waits, twice as long each time up to 0.32 s, and stays the one that waits for connections. a_router_without_descriptors_starts_no_threads: 1,032 threads before, passes now.

--- a/crates/http-streams/src/serve.rs
+++ b/crates/http-streams/src/serve.rs
@@ -9,8 +9,9 @@
 
 /// Idle workers beyond this number end.
 const MAX_IDLE_WORKERS: usize = 8;
-/// Delay after a failed accept.
+/// Delay after a failed accept; it doubles with each further one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+const ACCEPT_RETRY_DELAY_MAX: Duration = Duration::from_millis(320);
 /// How long a connection that is rejected may take to send its request.
 const REJECT_TIMEOUT: Duration = Duration::from_millis(50);
 /// `Retry-After` of a rejected connection, in seconds.
@@ -99,24 +100,30 @@
     WorkerStart::Refused
 }
 
-fn run_worker(pool: &Arc<Pool>) {
+/// Waits for the next connection; `None` once the listener is closed. Without descriptors connections need time to end, and
+/// another worker would only fail beside this one.
+fn accept(pool: &Pool) -> Option<TcpStream> {
+    let mut delay = ACCEPT_RETRY_DELAY;
     loop {
-        let accepted = pool.listener.accept();
-        if accepted.is_err() && pool.closed.load(Ordering::Acquire) {
-            return;
+        if let Ok((stream, _)) = pool.listener.accept() {
+            return Some(stream);
         }
+        if pool.closed.load(Ordering::Acquire) {
+            return None;
+        }
+        std::thread::sleep(delay);
+        delay = (delay * 2).min(ACCEPT_RETRY_DELAY_MAX);
+    }
+}
+
+fn run_worker(pool: &Arc<Pool>) {
+    while let Some(stream) = accept(pool) {
         // One worker must always wait in `accept`.
         let last = pool.idle.fetch_sub(1, Ordering::AcqRel) == 1;
         let alone = last && add_worker(pool) == WorkerStart::Refused;
-        match accepted {
-            Ok((stream, _)) => {
-                let serve = || if alone { reject_connection(stream) } else { (pool.handle)(stream) };
-                // A panic while one client is served must not end the worker.
-                let _ = std::panic::catch_unwind(std::panic::AssertUnwindSafe(serve));
-            }
-            // Most likely out of descriptors: connections need time to end.
-            Err(_) => std::thread::sleep(ACCEPT_RETRY_DELAY),
-        }
+        let serve = || if alone { reject_connection(stream) } else { (pool.handle)(stream) };
+        // A panic while one client is served must not end the worker.
+        let _ = std::panic::catch_unwind(std::panic::AssertUnwindSafe(serve));
         if pool.idle.fetch_add(1, Ordering::AcqRel) >= MAX_IDLE_WORKERS {
             pool.idle.fetch_sub(1, Ordering::AcqRel);
             pool.all.fetch_sub(1, Ordering::AcqRel);
