--- a/crates/stream-router/src/events.rs
+++ b/crates/stream-router/src/events.rs
@@ -13,22 +13,10 @@
 /// The bytes of a stream that are not forwarded yet.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EventBuffer {
+    /// From the start of the first event that is not complete.
     bytes: Vec<u8>,
-}
-
-/// Where the first event ends: behind an empty line that is not the first line.
-fn end_of_event(bytes: &[u8]) -> Option<usize> {
-    let mut line = 0;
-    for (at, byte) in bytes.iter().enumerate() {
-        if *byte == b'\n' {
-            let text = &bytes[line..at];
-            if at > 0 && (text.is_empty() || text == b"\r") && line > 0 {
-                return Some(at + 1);
-            }
-            line = at + 1;
-        }
-    }
-    None
+    /// Where the line starts that is not complete.
+    line: usize,
 }
 
 /// The value of an event's last `id` field.
@@ -42,6 +30,10 @@
     ids.next_back().and_then(|value| std::str::from_utf8(value.strip_prefix(b" ").unwrap_or(value)).ok())
 }
 
+fn is_empty_line(line: &[u8]) -> bool {
+    line.is_empty() || line == b"\r"
+}
+
 impl EventBuffer {
     /// Adds bytes, and takes the events that they complete.
     /// ```
@@ -53,18 +45,34 @@
     /// assert!(events.is_empty());
     /// ```
     pub fn push(&mut self, bytes: &[u8]) -> CompleteEvents {
+        let mut unread = self.bytes.len();
         self.bytes.extend_from_slice(bytes);
-        let (mut end, mut last_id) = (0, None);
-        while let Some(length) = end_of_event(&self.bytes[end..]) {
-            if let Some(id) = event_id(&self.bytes[end..end + length]) {
-                last_id = Some(id.to_string());
+        let (mut event, mut last_id) = (0, None);
+        while let Some(length) = self.bytes[unread..].iter().position(|byte| *byte == b'\n') {
+            let (line, line_end) = (self.line, unread + length);
+            unread = line_end + 1;
+            self.line = unread;
+            // An event ends behind an empty line that is not its first one.
+            if line > event && is_empty_line(&self.bytes[line..line_end]) {
+                last_id = event_id(&self.bytes[event..unread]).map(str::to_string).or(last_id);
+                event = unread;
             }
-            end += length;
         }
-        let rest = self.bytes.split_off(end);
+        self.line -= event;
+        let rest = self.bytes.split_off(event);
         CompleteEvents { bytes: std::mem::replace(&mut self.bytes, rest), last_id }
     }
 
+    /// How many bytes wait for the end of their event.
+    /// ```
+    /// let mut events = stream_router::events::EventBuffer::default();
+    /// events.push(b"data: a\n\nda");
+    /// assert_eq!(events.len(), 2);
+    /// ```
+    pub fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
     /// Whether no incomplete event is left.
     /// ```
     /// assert!(stream_router::events::EventBuffer::default().is_empty());
