Responses beyond a router's memory are not held

Found by reading for the class: requests' bodies were bounded, what replicas answer was not. A response of 40 MB at a router that has 32 MB for bodies was forwarded whole; an event without an end grew until the request's time was over, and was searched from its start at each read (40 MB: over 15 s of processor time, then 504).

Now responses and incomplete events share the budget of requests' bodies; one that does not fit fails its attempt (502, or another replica where the route allows it), and its connection is closed. The end of an event is looked for in what is new alone.

--- a/crates/stream-router/src/events.rs
+++ b/crates/stream-router/src/events.rs
@@ -58,6 +58,9 @@
                 event = unread;
             }
         }
+        if event == 0 {
+            return CompleteEvents::default();
+        }
         self.line -= event;
         let rest = self.bytes.split_off(event);
         CompleteEvents { bytes: std::mem::replace(&mut self.bytes, rest), last_id }
@@ -86,7 +89,7 @@
     /// assert!(stream_router::events::EventBuffer::default().take_rest().is_empty());
     /// ```
     pub fn take_rest(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.bytes)
+        std::mem::take(self).bytes
     }
 
     /// Drops the incomplete event: the attempt broke, and another one resumes before it.
@@ -97,6 +100,6 @@
     /// assert!(events.is_empty());
     /// ```
     pub fn clear(&mut self) {
-        self.bytes.clear();
+        *self = EventBuffer::default();
     }
 }
--- a/crates/stream-router/src/forward.rs
+++ b/crates/stream-router/src/forward.rs
@@ -10,6 +10,7 @@
 use crate::request_context::{LocalReply, RequestContext, RequestEnd};
 use crate::retry_policy::{AttemptFailure, RetryDecision};
 use crate::state::{RouterState, count};
+use fleet_common::memory_budget::Reservation;
 use fleet_common::{hash, ring};
 use http_streams::head::ResponseHead;
 use http_streams::inbound::Inbound;
@@ -32,6 +33,8 @@
 
 /// A replica's complete response.
 pub(crate) struct BufferedResponse {
+    /// What its body takes of the router's memory, until it was forwarded.
+    pub _memory: Reservation,
     pub head: ResponseHead,
     pub body: Vec<u8>,
 }
--- a/crates/stream-router/src/replica_response.rs
+++ b/crates/stream-router/src/replica_response.rs
@@ -9,6 +9,7 @@
 use crate::state::count;
 use crate::superseded_weights;
 use crate::transfer_attempt::TransferAttempt;
+use fleet_common::memory_budget::Reservation;
 use http_streams::head::ResponseHead;
 use http_streams::outbound::{Outbound, ResponsePart};
 use std::net::TcpStream;
@@ -28,6 +29,8 @@
 const SUPERSEDED_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Limit on responses to other requests that are skipped on one connection.
 const MAX_LATE_RESPONSES: usize = 3;
+/// A response is in memory twice while it is written to the client.
+const COPIES: usize = 2;
 /// Error statuses below 500 after which another replica may be tried.
 const RETRIABLE_STATUSES: [u16; 3] = [408, 421, 429];
 
@@ -39,6 +42,15 @@
     Broken,
 }
 
+/// Why the rest of a response was not read.
+enum RestError {
+    ClientDisconnected,
+    /// It broke off, or did not come in time.
+    Incomplete,
+    /// It takes more memory than this process has for it.
+    OutOfMemory,
+}
+
 /// What the head of a response says of the request.
 enum HeadVerdict {
     /// It has not run there.
@@ -103,7 +115,7 @@
         if info.misdirected {
             count(&self.state.counters.misdirected);
         }
-        let _ = read_rest(&mut connection, None, Instant::now() + DRAIN_TIMEOUT);
+        let _ = self.read_rest(&mut connection, None, Instant::now() + DRAIN_TIMEOUT);
         self.state.pool.release(placement.address, connection);
         AttemptOutcome::failed(AttemptFailure::Rejected)
     }
@@ -114,14 +126,16 @@
             superseded_weights::check_started(self.state, placement, self.attempt.last_wait);
         }
         let client = Some(self.inbound.socket());
-        let body = match read_rest(&mut connection, client, self.context.deadline + RESPONSE_GRACE) {
-            Ok(body) => body,
-            Err(ResponsePart::ClientDisconnected) => return self.client_disconnected(connection),
-            Err(_) => return AttemptOutcome::failed(AttemptFailure::Unknown),
+        let (body, memory) = match self.read_rest(&mut connection, client, self.context.deadline + RESPONSE_GRACE) {
+            Ok(read) => read,
+            Err(RestError::ClientDisconnected) => return self.client_disconnected(connection),
+            Err(RestError::Incomplete | RestError::OutOfMemory) => {
+                return AttemptOutcome::failed(AttemptFailure::Unknown);
+            }
         };
         self.state.pool.release(placement.address, connection);
         let status = head.status;
-        let response = BufferedResponse { head, body };
+        let response = BufferedResponse { head, body, _memory: memory };
         if status >= 500 || RETRIABLE_STATUSES.contains(&status) {
             return AttemptOutcome::Failed { failure: AttemptFailure::ErrorStatus(status), response: Some(response) };
         }
@@ -150,10 +164,10 @@
                 None => return Err(HeadError::Broken),
                 Some(_) => count(&self.state.counters.late_responses),
             }
-            match read_rest(connection, Some(self.inbound.socket()), deadline) {
+            match self.read_rest(connection, Some(self.inbound.socket()), deadline) {
                 Ok(_) => {}
-                Err(ResponsePart::ClientDisconnected) => return Err(HeadError::ClientDisconnected),
-                Err(_) => return Err(HeadError::Broken),
+                Err(RestError::ClientDisconnected) => return Err(HeadError::ClientDisconnected),
+                Err(RestError::Incomplete | RestError::OutOfMemory) => return Err(HeadError::Broken),
             }
         }
         connection.may_reuse = false;
@@ -203,6 +217,7 @@
         head: ResponseHead,
         sent: Instant,
     ) -> AttemptOutcome {
+        let mut event_memory = Reservation::new(&self.state.body_memory);
         loop {
             let bytes = match self.read_stream(placement, &mut connection) {
                 ResponsePart::Body(bytes) => bytes,
@@ -212,6 +227,10 @@
                 _ => return AttemptOutcome::failed(AttemptFailure::Unknown),
             };
             let mut complete = self.events.push(&bytes);
+            if !event_memory.grow_to(self.events.len() * COPIES) {
+                connection.close_with_reset();
+                return AttemptOutcome::failed(AttemptFailure::Unknown);
+            }
             let is_last = connection.is_complete();
             if is_last {
                 complete.bytes.extend_from_slice(&self.events.take_rest());
@@ -261,6 +280,29 @@
         started.is_ok() && (!is_last || self.inbound.finish_chunked(b"").is_ok())
     }
 
+    /// Reads the rest of a response, watching the client where there is one to watch. Its memory is given back with the
+    /// reservation.
+    fn read_rest(
+        &self,
+        connection: &mut Outbound,
+        client: Option<&TcpStream>,
+        deadline: Instant,
+    ) -> Result<(Vec<u8>, Reservation), RestError> {
+        let (mut all, mut memory) = (Vec::new(), Reservation::new(&self.state.body_memory));
+        loop {
+            match connection.body(client, deadline) {
+                ResponsePart::Body(bytes) => all.extend_from_slice(&bytes),
+                ResponsePart::Complete => return Ok((all, memory)),
+                ResponsePart::ClientDisconnected => return Err(RestError::ClientDisconnected),
+                _ => return Err(RestError::Incomplete),
+            }
+            if !memory.grow_to(all.capacity() * COPIES) {
+                connection.may_reuse = false;
+                return Err(RestError::OutOfMemory);
+            }
+        }
+    }
+
     /// The first event is here: the replica's prefill is done, which says something of its pace and of the source.
     fn record_first_event(&mut self, placement: &Placement, sent: Instant) {
         let time_to_first_event = sent.elapsed();
@@ -291,19 +333,3 @@
     });
     transferred.last().map(|part| part.hash)
 }
-
-/// Reads the rest of a response, watching the client where there is one to watch.
-fn read_rest(
-    connection: &mut Outbound,
-    client: Option<&TcpStream>,
-    deadline: Instant,
-) -> Result<Vec<u8>, ResponsePart> {
-    let mut all = Vec::new();
-    loop {
-        match connection.body(client, deadline) {
-            ResponsePart::Body(bytes) => all.extend_from_slice(&bytes),
-            ResponsePart::Complete => return Ok(all),
-            part => return Err(part),
-        }
-    }
-}
--- a/crates/stream-router/src/state.rs
+++ b/crates/stream-router/src/state.rs
@@ -96,7 +96,7 @@
     /// The graceful shutdown.
     pub shutdown: ShutdownCoordinator,
     /// The memory of the bodies of all requests.
-    body_memory: Arc<MemoryBudget>,
+    pub(crate) body_memory: Arc<MemoryBudget>,
     /// Requests of clients that are being served.
     pub requests_running: AtomicU64,
     retry_budget: Mutex<RetryBudget>,
