A caller whose body is rejected gets the response

Callers: of 200 that sent bodies of 4 MB at once to a router without memory for them, 188 got a reset in place of the 503, and so could not know that their request had not run.

Cause: the connection was closed while bytes of the body were still coming; the system answers those with a reset.

--- a/crates/http-streams/src/inbound.rs
+++ b/crates/http-streams/src/inbound.rs
@@ -8,7 +8,7 @@
 use crate::wait::{WaitOutcome, read_available, reset_on_close, set_socket_options, wait_readable};
 use fleet_common::memory_budget::Reservation;
 use std::io::{self, Write};
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
 use std::time::{Duration, Instant};
 
 mod body;
@@ -38,6 +38,10 @@
 /// Bytes that a client's machine has not acknowledged for so long are given up.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// For so long, and for so many bytes, a client may go on sending a request that was rejected.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+const LINGER_BYTES: usize = 16 << 20;
+
 /// Buffer space for a response's head, in bytes; larger ones only cost another allocation.
 const HEAD_CAPACITY: usize = 512;
 /// Buffer space for a chunk's size line, line end and the last chunk, in bytes.
@@ -183,6 +187,22 @@
         (&self.stream).write_all(bytes)
     }
 
+    /// Closes the connection after the response to a request that was not read whole. Bytes that nobody reads would reset it,
+    /// and the client would lose the response: what it still sends is read and dropped, within bounds.
+    pub fn close_after_rejection(self) {
+        let _ = self.stream.shutdown(Shutdown::Write);
+        let deadline = Instant::now() + LINGER_TIMEOUT;
+        let mut left = LINGER_BYTES;
+        let mut dropped = Vec::new();
+        while left > 0 && wait_readable(&self.stream, None, deadline) == WaitOutcome::Readable {
+            match read_available(&self.stream, &mut dropped) {
+                Ok(count) if count > 0 => left = left.saturating_sub(count),
+                _ => return,
+            }
+            dropped.clear();
+        }
+    }
+
     /// Writes a complete response, in one write. Errors are those of the socket.
     /// ```no_run
     /// # fn show(mut inbound: http_streams::inbound::Inbound) -> std::io::Result<()> {
--- a/crates/stream-router/src/phases.rs
+++ b/crates/stream-router/src/phases.rs
@@ -42,7 +42,9 @@
         match connection.next_request(&mut inbound, &**state) {
             ReadOutcome::Ended => return,
             ReadOutcome::Rejected(error) => {
-                let _ = send_reply(&mut inbound, &unread_reply(&error), true);
+                if send_reply(&mut inbound, &unread_reply(&error), true).is_ok() {
+                    inbound.close_after_rejection();
+                }
                 return;
             }
             ReadOutcome::Request(head, body) => {
