--- a/crates/local-fleet/src/child.rs
+++ b/crates/local-fleet/src/child.rs
@@ -20,6 +20,8 @@
     /// Processes that were told to stop and whose successors were started already.
     former: Vec<Child>,
     log: PathBuf,
+    /// Starts that the log told of before the present life began.
+    former_starts: usize,
 }
 
 /// The folder in which the project's programs lie.
@@ -55,6 +57,7 @@
             child: None,
             former: Vec::new(),
             log: logs.join(format!("{name}.log")),
+            former_starts: 0,
         }
     }
 
@@ -64,6 +67,7 @@
     /// process.start();
     /// ```
     pub fn start(&mut self) {
+        self.former_starts = self.logged_starts();
         let log = std::fs::OpenOptions::new().create(true).append(true).open(&self.log);
         let mut command = Command::new(programs().join(self.program));
         command.args(&self.args).stdin(Stdio::null()).stdout(Stdio::null());
@@ -151,6 +155,15 @@
         std::fs::read_to_string(&self.log).unwrap_or_default().matches(" starts: ").count()
     }
 
+    /// Whether the present life has said in the log that it starts.
+    /// ```
+    /// # let process = local_fleet::child::Process::new("x", "control-server", vec![], "127.0.0.1:1".parse().unwrap(), "/tmp/none".into());
+    /// assert!(!process.has_logged_its_start());
+    /// ```
+    pub fn has_logged_its_start(&self) -> bool {
+        self.logged_starts() > self.former_starts
+    }
+
     /// Waits for it to end by itself; gives its exit code.
     /// ```
     /// # let mut process = local_fleet::child::Process::new("x", "control-server", vec![], "127.0.0.1:1".parse().unwrap(), "/tmp".into());
