--- a/crates/local-fleet/src/child.rs
+++ b/crates/local-fleet/src/child.rs
@@ -164,6 +164,18 @@
         self.logged_starts() > self.former_starts
     }
 
+    /// The most memory that it has had resident so far, in bytes; 0 where it does not run.
+    /// ```
+    /// # let process = local_fleet::child::Process::new("x", "control-server", vec![], "127.0.0.1:1".parse().unwrap(), "/tmp".into());
+    /// assert_eq!(process.peak_memory_bytes(), 0);
+    /// ```
+    pub fn peak_memory_bytes(&self) -> u64 {
+        let status = self.child.as_ref().map(|child| std::fs::read_to_string(format!("/proc/{}/status", child.id())));
+        let status = status.and_then(Result::ok).unwrap_or_default();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")?.strip_suffix("kB"));
+        peak.and_then(|kib| kib.trim().parse::<u64>().ok()).unwrap_or(0) << 10
+    }
+
     /// Waits for it to end by itself; gives its exit code.
     /// ```
     /// # let mut process = local_fleet::child::Process::new("x", "control-server", vec![], "127.0.0.1:1".parse().unwrap(), "/tmp".into());
