A log whose opening panics is opened again

Now a panic on the way is a fault of what was read: it is logged, and the log is opened again after a while, as a damaged one is. a_log_whose_opening_panics_is_opened_again: the panic reached the caller before, passes now.

--- a/crates/control-server/src/disk_thread.rs
+++ b/crates/control-server/src/disk_thread.rs
@@ -60,7 +60,7 @@
     /// assert!(ReopeningStore::open(UnusableLog::Fail, Box::new(full)).is_ok());
     /// ```
     pub fn open(unusable: UnusableLog, mut open: Box<dyn FnMut() -> OpenResult + Send>) -> Result<Self, OpenError> {
-        let first = match open() {
+        let first = match without_panic(&mut *open) {
             Ok(first) => Some(first),
             Err(fault) if unusable == UnusableLog::WaitForRepair || matches!(fault, OpenError::Io(_)) => {
                 ring::error(&PeerError::at(Step::Disk, "own disk", fault));
@@ -90,28 +90,12 @@
             if first.is_some_and(|store| !write_batches(store, 1, &jobs, &inbox)) {
                 return;
             }
-            let (mut told, mut wait, mut opened) = (String::new(), RETRY_DELAY / 2, Instant::now());
+            let (mut wait, mut opened) = (RETRY_DELAY / 2, Instant::now());
             for opening in 2.. {
                 // Backoff: a member whose disk fails again and again stays out for longer each time.
                 wait = if opened.elapsed() > HEALTHY_AFTER { RETRY_DELAY } else { (wait * 2).min(RETRY_DELAY_MAX) };
                 std::thread::sleep(wait);
-                let probed = |(mut store, found): (Box<dyn RecordStore>, RecoveredDisk)| {
-                    store.check_writable()?;
-                    Ok((store, found))
-                };
-                let (store, found) = loop {
-                    match (self.open)().and_then(probed) {
-                        Ok(opened) => break opened,
-                        Err(fault) if fault.to_string() != told => {
-                            told = fault.to_string();
-                            ring::error(&PeerError::at(Step::Disk, "own disk", fault));
-                        }
-                        Err(_) => {}
-                    }
-                    // Writes of the former replica are dropped: nobody waits for them.
-                    while jobs.try_recv().is_ok() {}
-                    std::thread::sleep(RETRY_DELAY);
-                };
+                let (store, found) = self.reopen(&jobs);
                 opened = Instant::now();
                 if inbox.send(Event::Opened(opening, found)).is_err() || !write_batches(store, opening, &jobs, &inbox) {
                     return;
@@ -119,6 +103,35 @@
             }
         });
     }
+
+    /// Opens the log as soon as it can be read and written. A fault is logged where it differs from the one before.
+    fn reopen(&mut self, jobs: &Receiver<DiskRequest>) -> (Box<dyn RecordStore>, RecoveredDisk) {
+        let mut logged = String::new();
+        loop {
+            let opened = without_panic(&mut || {
+                let (mut store, found) = (self.open)()?;
+                store.check_writable()?;
+                Ok((store, found))
+            });
+            match opened {
+                Ok(opened) => return opened,
+                Err(fault) if fault.to_string() != logged => {
+                    logged = fault.to_string();
+                    ring::error(&PeerError::at(Step::Disk, "own disk", fault));
+                }
+                Err(_) => {}
+            }
+            // Writes of the former replica are dropped: nobody waits for them.
+            while jobs.try_recv().is_ok() {}
+            std::thread::sleep(RETRY_DELAY);
+        }
+    }
+}
+
+/// Opens the log; a panic on the way is a fault of what was read, and no end of the process or of the disk's thread.
+fn without_panic(open: &mut dyn FnMut() -> OpenResult) -> OpenResult {
+    let panicked = |_| Err(OpenError::Damaged("reading it panicked".into()));
+    catch_unwind(AssertUnwindSafe(open)).unwrap_or_else(panicked)
 }
 
 /// As [`write_until_failure`]; a panic counts as a failure of the disk.
--- a/crates/control-server/tests/driver.rs
+++ b/crates/control-server/tests/driver.rs
@@ -176,3 +176,30 @@
     }
     let _ = std::fs::remove_dir_all(path);
 }
+
+/// Guards against a control replica that stands still for good, or ends, as a panic took its disk's thread away.
+#[test]
+fn a_log_whose_opening_panics_is_opened_again() {
+    let path = std::env::temp_dir().join(format!("coursebend-driver-{}-open-panic", std::process::id()));
+    let _ = std::fs::remove_dir_all(&path);
+    let cores = vec![MemberAddress { id: 1, peers: "".into(), nodes: "".into(), operators: "".into() }];
+    let (folder, seeds) = (path.clone(), cores.clone());
+    let mut openings = 0;
+    let disk = ReopeningStore::open(
+        UnusableLog::WaitForRepair,
+        Box::new(move || {
+            openings += 1;
+            assert!(openings > 2, "the first openings panic");
+            control_server::log_store::open(&folder, Some(0), &cores)
+                .map(|(store, found)| (Box::new(store) as _, found))
+        }),
+    );
+    let make = move |now, found: chain_replication::step::RecoveredDisk| {
+        let incarnation = found.hard_state.as_ref().unwrap().incarnation;
+        ControlReplica::start(now, Member { id: 1, incarnation }, seeds.clone(), found)
+    };
+    let (polls, _polled) = crossbeam::channel::unbounded();
+    let driver = start(disk.unwrap(), Box::new(make), polls);
+    assert!(taken(&driver, 1).accepted());
+    let _ = std::fs::remove_dir_all(path);
+}
