--- a/crates/stream-router/src/replica_response.rs
+++ b/crates/stream-router/src/replica_response.rs
@@ -246,14 +246,18 @@
                 self.context.attempts.has_event_id = true;
             }
             if is_last {
-                count(&self.state.counters.responses_completed);
-                self.context.response_complete = true;
-                self.state.pool.release(placement.address, connection);
-                return AttemptOutcome::Ended(RequestEnd::Forwarded);
+                return self.stream_completed(placement, connection);
             }
         }
     }
 
+    fn stream_completed(&mut self, placement: &Placement, connection: Outbound) -> AttemptOutcome {
+        count(&self.state.counters.responses_completed);
+        self.context.response_complete = true;
+        self.state.pool.release(placement.address, connection);
+        AttemptOutcome::Ended(RequestEnd::Forwarded)
+    }
+
     /// Reads on of a stream.
     fn read_stream(&mut self, placement: &Placement, connection: &mut Outbound) -> ResponsePart {
         let deadline = self.context.deadline + RESPONSE_GRACE;
